--- /dev/null
+++ b/crates/coord/src/clock.rs
@@ -0,0 +1,105 @@
+//! Time in milliseconds.
+//!
+//! [`Millis`] is both a point in time and a span. Decision logic receives it as a parameter and
+//! never reads a clock. Arithmetic saturates, so a time in the far future cannot wrap around.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in time or a span, in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The zero span, and the origin of every [`Clock`].
+    pub const ZERO: Self = Self(0);
+
+    /// A time later than any that a clock returns.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Returns the span multiplied by a factor.
+    #[must_use]
+    pub fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+
+    /// Converts the span to a standard duration.
+    #[must_use]
+    pub fn to_duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
+
+/// The source of time of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Creates a clock whose origin is the present.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// Returns the monotonic time since the clock's origin.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.origin.elapsed().into()
+    }
+
+    /// Returns the time since the Unix epoch, which may jump and is used only for retention.
+    #[must_use]
+    pub fn wall() -> Millis {
+        SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(Millis::ZERO, Millis::from)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,12 @@
+//! Coordination parts for a serving system of many equal instances.
+//!
+//! Every part is a deterministic state machine without I/O: it takes the current time and an
+//! input, and returns outputs. Nothing here opens a socket, starts a thread or reads a clock,
+//! apart from [`clock::Clock`], which callers use to obtain the time that they pass in.
+
+pub mod clock;
+pub mod entity;
+pub mod rendezvous;
+
+pub use clock::Clock;
+pub use clock::Millis;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,5 @@
+//! Messages between instances, and the payloads of targets and of the platform.
+
+pub mod header;
+pub mod platform;
+pub mod target;
