--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -171,6 +171,10 @@
 /// Policies for routing, retries and admission.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each policy is switched by itself"
+)]
 pub struct PolicySpec {
     /// How a target is chosen.
     pub choice: Choice,
