wire: add the messages between instances

Grant requests, grant replies and quarantine entries are lists, so that an instance sends one datagram to an owner of several targets.

--- /dev/null
+++ b/crates/coord/src/document.rs
@@ -0,0 +1,310 @@
+//! Versioned documents: the configuration and the target list of a failure domain.
+//!
+//! A higher version replaces a lower one, and a lower version is never applied. Two different
+//! contents with the same version are a fault of the writer (for example, a platform that was
+//! restored from a backup). They are counted, and the content with the smaller digest wins: every
+//! instance then ends up with the same content, and exchanges between instances come to rest.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use displaydoc::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::rendezvous::stable_hash;
+
+/// The number of older contents from which a document's holder can compute a difference.
+const HISTORY_LEN: usize = 4;
+
+/// The kind of a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum DocumentKind {
+    /// The configuration; its version is the generation.
+    Configuration,
+    /// The targets of a failure domain; the version is the revision of the platform's list.
+    TargetList {
+        /// The name of the failure domain.
+        failure_domain: String,
+    },
+}
+
+/// The version of a document with a digest of its content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// The number, 0 when there is no document.
+    pub number: u64,
+    /// The digest of the content.
+    pub content: u64,
+}
+
+impl Version {
+    /// Returns whether a document of this version replaces one of the other version.
+    #[must_use]
+    pub fn replaces(self, other: Self) -> bool {
+        self.number > other.number
+            || (self.number == other.number && self.number > 0 && self.content < other.content)
+    }
+}
+
+/// A document with its version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The kind.
+    pub kind: DocumentKind,
+    /// The number of the version, 1 or above.
+    pub number: u64,
+    /// The content.
+    pub content: Vec<u8>,
+}
+
+impl Document {
+    /// Returns the version with the digest of the content.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        Version {
+            number: self.number,
+            content: stable_hash(&self.content),
+        }
+    }
+}
+
+/// The versions that are piggybacked on messages between instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The version of the configuration.
+    pub configuration: Version,
+    /// The version of the target list of the sender's failure domain.
+    pub target_list: Version,
+}
+
+/// The difference between two contents that have a common start and a common end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// The version to which the difference applies.
+    pub base: Version,
+    /// The version that results.
+    pub result: Version,
+    /// The length of the common start, in bytes.
+    pub start_bytes: u32,
+    /// The length of the common end, in bytes.
+    pub end_bytes: u32,
+    /// The bytes between the common start and the common end.
+    pub middle: Vec<u8>,
+}
+
+/// An answer to an instance that is behind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Transfer {
+    /// The asked instance has nothing newer.
+    NotNewer,
+    /// The whole document.
+    Whole(Document),
+    /// The difference from the version that the asking instance holds.
+    Difference(DocumentKind, Difference),
+}
+
+/// The result of offering a document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// The document replaced the present one.
+    Applied,
+    /// The document is the present one.
+    Same,
+    /// The document has a lower version and was not applied.
+    Older,
+    /// The document has the present version with another content, and was not applied.
+    Conflict,
+}
+
+/// A transfer that could not be applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum TransferError {
+    /// the difference applies to another version of the document
+    OtherBase,
+    /// the difference does not fit the document
+    Malformed,
+}
+
+impl std::error::Error for TransferError {}
+
+#[derive(Clone, Debug)]
+struct Held {
+    document: Document,
+    version: Version,
+    history: VecDeque<(Version, Vec<u8>)>,
+}
+
+/// The documents that an instance holds, one of each kind.
+#[derive(Clone, Debug)]
+pub struct DocumentStore {
+    target_list_kind: DocumentKind,
+    documents: BTreeMap<DocumentKind, Held>,
+    conflicts: u64,
+}
+
+impl DocumentStore {
+    /// Creates an empty store for an instance in a failure domain.
+    #[must_use]
+    pub fn new(failure_domain: &str) -> Self {
+        Self {
+            target_list_kind: DocumentKind::TargetList {
+                failure_domain: failure_domain.to_owned(),
+            },
+            documents: BTreeMap::new(),
+            conflicts: 0,
+        }
+    }
+
+    /// Offers a document, which is applied only when its version replaces the present one.
+    pub fn offer(&mut self, document: &Document) -> Offer {
+        let offered = document.version();
+        let present = self.version(&document.kind);
+        let conflict = offered.number == present.number && offered.content != present.content;
+        if offered.number > 0 && conflict {
+            self.conflicts += 1;
+        }
+        if !offered.replaces(present) {
+            return match (conflict, offered == present) {
+                (_, true) => Offer::Same,
+                (true, false) => Offer::Conflict,
+                (false, false) => Offer::Older,
+            };
+        }
+        self.replace(document, offered);
+        Offer::Applied
+    }
+
+    fn replace(&mut self, document: &Document, version: Version) {
+        let history = match self.documents.remove(&document.kind) {
+            Some(held) => {
+                let mut history = held.history;
+                history.push_front((held.version, held.document.content));
+                history.truncate(HISTORY_LEN);
+                history
+            }
+            None => VecDeque::new(),
+        };
+        let held = Held {
+            document: document.clone(),
+            version,
+            history,
+        };
+        self.documents.insert(document.kind.clone(), held);
+    }
+
+    /// Returns the document of a kind.
+    #[must_use]
+    pub fn get(&self, kind: &DocumentKind) -> Option<&Document> {
+        self.documents.get(kind).map(|held| &held.document)
+    }
+
+    /// Returns the version of a kind, with the number 0 when there is no document.
+    #[must_use]
+    pub fn version(&self, kind: &DocumentKind) -> Version {
+        self.documents
+            .get(kind)
+            .map_or_else(Version::default, |held| held.version)
+    }
+
+    /// Returns the kind of the target list of the instance's own failure domain.
+    #[must_use]
+    pub fn target_list_kind(&self) -> &DocumentKind {
+        &self.target_list_kind
+    }
+
+    /// Returns the versions to piggyback.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest {
+            configuration: self.version(&DocumentKind::Configuration),
+            target_list: self.version(&self.target_list_kind),
+        }
+    }
+
+    /// Returns how often two contents with the same version were seen.
+    #[must_use]
+    pub fn conflicts(&self) -> u64 {
+        self.conflicts
+    }
+
+    /// Returns what an instance that holds a version needs.
+    #[must_use]
+    pub fn transfer(&self, kind: &DocumentKind, held_by_peer: Version) -> Transfer {
+        let Some(held) = self.documents.get(kind) else {
+            return Transfer::NotNewer;
+        };
+        if !held.version.replaces(held_by_peer) {
+            return Transfer::NotNewer;
+        }
+        let base = held.history.iter().find(|(old, _)| *old == held_by_peer);
+        match base {
+            Some((version, content)) => {
+                let difference = Difference::between(*version, content, &held.document);
+                Transfer::Difference(kind.clone(), difference)
+            }
+            None => Transfer::Whole(held.document.clone()),
+        }
+    }
+
+    /// Applies what a peer transferred.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a difference does not apply; the present document stays, and the
+    /// caller asks for the whole document by naming no version.
+    pub fn apply(&mut self, transfer: &Transfer) -> Result<Offer, TransferError> {
+        match transfer {
+            Transfer::NotNewer => Ok(Offer::Same),
+            Transfer::Whole(document) => Ok(self.offer(document)),
+            Transfer::Difference(kind, difference) => {
+                let held = self.documents.get(kind).ok_or(TransferError::OtherBase)?;
+                let document = difference.apply(&held.document, held.version)?;
+                Ok(self.offer(&document))
+            }
+        }
+    }
+}
+
+impl Difference {
+    fn between(base: Version, old: &[u8], new: &Document) -> Self {
+        let pairs = old.iter().zip(&new.content);
+        let start = pairs.take_while(|(a, b)| a == b).count();
+        let pairs = old[start..]
+            .iter()
+            .rev()
+            .zip(new.content[start..].iter().rev());
+        let end = pairs.take_while(|(a, b)| a == b).count();
+        Self {
+            base,
+            result: new.version(),
+            start_bytes: start as u32,
+            end_bytes: end as u32,
+            middle: new.content[start..new.content.len() - end].to_vec(),
+        }
+    }
+
+    fn apply(&self, old: &Document, version: Version) -> Result<Document, TransferError> {
+        if version != self.base {
+            return Err(TransferError::OtherBase);
+        }
+        let start = self.start_bytes as usize;
+        let end = self.end_bytes as usize;
+        if start.saturating_add(end) > old.content.len() {
+            return Err(TransferError::Malformed);
+        }
+        let mut content = old.content[..start].to_vec();
+        content.extend_from_slice(&self.middle);
+        content.extend_from_slice(&old.content[old.content.len() - end..]);
+        let document = Document {
+            kind: old.kind.clone(),
+            number: self.result.number,
+            content,
+        };
+        if document.version() == self.result {
+            Ok(document)
+        } else {
+            Err(TransferError::Malformed)
+        }
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,7 +5,10 @@
 //! apart from [`clock::Clock`], which callers use to obtain the time that they pass in.
 
 pub mod clock;
+pub mod document;
+pub mod drain;
 pub mod entity;
+pub mod membership;
 pub mod rendezvous;
 
 pub use clock::Clock;
--- /dev/null
+++ b/crates/coord/src/membership/message.rs
@@ -0,0 +1,119 @@
+//! What instances tell each other about members.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use strum::EnumString;
+
+use crate::document;
+use crate::drain::DrainEntry;
+
+/// What an instance regards a member as, in ascending order of precedence.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum MemberState {
+    /// The member answers and takes new work.
+    Alive,
+    /// The member answers, finishes its work and takes no new work.
+    Leaving,
+    /// The member did not answer; it is dead unless it refutes the suspicion.
+    Suspect,
+    /// The member did not refute a suspicion in time.
+    Dead,
+}
+
+/// What an instance knows about one member, and tells others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The unique name.
+    pub name: String,
+    /// The failure domain.
+    pub failure_domain: String,
+    /// The address for other instances.
+    pub peer_address: SocketAddr,
+    /// The address for callers and operators.
+    pub http_address: SocketAddr,
+    /// The identifier of the process; a later process of the same name has a higher one.
+    pub boot_id: u64,
+    /// The number by which the member itself overrides what others say about it.
+    pub incarnation: u64,
+    /// The state.
+    pub state: MemberState,
+}
+
+impl Member {
+    /// Returns the order in which statements about the same name override each other.
+    #[must_use]
+    pub fn precedence(&self) -> (u64, u64, MemberState) {
+        (self.boot_id, self.incarnation, self.state)
+    }
+
+    /// Returns an upper bound of the encoded size, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        // Two addresses of up to 20 bytes, two numbers of up to 10, two lengths and the state.
+        const FIXED_BYTES: usize = 65;
+        FIXED_BYTES + self.name.len() + self.failure_domain.len()
+    }
+}
+
+/// A message of the failure detector.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks the receiver for an acknowledgement.
+    Ping {
+        /// The number that the acknowledgement repeats.
+        sequence: u64,
+    },
+    /// Answers a ping.
+    Ack {
+        /// The number of the ping.
+        sequence: u64,
+        /// The boot identifier of the instance that answered the ping.
+        boot_id: u64,
+        /// Whether the answering instance has an entry for this process of the sender.
+        knows_sender: bool,
+    },
+    /// Asks the receiver to ping a member and to pass on its acknowledgement.
+    PingRequest {
+        /// The number that the acknowledgement repeats.
+        sequence: u64,
+        /// The address of the member to ping.
+        address: SocketAddr,
+    },
+    /// Carries only the digests and the piggybacked entries, and asks for no answer.
+    Notice,
+}
+
+/// Digests of what the sender knows; a receiver that is behind pulls the difference.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digests {
+    /// The versions of the documents.
+    pub documents: document::Digest,
+    /// The digest of the drain table.
+    pub drains: u64,
+    /// The digest of the members that are not dead.
+    pub members: u64,
+}
+
+/// A message with its sender, the digests and the piggybacked entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Packet {
+    /// The name of the sender.
+    pub sender: String,
+    /// The boot identifier of the sender.
+    pub boot_id: u64,
+    /// What the sender knows.
+    pub digests: Digests,
+    /// The message.
+    pub message: Message,
+    /// Piggybacked statements about members.
+    pub members: Vec<Member>,
+    /// Piggybacked drains.
+    pub drains: Vec<DrainEntry>,
+}
--- /dev/null
+++ b/crates/wire/src/datagram.rs
@@ -0,0 +1,177 @@
+//! UDP messages between instances.
+//!
+//! A datagram starts with a byte for the protocol version and stays under
+//! [`MAX_DATAGRAM_BYTES`], so it is not fragmented on an ordinary network. Malformed input and
+//! other versions give an error value.
+
+use arbutus_coord::Millis;
+use arbutus_coord::drain::DrainEntry;
+use arbutus_coord::membership::Digests;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::Message;
+use arbutus_coord::membership::Packet;
+use displaydoc::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::PROTOCOL_VERSION;
+use crate::decode_exact;
+
+/// The size that every datagram stays under.
+pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+
+/// One UDP message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The name of the deployment; a receiver drops messages of others.
+    pub cluster: String,
+    /// The name of the sender.
+    pub sender: String,
+    /// The boot identifier of the sender.
+    pub boot_id: u64,
+    /// What the sender knows.
+    pub digests: Digests,
+    /// The message itself.
+    pub body: Body,
+    /// Piggybacked statements about members.
+    pub members: Vec<Member>,
+    /// Piggybacked drains.
+    pub drains: Vec<DrainEntry>,
+}
+
+/// The message in a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Failure detection: ping, acknowledgement, request for an indirect ping, notice.
+    Membership(Message),
+    /// Requests for slots of targets that the receiver owns.
+    GrantRequest(Vec<GrantRequest>),
+    /// Slots that the sender grants to the receiver.
+    GrantReply(Vec<GrantReply>),
+    /// Requests that crashed targets.
+    Quarantine(Vec<QuarantineEntry>),
+}
+
+/// A request for slots of one target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRequest {
+    /// The name of the target.
+    pub target: String,
+    /// The number of slots that the holder wants.
+    pub wanted: u32,
+    /// The number of calls that the holder runs at the target.
+    pub in_use: u32,
+    /// The number of slots that the holder was granted and that have not expired.
+    pub held: u32,
+    /// The number that the reply repeats.
+    pub sequence: u64,
+}
+
+/// An answer to a [`GrantRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantReply {
+    /// The name of the target.
+    pub target: String,
+    /// The number of the request.
+    pub sequence: u64,
+    /// The number of slots that the holder may use.
+    pub slots: u32,
+    /// How long the grant is valid after the request was sent.
+    pub valid_ms: Millis,
+    /// The boot identifier of the target.
+    pub boot_id: u64,
+    /// Whether the target has finished its cold start.
+    pub warm: bool,
+    /// The number of calls that run at the target.
+    pub in_flight: u32,
+}
+
+/// A request that crashed targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineEntry {
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// How long the entry remains.
+    pub remaining_ms: Millis,
+}
+
+/// A datagram that could not be encoded or decoded.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum DatagramError {
+    /// the datagram is empty
+    Empty,
+    /// the datagram has the protocol version {0}
+    Version(u8),
+    /// the datagram has {0} bytes, which is more than the limit
+    TooLarge(usize),
+    /// the datagram is malformed: {0}
+    Malformed(postcard::Error),
+}
+
+impl std::error::Error for DatagramError {}
+
+impl Datagram {
+    /// Creates a datagram from a packet of the membership state machine.
+    #[must_use]
+    pub fn from_packet(cluster: &str, packet: Packet) -> Self {
+        Self {
+            cluster: cluster.to_owned(),
+            sender: packet.sender,
+            boot_id: packet.boot_id,
+            digests: packet.digests,
+            body: Body::Membership(packet.message),
+            members: packet.members,
+            drains: packet.drains,
+        }
+    }
+
+    /// Splits the datagram into a packet for the membership state machine and the other body.
+    ///
+    /// A body that is not for membership turns into a notice, so the digests are always used.
+    #[must_use]
+    pub fn into_packet(self) -> (Packet, Option<Body>) {
+        let (message, body) = match self.body {
+            Body::Membership(message) => (message, None),
+            other => (Message::Notice, Some(other)),
+        };
+        let packet = Packet {
+            sender: self.sender,
+            boot_id: self.boot_id,
+            digests: self.digests,
+            message,
+            members: self.members,
+            drains: self.drains,
+        };
+        (packet, body)
+    }
+
+    /// Encodes the datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the datagram would reach [`MAX_DATAGRAM_BYTES`].
+    pub fn encode(&self) -> Result<Vec<u8>, DatagramError> {
+        let bytes = vec![PROTOCOL_VERSION];
+        let bytes = postcard::to_extend(self, bytes).map_err(DatagramError::Malformed)?;
+        if bytes.len() >= MAX_DATAGRAM_BYTES {
+            return Err(DatagramError::TooLarge(bytes.len()));
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for another protocol version and for malformed input.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DatagramError> {
+        let (&version, rest) = bytes.split_first().ok_or(DatagramError::Empty)?;
+        if bytes.len() >= MAX_DATAGRAM_BYTES {
+            return Err(DatagramError::TooLarge(bytes.len()));
+        }
+        if version != PROTOCOL_VERSION {
+            return Err(DatagramError::Version(version));
+        }
+        decode_exact(rest).map_err(DatagramError::Malformed)
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/encoding.rs
@@ -0,0 +1,166 @@
+//! Guards against messages that do not survive encoding, and against malformed input that panics
+//! or makes a reader allocate without bound.
+
+use std::env;
+use std::io::Cursor;
+
+use arbutus_coord::Millis;
+use arbutus_coord::membership::Digests;
+use arbutus_coord::membership::Message;
+use arbutus_wire::datagram::Body;
+use arbutus_wire::datagram::Datagram;
+use arbutus_wire::datagram::DatagramError;
+use arbutus_wire::datagram::GrantRequest;
+use arbutus_wire::datagram::MAX_DATAGRAM_BYTES;
+use arbutus_wire::datagram::QuarantineEntry;
+use arbutus_wire::frame;
+use arbutus_wire::frame::FrameError;
+use arbutus_wire::peer::PeerCall;
+use arbutus_wire::peer::PeerReply;
+use arbutus_wire::peer::PeerRequest;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
+const DEFAULT_SEED: u64 = 7;
+const MAX_TEST_FRAME_BYTES: usize = 64 * 1024;
+
+fn check(tests: u64, size: usize, property: impl Testable) {
+    let seed = env::var("ARBUTUS_SEED").map_or(DEFAULT_SEED, |seed| seed.parse().expect("a seed"));
+    println!("ARBUTUS_SEED={seed}");
+    QuickCheck::new()
+        .tests(tests)
+        .rng(Gen::from_size_and_seed(size, seed))
+        .quickcheck(property);
+}
+
+fn datagram(body: Body) -> Datagram {
+    Datagram {
+        cluster: "kamagama".to_owned(),
+        sender: "arita-1".to_owned(),
+        boot_id: u64::MAX,
+        digests: Digests::default(),
+        body,
+        members: Vec::new(),
+        drains: Vec::new(),
+    }
+}
+
+#[test]
+fn random_datagrams_give_a_value_or_an_error() {
+    fn property(mut bytes: Vec<u8>) -> bool {
+        if let Some(first) = bytes.first_mut() {
+            *first = arbutus_wire::PROTOCOL_VERSION;
+        }
+        match Datagram::decode(&bytes) {
+            Ok(decoded) => decoded.encode().is_ok(),
+            Err(_) => true,
+        }
+    }
+    check(5_000, 200, property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn damaged_datagrams_give_a_value_or_an_error() {
+    fn property(position: usize, value: u8, cut: usize) -> bool {
+        let body = Body::GrantRequest(vec![GrantRequest {
+            target: "engine-1".to_owned(),
+            wanted: 3,
+            in_use: 1,
+            held: 2,
+            sequence: 9,
+        }]);
+        let mut bytes = datagram(body).encode().expect("the datagram is small");
+        let position = position % bytes.len();
+        bytes[position] = value;
+        drop(Datagram::decode(&bytes));
+        bytes.truncate(cut % bytes.len());
+        Datagram::decode(&bytes).is_err()
+    }
+    check(2_000, 200, property as fn(usize, u8, usize) -> bool);
+}
+
+#[test]
+fn random_frames_give_a_value_or_an_error() {
+    fn property(bytes: Vec<u8>, length: u32) -> bool {
+        let mut framed = vec![arbutus_wire::PROTOCOL_VERSION];
+        let actual = bytes.len() as u32;
+        framed.extend_from_slice(&actual.to_be_bytes());
+        framed.extend(bytes);
+        drop(frame::read::<PeerCall>(
+            &mut Cursor::new(&framed),
+            MAX_TEST_FRAME_BYTES,
+        ));
+        drop(frame::read::<PeerReply>(
+            &mut Cursor::new(&framed),
+            MAX_TEST_FRAME_BYTES,
+        ));
+        // A length that the payload does not have is cut off or too large, never a value.
+        let length = length.max(actual + 1);
+        framed[1..frame::HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
+        frame::read::<PeerReply>(&mut Cursor::new(&framed), MAX_TEST_FRAME_BYTES).is_err()
+    }
+    check(5_000, 200, property as fn(Vec<u8>, u32) -> bool);
+}
+
+#[test]
+fn messages_survive_encoding() {
+    let entries = vec![
+        QuarantineEntry {
+            fingerprint: 5,
+            remaining_ms: Millis(1_000),
+        };
+        4
+    ];
+    for body in [
+        Body::Membership(Message::Notice),
+        Body::Quarantine(entries),
+        Body::Membership(Message::Ping { sequence: 1 }),
+    ] {
+        let sent = datagram(body);
+        let bytes = sent.encode().expect("the datagram is small");
+        assert_eq!(Datagram::decode(&bytes), Ok(sent));
+    }
+    let call = PeerCall {
+        cluster: "kamagama".to_owned(),
+        sender: "arita-1".to_owned(),
+        boot_id: 1,
+        request: PeerRequest::Claim {
+            shard: 3,
+            command: vec![0; 100],
+        },
+    };
+    let bytes = frame::encode(&call).expect("the frame is small");
+    let (read, size) = frame::read::<PeerCall>(&mut Cursor::new(&bytes), MAX_TEST_FRAME_BYTES)
+        .expect("the frame is whole");
+    assert_eq!(read, call);
+    assert_eq!(size, bytes.len());
+}
+
+#[test]
+fn sizes_and_versions_are_checked() {
+    let large = datagram(Body::Quarantine(vec![
+        QuarantineEntry {
+            fingerprint: u64::MAX,
+            remaining_ms: Millis::MAX,
+        };
+        MAX_DATAGRAM_BYTES / 20
+    ]));
+    assert!(matches!(large.encode(), Err(DatagramError::TooLarge(_))));
+    assert_eq!(Datagram::decode(&[2, 0]), Err(DatagramError::Version(2)));
+    assert_eq!(Datagram::decode(&[]), Err(DatagramError::Empty));
+    let mut extended = datagram(Body::Membership(Message::Notice))
+        .encode()
+        .expect("the datagram is small");
+    extended.push(0);
+    assert!(matches!(
+        Datagram::decode(&extended),
+        Err(DatagramError::Malformed(_))
+    ));
+    let read = frame::read::<PeerReply>(&mut Cursor::new(&[2, 0, 0, 0, 0]), 10);
+    assert!(matches!(read, Err(FrameError::Version(2))));
+    let read = frame::read::<PeerReply>(&mut Cursor::new(&[1, 0, 0, 0, 11]), 10);
+    assert!(matches!(read, Err(FrameError::TooLarge(11))));
+    let read = frame::read::<PeerReply>(&mut Cursor::new(&[]), 10);
+    assert!(matches!(read, Err(FrameError::Closed)));
+}
