policy: add attempts with a not-run proof and the stream assembler

`Attempt<Unsent>` is the only source of `NotRun`, and only while no other attempt of the same request was sent. `Assembler` emits each token once and in order, drops duplicates and frames of replaced sources, and reports gaps, truncation, wrong totals and stalls with the offset to resume at.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Decisions about single requests: routing, retries, limits and admission.
+//!
+//! Every part is deterministic and without I/O. Time and random numbers are passed in. Targets,
+//! organisations and classes are the typed indices of [`arbutus_coord::entity`].
+
+pub mod attempt;
+pub mod stream;
--- /dev/null
+++ b/crates/policy/tests/attempt.rs
@@ -0,0 +1,64 @@
+//! Guards against a `not run` that is false, and against answers given to another request.
+
+use arbutus_coord::Millis;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Echo;
+use arbutus_policy::attempt::EchoMismatch;
+
+fn ids() -> AttemptIds {
+    AttemptIds {
+        request: "r1".to_owned(),
+        stage: "encode".to_owned(),
+        attempt: "a1".to_owned(),
+    }
+}
+
+#[test]
+fn only_a_request_of_which_nothing_was_sent_proves_not_run() {
+    let unreachable = Attempt::first(ids()).retarget("a2".to_owned());
+    assert_eq!(unreachable.ids().attempt, "a2");
+    let proof = unreachable.not_run().expect("nothing was sent");
+    assert_eq!(proof.request(), "r1");
+    let sent = Attempt::first(ids()).send(Millis(7));
+    let retry = sent.follow("encode".to_owned(), "a2".to_owned());
+    let refused = retry.retarget("a3".to_owned()).not_run();
+    assert_eq!(refused.expect_err("an attempt was sent").request, "r1");
+}
+
+#[test]
+fn an_answer_has_to_echo_all_identifiers() {
+    let sent = Attempt::first(ids()).send(Millis(7));
+    let echo = Echo {
+        request: Some("r1"),
+        stage: Some("encode"),
+        attempt: Some("a1"),
+    };
+    assert_eq!(sent.check_echo(echo), Ok(()));
+    let other = [
+        (
+            Echo {
+                request: Some("r2"),
+                ..echo
+            },
+            EchoMismatch::Request,
+        ),
+        (
+            Echo {
+                stage: None,
+                ..echo
+            },
+            EchoMismatch::Stage,
+        ),
+        (
+            Echo {
+                attempt: Some("a0"),
+                ..echo
+            },
+            EchoMismatch::Attempt,
+        ),
+    ];
+    for (echo, mismatch) in other {
+        assert_eq!(sent.check_echo(echo), Err(mismatch));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/stream.rs
@@ -0,0 +1,121 @@
+//! Guards against tokens that are lost, repeated or out of order, and against a `done` after an
+//! answer that is not whole.
+
+mod common;
+
+use arbutus_coord::Millis;
+use arbutus_policy::stream::Assembler;
+use arbutus_policy::stream::Event;
+use arbutus_policy::stream::Fault;
+use arbutus_policy::stream::Frame;
+
+const STALL_MS: Millis = Millis(100);
+
+fn token(source: u32, offset: u32) -> Frame {
+    Frame::Token {
+        offset,
+        text: format!("{source}:{offset}"),
+    }
+}
+
+/// Sends frames that are swapped, repeated, lost and cut off, resumes after each fault, and
+/// expects the whole answer with each token once.
+fn answer_is_whole(total: u8, steps: Vec<u8>) -> bool {
+    let total = u32::from(total % 40);
+    let mut assembler = Assembler::new(Millis::ZERO, STALL_MS);
+    let mut received = Vec::new();
+    let mut now = Millis::ZERO;
+    let mut old = Vec::new();
+    let mut faults = steps.into_iter();
+    for round in 0..1_000_u32 {
+        let source = assembler.source();
+        let mut frames: Vec<Frame> = (assembler.resume_at()..total)
+            .map(|offset| token(round, offset))
+            .collect();
+        frames.push(Frame::Done { tokens: total });
+        frames.push(Frame::End);
+        for _ in 0..3 {
+            let Some(step) = faults.next() else { break };
+            let at = usize::from(step / 4) % frames.len();
+            match step % 4 {
+                0 => frames.swap(at, usize::from(step) % (at + 1)),
+                1 => frames.insert(at, frames[at].clone()),
+                2 => drop(frames.remove(at)),
+                _ => frames.truncate(at),
+            }
+            if frames.is_empty() {
+                break;
+            }
+        }
+        let mut events = Vec::new();
+        for frame in frames {
+            now = now + Millis(1);
+            for (source, frame) in old.drain(..) {
+                events.extend(assembler.push(now, source, frame));
+            }
+            events.extend(assembler.push(now, source, frame));
+        }
+        now = now + STALL_MS;
+        events.extend(assembler.tick(now));
+        for event in events {
+            match event {
+                Event::Token { offset, text } => received.push((offset, text)),
+                Event::Done { tokens } => {
+                    let in_order = received.iter().map(|entry| entry.0).eq(0..total);
+                    return tokens == total && in_order && assembler.is_complete();
+                }
+                Event::Broken { resume_at, .. } => {
+                    assert_eq!(
+                        resume_at as usize,
+                        received.len(),
+                        "resumes at the next token"
+                    );
+                }
+            }
+        }
+        old.push((source, token(round, assembler.resume_at())));
+        let next = assembler.resume(now);
+        assert!(next > source, "a new source has a new number");
+    }
+    false
+}
+
+#[test]
+fn every_token_is_emitted_once_and_in_order() {
+    common::checker(2_000).quickcheck(answer_is_whole as fn(u8, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_late_frame_of_a_replaced_source_is_dropped() {
+    let mut assembler = Assembler::new(Millis::ZERO, STALL_MS);
+    let first = assembler.source();
+    assert_eq!(assembler.push(Millis(1), first, token(0, 0)).len(), 1);
+    assert_eq!(assembler.tick(Millis(100)), None);
+    let stalled = Event::Broken {
+        fault: Fault::Stalled,
+        resume_at: 1,
+    };
+    assert_eq!(assembler.tick(Millis(101)), Some(stalled));
+    let second = assembler.resume(Millis(101));
+    assert!(assembler.push(Millis(102), first, token(0, 1)).is_empty());
+    assert_eq!(assembler.push(Millis(102), second, token(1, 1)).len(), 1);
+    assert_eq!(assembler.counters().late, 1);
+}
+
+#[test]
+fn a_total_that_contradicts_the_tokens_is_a_fault() {
+    for (tokens, fault) in [(1, Fault::WrongTotal), (3, Fault::Truncated)] {
+        let mut assembler = Assembler::new(Millis::ZERO, STALL_MS);
+        let source = assembler.source();
+        let mut events = Vec::new();
+        for frame in [token(0, 0), token(0, 1), Frame::Done { tokens }, Frame::End] {
+            events.extend(assembler.push(Millis(1), source, frame));
+        }
+        let broken = Event::Broken {
+            fault,
+            resume_at: 2,
+        };
+        assert_eq!(events.last(), Some(&broken));
+        assert!(!assembler.is_complete());
+    }
+}
