daemon: serve pipelines over HTTP

The daemon reads the configuration and the instance list from the platform, runs the stages of a pipeline under one deadline, delivers tokens as they arrive, and claims a non-idempotent request before it is dispatched. An attempt whose connection was not established counts as unsent again.

--- /dev/null
+++ b/crates/daemon/src/directory.rs
@@ -0,0 +1,101 @@
+//! The targets and instances that the platform's list names.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use arbutus_coord::entity::NameTable;
+use arbutus_coord::entity::Target;
+use arbutus_wire::platform::EntryKind;
+use arbutus_wire::platform::EntryState;
+use arbutus_wire::platform::InstanceList;
+
+/// A target of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// The unique name.
+    pub name: String,
+    /// The service.
+    pub service: String,
+    /// The failure domain.
+    pub failure_domain: String,
+    /// The HTTP address.
+    pub address: SocketAddr,
+    /// Whether the platform says that the target leaves.
+    pub leaving: bool,
+}
+
+/// The targets of the platform's list at one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    revision: u64,
+    names: NameTable<Target>,
+    targets: BTreeMap<Target, TargetEntry>,
+}
+
+impl Directory {
+    /// Returns the revision of the list.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the directory for a newer list; an older list changes nothing.
+    #[must_use]
+    pub fn updated(&self, list: &InstanceList) -> Option<Self> {
+        if list.revision <= self.revision {
+            return None;
+        }
+        let mut names = self.names.clone();
+        let targets = list
+            .entries
+            .iter()
+            .filter(|entry| entry.kind == EntryKind::Target)
+            .filter_map(|entry| {
+                let address = entry.address.parse().ok()?;
+                let target = TargetEntry {
+                    name: entry.name.clone(),
+                    service: entry.service.clone(),
+                    failure_domain: entry.failure_domain.clone(),
+                    address,
+                    leaving: entry.state == EntryState::Leaving,
+                };
+                Some((names.intern(&entry.name), target))
+            })
+            .collect();
+        Some(Self {
+            revision: list.revision,
+            names,
+            targets,
+        })
+    }
+
+    /// Returns a target.
+    #[must_use]
+    pub fn target(&self, target: Target) -> Option<&TargetEntry> {
+        self.targets.get(&target)
+    }
+
+    /// Returns the index of a target by its name.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<Target> {
+        self.names
+            .get(name)
+            .filter(|target| self.targets.contains_key(target))
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = (Target, &TargetEntry)> {
+        self.targets.iter().map(|(&target, entry)| (target, entry))
+    }
+
+    /// Returns the targets of a service in a failure domain.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+        failure_domain: &'a str,
+    ) -> impl Iterator<Item = (Target, &'a TargetEntry)> {
+        self.iter().filter(move |(_, entry)| {
+            entry.service == service && entry.failure_domain == failure_domain
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,23 @@
+//! The daemon that runs one instance.
+//!
+//! The daemon is a shell around the state machines of `arbutus-coord` and `arbutus-policy`: it
+//! owns the threads and sockets, and passes time, messages and answers to them.
+
+pub mod admin;
+pub mod claims;
+pub mod directory;
+pub mod dispatch;
+pub mod http;
+pub mod lifecycle;
+pub mod metrics;
+pub mod node;
+pub mod pipeline;
+pub mod platform;
+pub mod problem;
+pub mod request;
+pub mod response;
+pub mod slots;
+pub mod stop;
+pub mod supervisor;
+pub mod target_client;
+pub mod watcher;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,197 @@
+//! Counters and histograms, exported in the `OpenMetrics` text format.
+
+use std::fmt;
+use std::sync::Arc;
+
+use arbutus_coord::Millis;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Labels of a request.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The organisation.
+    pub organisation: String,
+    /// The class of the pipeline.
+    pub class: String,
+}
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// The organisation.
+    pub organisation: String,
+    /// The class of the pipeline.
+    pub class: String,
+    /// How the request ended.
+    pub outcome: String,
+}
+
+/// Labels of a stage attempt.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct AttemptLabels {
+    /// The service.
+    pub service: String,
+    /// How the attempt ended.
+    pub outcome: String,
+}
+
+/// Labels of a supervised child.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ChildLabels {
+    /// The child.
+    pub child: String,
+}
+
+/// Labels of an event without further dimensions.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct EventLabels {
+    /// The event.
+    pub event: String,
+}
+
+type HistogramFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
+
+/// All metrics of an instance.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    /// Requests by how they ended.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Time from the arrival of a request to the end of its answer.
+    pub request_seconds: HistogramFamily,
+    /// Time from the arrival of a request to the first token of its answer.
+    pub first_token_seconds: HistogramFamily,
+    /// Time between two tokens of a stream.
+    pub token_gap_seconds: HistogramFamily,
+    /// Stage attempts by how they ended.
+    pub attempts: Family<AttemptLabels, Counter>,
+    /// Restarts of supervised children.
+    pub child_restarts: Family<ChildLabels, Counter>,
+    /// Other events.
+    pub events: Family<EventLabels, Counter>,
+    /// Requests in progress.
+    pub in_flight: Gauge,
+    /// The generation of the configuration in force.
+    pub generation: Gauge,
+}
+
+impl Metrics {
+    /// Creates all metrics with the value zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("arbutus");
+        let requests = Family::default();
+        let request_seconds = HistogramFamily::new_with_constructor(duration_histogram);
+        let first_token_seconds = HistogramFamily::new_with_constructor(duration_histogram);
+        let token_gap_seconds = HistogramFamily::new_with_constructor(duration_histogram);
+        let attempts = Family::default();
+        let child_restarts = Family::default();
+        let events = Family::default();
+        let in_flight = Gauge::default();
+        let generation = Gauge::default();
+        registry.register(
+            "requests",
+            "Requests by how they ended",
+            Family::clone(&requests),
+        );
+        registry.register(
+            "request_seconds",
+            "Time from arrival to the end of the answer",
+            request_seconds.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time from arrival to the first token",
+            first_token_seconds.clone(),
+        );
+        registry.register(
+            "token_gap_seconds",
+            "Time between two tokens of a stream",
+            token_gap_seconds.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Stage attempts by how they ended",
+            Family::clone(&attempts),
+        );
+        registry.register(
+            "child_restarts",
+            "Restarts of supervised children",
+            Family::clone(&child_restarts),
+        );
+        registry.register("events", "Other events", Family::clone(&events));
+        registry.register(
+            "in_flight",
+            "Requests in progress",
+            Gauge::clone(&in_flight),
+        );
+        registry.register(
+            "generation",
+            "Generation of the configuration in force",
+            Gauge::clone(&generation),
+        );
+        Self {
+            registry: Arc::new(registry),
+            requests,
+            request_seconds,
+            first_token_seconds,
+            token_gap_seconds,
+            attempts,
+            child_restarts,
+            events,
+            in_flight,
+            generation,
+        }
+    }
+
+    /// Counts an event.
+    pub fn count(&self, event: &str) {
+        self.events
+            .get_or_create(&EventLabels {
+                event: event.to_owned(),
+            })
+            .inc();
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a metric cannot be formatted, which formatting into a string rules out.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("formatting into a string succeeds");
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+/// Converts a span to seconds, the base unit of exported histograms.
+#[must_use]
+pub fn seconds(span: Millis) -> f64 {
+    span.to_duration().as_secs_f64()
+}
+
+fn duration_histogram() -> Histogram {
+    // 2 ms to 65 s in 16 buckets covers token gaps as well as long streams.
+    Histogram::new(exponential_buckets(0.002, 2.0, 16))
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,168 @@
+//! The state that the threads of an instance share.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use arbutus_config::Deployment;
+use arbutus_config::Settings;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_wire::platform::InstanceList;
+use log::info;
+
+use crate::claims::Claims;
+use crate::directory::Directory;
+use crate::lifecycle::PhaseCell;
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::slots::Slots;
+use crate::target_client::TargetClient;
+
+/// The configuration in force.
+#[derive(Clone, Debug, Default)]
+pub struct Active {
+    /// The generation; 0 means that none has been learnt yet.
+    pub generation: u64,
+    /// The configuration for this instance's site.
+    pub deployment: Deployment,
+}
+
+/// The state of an instance.
+#[derive(Debug)]
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// The source of time.
+    pub clock: Clock,
+    /// A value that changes each time the instance starts.
+    pub boot_id: u64,
+    /// The phase of the life cycle.
+    pub phase: PhaseCell,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The platform's client.
+    pub platform: Platform,
+    /// The targets' client.
+    pub targets: TargetClient,
+    /// The slots at targets.
+    pub slots: Slots,
+    /// The claims of non-idempotent requests.
+    pub claims: Claims,
+    active: RwLock<Arc<Active>>,
+    directory: RwLock<Arc<Directory>>,
+    in_flight: AtomicUsize,
+    next_request: AtomicU64,
+}
+
+/// A request that counts as in progress until it is dropped.
+#[derive(Debug)]
+pub struct InFlight<'a> {
+    node: &'a Node,
+}
+
+impl Node {
+    /// Creates the state of an instance that has just started.
+    #[must_use]
+    pub fn new(settings: Settings, boot_id: u64) -> Self {
+        let platform = Platform::new(settings.platform_address, &settings.failure_domain);
+        Self {
+            clock: Clock::new(),
+            boot_id,
+            phase: PhaseCell::default(),
+            metrics: Metrics::new(),
+            targets: TargetClient::new(),
+            slots: Slots::new(),
+            claims: Claims::new(platform.clone()),
+            platform,
+            active: RwLock::default(),
+            directory: RwLock::default(),
+            in_flight: AtomicUsize::new(0),
+            next_request: AtomicU64::new(1),
+            settings,
+        }
+    }
+
+    /// Returns the present time.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns an identifier that no other request has, also after a restart.
+    #[must_use]
+    pub fn new_request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.settings.name, self.boot_id)
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn active(&self) -> Arc<Active> {
+        Arc::clone(&self.active.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force unless it is not newer than the present one.
+    pub fn activate(&self, generation: u64, deployment: Deployment) -> bool {
+        let mut active = self.active.write().unwrap_or_else(PoisonError::into_inner);
+        if generation <= active.generation {
+            return false;
+        }
+        *active = Arc::new(Active {
+            generation,
+            deployment,
+        });
+        drop(active);
+        self.metrics
+            .generation
+            .set(i64::try_from(generation).unwrap_or(i64::MAX));
+        info!(generation; "configuration is in force");
+        true
+    }
+
+    /// Returns the targets of the platform's list.
+    #[must_use]
+    pub fn directory(&self) -> Arc<Directory> {
+        Arc::clone(
+            &self
+                .directory
+                .read()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
+    }
+
+    /// Takes over a newer list of the platform.
+    pub fn update_directory(&self, list: &InstanceList) {
+        let mut directory = self
+            .directory
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(updated) = directory.updated(list) {
+            *directory = Arc::new(updated);
+        }
+    }
+
+    /// Counts a request as in progress, unless there are too many.
+    pub fn begin_request(&self) -> Option<InFlight<'_>> {
+        let before = self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let entered = InFlight { node: self };
+        self.metrics.in_flight.inc();
+        (before < self.settings.max_requests).then_some(entered)
+    }
+
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.node.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.node.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/response.rs
@@ -0,0 +1,183 @@
+//! Writing of HTTP answers.
+//!
+//! Answers are written through `Request::into_writer`, because the library buffers a chunked body
+//! until 8 KiB or its end, and a token stream has to be flushed event by event.
+
+use std::io;
+use std::io::Write;
+
+use arbutus_coord::Millis;
+use serde_json::Value;
+use tiny_http::HTTPVersion;
+use tiny_http::Request;
+
+use crate::problem::Problem;
+
+/// The content type of JSON.
+pub const JSON: &str = "application/json";
+/// The content type of problem details.
+pub const PROBLEM_JSON: &str = "application/problem+json";
+/// The content type of server-sent events.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
+/// The writer of the answer to one request.
+pub struct Responder {
+    writer: Box<dyn Write + Send>,
+    request_id: String,
+    close: bool,
+    chunked: bool,
+}
+
+/// A stream of server-sent events.
+pub struct EventStream {
+    writer: Box<dyn Write + Send>,
+    chunked: bool,
+}
+
+impl Responder {
+    /// Takes over a request whose body has been read.
+    #[must_use]
+    pub fn new(request: Request, request_id: &str, close: bool) -> Self {
+        let chunked = *request.http_version() >= HTTPVersion(1, 1);
+        Self {
+            writer: request.into_writer(),
+            request_id: request_id.to_owned(),
+            close,
+            chunked,
+        }
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn send(mut self, status: u16, content_type: &str, body: &str) -> io::Result<()> {
+        let head = self.head(status, content_type, &[]);
+        write!(
+            self.writer,
+            "{head}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )?;
+        self.writer.flush()
+    }
+
+    /// Writes a JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn send_json(self, status: u16, body: &Value) -> io::Result<()> {
+        self.send(status, JSON, &body.to_string())
+    }
+
+    /// Writes a problem.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn send_problem(mut self, problem: &Problem) -> io::Result<()> {
+        let body = problem.to_json();
+        let retry_after = problem.retry_after_ms().map(retry_after_seconds);
+        let extra: Vec<(&str, String)> = retry_after
+            .map(|seconds| ("Retry-After", seconds))
+            .into_iter()
+            .collect();
+        let head = self.head(problem.reason().status(), PROBLEM_JSON, &extra);
+        write!(
+            self.writer,
+            "{head}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )?;
+        self.writer.flush()
+    }
+
+    /// Starts a stream of server-sent events.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn into_events(mut self) -> io::Result<EventStream> {
+        let encoding = self
+            .chunked
+            .then(|| ("Transfer-Encoding", "chunked".to_owned()));
+        let extra: Vec<(&str, String)> = encoding.into_iter().collect();
+        let head = self.head(200, EVENT_STREAM, &extra);
+        write!(self.writer, "{head}Cache-Control: no-store\r\n\r\n")?;
+        self.writer.flush()?;
+        Ok(EventStream {
+            writer: self.writer,
+            chunked: self.chunked,
+        })
+    }
+
+    fn head(&self, status: u16, content_type: &str, extra: &[(&str, String)]) -> String {
+        let mut head = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\nRequest-Id: {}\r\n",
+            reason_phrase(status),
+            self.request_id
+        );
+        for (name, value) in extra {
+            head.push_str(name);
+            head.push_str(": ");
+            head.push_str(value);
+            head.push_str("\r\n");
+        }
+        if self.close {
+            head.push_str("Connection: close\r\n");
+        }
+        head
+    }
+}
+
+impl std::fmt::Debug for Responder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Responder")
+            .field("request_id", &self.request_id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EventStream {
+    /// Writes one event and flushes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn event(&mut self, name: &str, data: &str) -> io::Result<()> {
+        let event = format!("event: {name}\ndata: {data}\n\n");
+        if self.chunked {
+            write!(self.writer, "{:x}\r\n{event}\r\n", event.len())?;
+        } else {
+            self.writer.write_all(event.as_bytes())?;
+        }
+        self.writer.flush()
+    }
+
+    /// Ends the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn finish(mut self) -> io::Result<()> {
+        if self.chunked {
+            self.writer.write_all(b"0\r\n\r\n")?;
+        }
+        self.writer.flush()
+    }
+}
+
+impl std::fmt::Debug for EventStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EventStream").finish_non_exhaustive()
+    }
+}
+
+/// Rounds up, because the header has whole seconds and an early retry would be refused again.
+fn retry_after_seconds(span: Millis) -> String {
+    span.0.div_ceil(1_000).max(1).to_string()
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    tiny_http::StatusCode(status).default_reason_phrase()
+}
--- /dev/null
+++ b/crates/daemon/src/target_client.rs
@@ -0,0 +1,344 @@
+//! The client of the target interface.
+//!
+//! [`CallError::NotConnected`] is the only error that proves that no byte reached the target. A
+//! pooled connection that breaks is not such a proof, so non-idempotent calls use an agent
+//! without a pool.
+
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+
+use arbutus_coord::Millis;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Echo;
+use arbutus_policy::stream::Frame;
+use arbutus_wire::header;
+use arbutus_wire::target::CallAnswer;
+use arbutus_wire::target::CallBody;
+use arbutus_wire::target::CancelBody;
+use arbutus_wire::target::DoneEvent;
+use arbutus_wire::target::GenerateBody;
+use arbutus_wire::target::LoadReport;
+use arbutus_wire::target::OrderBody;
+use arbutus_wire::target::TokenEvent;
+use displaydoc::Display;
+use serde_json::Value;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::RequestBuilder;
+use ureq::Timeout;
+use ureq::http::Response;
+use ureq::typestate::WithBody;
+
+const CONNECT_TIMEOUT_MS: Millis = Millis(500);
+const REPORT_TIMEOUT_MS: Millis = Millis(400);
+const ORDER_TIMEOUT_MS: Millis = Millis(2_000);
+const MAX_ANSWER_BYTES: u64 = 4 * 1024 * 1024;
+const MAX_IDLE_CONNECTIONS: usize = 256;
+const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 32;
+const STATUS_CONFLICT: u16 = 409;
+
+/// Why a call has no usable answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum CallError {
+    /// the connection was not established: {0}
+    NotConnected(String),
+    /// the call failed after the connection was established: {0}
+    Failed(String),
+    /// the target answered with status {0}
+    Status(u16),
+    /// the answer belongs to another attempt
+    WrongEcho,
+}
+
+/// The parameters of a call that do not depend on the attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct CallContext<'a> {
+    /// The organisation on whose behalf the call is made.
+    pub organisation: &'a str,
+    /// The urgency, 0 being the most urgent.
+    pub priority: u8,
+    /// The idempotency key of a non-idempotent call.
+    pub idempotency_key: Option<&'a str>,
+    /// The remaining time.
+    pub timeout_ms: Millis,
+}
+
+/// The answer of a target to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The order was accepted.
+    Accepted,
+    /// The fencing token is older than one that the target has seen.
+    Fenced,
+}
+
+/// The client of the target interface.
+#[derive(Clone, Debug)]
+pub struct TargetClient {
+    pooled: Agent,
+    unpooled: Agent,
+}
+
+impl TargetClient {
+    /// Creates a client.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            pooled: agent(MAX_IDLE_CONNECTIONS),
+            unpooled: agent(0),
+        }
+    }
+
+    /// Runs one stage call and returns its output.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no usable answer.
+    pub fn call(
+        &self,
+        address: SocketAddr,
+        ids: &AttemptIds,
+        context: CallContext<'_>,
+        input: &Value,
+    ) -> Result<Value, CallError> {
+        // Only a fresh connection lets a connection failure prove that nothing was sent.
+        let agent = if context.idempotency_key.is_some() {
+            &self.unpooled
+        } else {
+            &self.pooled
+        };
+        let request = with_headers(
+            agent.post(format!("http://{address}/v1/call")),
+            ids,
+            context,
+        );
+        let body = CallBody {
+            input: input.clone(),
+        };
+        let mut answer = request
+            .config()
+            .timeout_global(Some(context.timeout_ms.to_duration()))
+            .build()
+            .send_json(&body)
+            .map_err(|error| call_error(&error))?;
+        check_answer(&answer, ids)?;
+        answer
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_json::<CallAnswer>()
+            .map(|answer| answer.output)
+            .map_err(|error| CallError::Failed(error.to_string()))
+    }
+
+    /// Requests a token stream and hands each frame to the receiver until it breaks off.
+    ///
+    /// The receiver always gets a last [`Frame::End`] unless it breaks off before.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream did not start.
+    pub fn generate(
+        &self,
+        address: SocketAddr,
+        ids: &AttemptIds,
+        context: CallContext<'_>,
+        stall_ms: Millis,
+        body: &GenerateBody,
+        mut receive: impl FnMut(Frame) -> ControlFlow<()>,
+    ) -> Result<(), CallError> {
+        let url = format!("http://{address}/v1/generate");
+        let request = with_headers(self.unpooled.post(url), ids, context);
+        let answer = request
+            .config()
+            .timeout_global(Some(context.timeout_ms.to_duration()))
+            .timeout_per_read(Some(stall_ms.to_duration()))
+            .build()
+            .send_json(body)
+            .map_err(|error| call_error(&error))?;
+        check_answer(&answer, ids)?;
+        let mut reader = BufReader::new(answer.into_body().into_reader());
+        let mut event = String::new();
+        let mut line = String::new();
+        loop {
+            line.clear();
+            match reader.read_line(&mut line) {
+                Ok(1..) => {}
+                Ok(0) | Err(_) => break,
+            }
+            let text = line.trim_end();
+            if let Some(name) = text.strip_prefix("event: ") {
+                name.clone_into(&mut event);
+                continue;
+            }
+            let Some(data) = text.strip_prefix("data: ") else {
+                continue;
+            };
+            let Some(frame) = parse_frame(&event, data) else {
+                continue;
+            };
+            if receive(frame).is_break() {
+                return Ok(());
+            }
+        }
+        let _: ControlFlow<()> = receive(Frame::End);
+        Ok(())
+    }
+
+    /// Tells a target that nobody waits for an attempt any more.
+    pub fn cancel(&self, address: SocketAddr, ids: &AttemptIds) {
+        let body = CancelBody {
+            request_id: ids.request.clone(),
+            attempt_id: ids.attempt.clone(),
+        };
+        // The target also notices the closed connection, so a lost cancellation costs little.
+        drop(
+            self.pooled
+                .post(format!("http://{address}/v1/cancel"))
+                .config()
+                .timeout_global(Some(REPORT_TIMEOUT_MS.to_duration()))
+                .build()
+                .send_json(&body),
+        );
+    }
+
+    /// Reads a target's load report.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no report.
+    pub fn load(&self, address: SocketAddr) -> Result<LoadReport, CallError> {
+        let mut answer = self
+            .pooled
+            .get(format!("http://{address}/v1/load"))
+            .config()
+            .timeout_global(Some(REPORT_TIMEOUT_MS.to_duration()))
+            .build()
+            .call()
+            .map_err(|error| call_error(&error))?;
+        if !answer.status().is_success() {
+            return Err(CallError::Status(answer.status().as_u16()));
+        }
+        answer
+            .body_mut()
+            .read_json()
+            .map_err(|error| CallError::Failed(error.to_string()))
+    }
+
+    /// Gives an order to a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the target did not answer.
+    pub fn order(&self, address: SocketAddr, order: &OrderBody) -> Result<OrderAnswer, CallError> {
+        let answer = self
+            .unpooled
+            .post(format!("http://{address}/v1/orders"))
+            .config()
+            .timeout_global(Some(ORDER_TIMEOUT_MS.to_duration()))
+            .build()
+            .send_json(order)
+            .map_err(|error| call_error(&error))?;
+        match answer.status().as_u16() {
+            200..=299 => Ok(OrderAnswer::Accepted),
+            STATUS_CONFLICT => Ok(OrderAnswer::Fenced),
+            status => Err(CallError::Status(status)),
+        }
+    }
+}
+
+impl Default for TargetClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn agent(max_idle_connections: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(max_idle_connections)
+        .max_idle_connections_per_host(max_idle_connections.min(MAX_IDLE_CONNECTIONS_PER_TARGET))
+        .timeout_connect(Some(CONNECT_TIMEOUT_MS.to_duration()))
+        .build()
+        .new_agent()
+}
+
+fn with_headers(
+    request: RequestBuilder<WithBody>,
+    ids: &AttemptIds,
+    context: CallContext<'_>,
+) -> RequestBuilder<WithBody> {
+    let request = request
+        .header(header::REQUEST_ID, &ids.request)
+        .header(header::STAGE_ID, &ids.stage)
+        .header(header::ATTEMPT_ID, &ids.attempt)
+        .header(header::ORGANISATION, context.organisation)
+        .header(header::PRIORITY, context.priority.to_string())
+        .header(header::DEADLINE_MS, context.timeout_ms.0.to_string());
+    match context.idempotency_key {
+        Some(key) => request.header(header::IDEMPOTENCY_KEY, key),
+        None => request,
+    }
+}
+
+fn check_answer(answer: &Response<Body>, ids: &AttemptIds) -> Result<(), CallError> {
+    if !answer.status().is_success() {
+        return Err(CallError::Status(answer.status().as_u16()));
+    }
+    let get = |name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let echo = Echo {
+        request: get(header::REQUEST_ID),
+        stage: get(header::STAGE_ID),
+        attempt: get(header::ATTEMPT_ID),
+    };
+    ids.check_echo(echo)
+        .map_err(|_mismatch| CallError::WrongEcho)
+}
+
+fn call_error(error: &Error) -> CallError {
+    let text = error.to_string();
+    let not_connected = match error {
+        Error::ConnectionFailed | Error::HostNotFound | Error::Timeout(Timeout::Connect) => true,
+        // These kinds come from connecting only, never from an established connection.
+        Error::Io(error) => matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    };
+    if not_connected {
+        CallError::NotConnected(text)
+    } else {
+        CallError::Failed(text)
+    }
+}
+
+fn parse_frame(event: &str, data: &str) -> Option<Frame> {
+    match event {
+        "token" => {
+            let token: TokenEvent = serde_json::from_str(data).ok()?;
+            Some(Frame::Token {
+                offset: token.offset,
+                text: token.text,
+            })
+        }
+        "done" => {
+            let done: DoneEvent = serde_json::from_str(data).ok()?;
+            Some(Frame::Done {
+                tokens: done.tokens,
+            })
+        }
+        _ => None,
+    }
+}
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -24,6 +24,26 @@
     pub attempt: String,
 }
 
+impl AttemptIds {
+    /// Checks that an answer echoes these identifiers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first identifier that is missing or differs; the answer has to be dropped.
+    pub fn check_echo(&self, echo: Echo<'_>) -> Result<(), EchoMismatch> {
+        if echo.request != Some(self.request.as_str()) {
+            return Err(EchoMismatch::Request);
+        }
+        if echo.stage != Some(self.stage.as_str()) {
+            return Err(EchoMismatch::Stage);
+        }
+        if echo.attempt != Some(self.attempt.as_str()) {
+            return Err(EchoMismatch::Attempt);
+        }
+        Ok(())
+    }
+}
+
 /// The state of an attempt of which nothing has left the process.
 #[derive(Debug)]
 pub struct Unsent {
@@ -34,6 +54,7 @@
 #[derive(Debug)]
 pub struct Sent {
     at: Millis,
+    earlier_sent: bool,
 }
 
 /// One attempt to run one stage at one target.
@@ -133,7 +154,10 @@
     pub fn send(self, now: Millis) -> Attempt<Sent> {
         Attempt {
             ids: self.ids,
-            state: Sent { at: now },
+            state: Sent {
+                at: now,
+                earlier_sent: self.state.earlier_sent,
+            },
         }
     }
 
@@ -158,6 +182,20 @@
         self.state.at
     }
 
+    /// Takes the attempt back because the connection for it was not established.
+    ///
+    /// Only a failure to establish a fresh connection is such a proof; a pooled connection that
+    /// breaks is not, because the target may have read the call from it.
+    #[must_use]
+    pub fn not_connected(self) -> Attempt<Unsent> {
+        Attempt {
+            ids: self.ids,
+            state: Unsent {
+                earlier_sent: self.state.earlier_sent,
+            },
+        }
+    }
+
     /// Creates a further attempt of the same request: a retry, a hedge or the next stage.
     ///
     /// The new attempt cannot prove `not run`, because this one was sent.
@@ -179,15 +217,6 @@
     ///
     /// Returns the first identifier that is missing or differs; the answer has to be dropped.
     pub fn check_echo(&self, echo: Echo<'_>) -> Result<(), EchoMismatch> {
-        if echo.request != Some(self.ids.request.as_str()) {
-            return Err(EchoMismatch::Request);
-        }
-        if echo.stage != Some(self.ids.stage.as_str()) {
-            return Err(EchoMismatch::Stage);
-        }
-        if echo.attempt != Some(self.ids.attempt.as_str()) {
-            return Err(EchoMismatch::Attempt);
-        }
-        Ok(())
+        self.ids.check_echo(echo)
     }
 }
--- a/crates/policy/tests/attempt.rs
+++ b/crates/policy/tests/attempt.rs
@@ -62,3 +62,15 @@
         assert_eq!(sent.check_echo(echo), Err(mismatch));
     }
 }
+
+#[test]
+fn a_failed_connection_proves_not_run_only_when_nothing_was_sent_before() {
+    let taken_back = Attempt::first(ids()).send(Millis(7)).not_connected();
+    assert_eq!(
+        taken_back.not_run().map(|proof| proof.request().to_owned()),
+        Ok("r1".to_owned())
+    );
+    let sent = Attempt::first(ids()).send(Millis(7));
+    let retry = sent.follow("encode".to_owned(), "a2".to_owned());
+    assert!(retry.send(Millis(8)).not_connected().not_run().is_err());
+}
