--- /dev/null
+++ b/crates/config/src/committed.rs
@@ -0,0 +1,321 @@
+//! The committed configuration, as it is stored in the platform object `config`.
+//!
+//! A record is immutable: each change is a new record with the next generation. The digest
+//! covers every other field, and a record whose digest does not match is refused on load.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::path::Path;
+use std::path::PathBuf;
+
+use arbutus_coord::Millis;
+use arbutus_coord::rendezvous::stable_hash;
+use displaydoc::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::deployment::Deployment;
+use crate::fault::Faults;
+use crate::resolve::Texts;
+use crate::source::Source;
+
+/// The key of the platform object that holds the committed configuration.
+pub const CONFIG_KEY: &str = "config";
+
+/// The largest size of a record as JSON. The platform stores values of up to 1 MB.
+pub const MAX_COMMITTED_BYTES: usize = 1_000_000;
+
+const BASE_FILE: &str = "base.yaml";
+const OVERLAY_DIRECTORY: &str = "overlays";
+const OVERLAY_EXTENSION: &str = "yaml";
+
+/// Who commits a configuration, and in which place of the history.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stamp {
+    /// The generation of the record.
+    pub generation: u64,
+    /// The generation that the record replaces; 0 for the first.
+    pub parent: u64,
+    /// The operator.
+    pub author: String,
+    /// A random token that identifies the attempt to commit.
+    pub token: String,
+    /// The time since the Unix epoch.
+    pub wall_ms: Millis,
+    /// Why the configuration changes.
+    pub comment: String,
+}
+
+/// A committed configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Committed {
+    /// The generation, which rises with each change.
+    pub generation: u64,
+    /// The generation that this one replaced; 0 for the first.
+    pub parent: u64,
+    /// The operator who committed it.
+    pub author: String,
+    /// The random token of the attempt to commit it.
+    pub token: String,
+    /// The time of the commit since the Unix epoch.
+    pub wall_ms: Millis,
+    /// Why the configuration was changed.
+    pub comment: String,
+    /// The text of the base file.
+    pub base: String,
+    /// The texts of the overlays by site.
+    pub overlays: BTreeMap<String, String>,
+    /// The digest of all other fields.
+    pub digest: String,
+}
+
+/// Why a configuration cannot be read, stored or used.
+#[derive(Debug, Display)]
+#[expect(
+    clippy::doc_markdown,
+    reason = "displaydoc takes field names from the doc comment"
+)]
+pub enum ConfigError {
+    /// cannot read {path}: {cause}
+    Read {
+        /// The file or directory.
+        path: String,
+        /// The cause.
+        cause: io::Error,
+    },
+    /// {0}
+    Invalid(Faults),
+    /// the configuration takes {size_bytes} bytes as JSON; at most {limit_bytes} can be stored
+    TooLarge {
+        /// The size.
+        size_bytes: usize,
+        /// The largest size.
+        limit_bytes: usize,
+    },
+    /// the committed configuration is not valid JSON: {0}
+    Json(serde_json::Error),
+    /// generation {generation} is damaged: its digest is {found}, its content gives {computed}
+    Digest {
+        /// The generation of the record.
+        generation: u64,
+        /// The digest in the record.
+        found: String,
+        /// The digest of the content.
+        computed: String,
+    },
+}
+
+impl std::error::Error for ConfigError {}
+
+impl From<Faults> for ConfigError {
+    fn from(faults: Faults) -> Self {
+        Self::Invalid(faults)
+    }
+}
+
+impl Committed {
+    /// Creates a record from texts.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of the texts at every site, or the size when it is too large.
+    pub fn new(texts: &Texts, stamp: Stamp) -> Result<Self, ConfigError> {
+        texts.validate()?;
+        let overlays = texts.overlays.iter();
+        let mut committed = Self {
+            generation: stamp.generation,
+            parent: stamp.parent,
+            author: stamp.author,
+            token: stamp.token,
+            wall_ms: stamp.wall_ms,
+            comment: stamp.comment,
+            base: texts.base.text().to_owned(),
+            overlays: overlays
+                .map(|(site, source)| (site.clone(), source.text().to_owned()))
+                .collect(),
+            digest: String::new(),
+        };
+        committed.digest = committed.computed_digest();
+        committed.check_size()?;
+        Ok(committed)
+    }
+
+    /// Creates a record from `base.yaml` and `overlays/{site}.yaml` in a directory.
+    ///
+    /// # Errors
+    ///
+    /// Returns the file that cannot be read, all faults at every site, or the size when it is
+    /// too large.
+    pub fn from_files(directory: &Path, stamp: Stamp) -> Result<Self, ConfigError> {
+        Self::new(&read_texts(directory)?, stamp)
+    }
+
+    /// Reads a record from JSON and verifies its digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record is refused: its size, its form or its digest.
+    pub fn from_json(json: &[u8]) -> Result<Self, ConfigError> {
+        check_size(json.len())?;
+        let committed: Self = serde_json::from_slice(json).map_err(ConfigError::Json)?;
+        committed.verify()?;
+        Ok(committed)
+    }
+
+    /// Reads a record from a JSON value and verifies its digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record is refused: its size, its form or its digest.
+    pub fn from_value(value: &serde_json::Value) -> Result<Self, ConfigError> {
+        let committed: Self = Self::deserialize(value).map_err(ConfigError::Json)?;
+        committed.check_size()?;
+        committed.verify()?;
+        Ok(committed)
+    }
+
+    /// Renders the record as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Never panics: a record consists of strings and numbers only.
+    #[must_use]
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("strings and numbers have a JSON form")
+    }
+
+    /// Returns the deployment of a site; a site without an overlay gets the base.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults in the base and in the site's overlay.
+    pub fn deployment(&self, site: &str) -> Result<Deployment, Faults> {
+        self.texts().deployment(site)
+    }
+
+    /// Returns the texts of the record, named as the files that they came from.
+    #[must_use]
+    pub fn texts(&self) -> Texts {
+        let mut texts = Texts::new(Source::new(BASE_FILE, &self.base));
+        for (site, text) in &self.overlays {
+            let source = Source::new(&overlay_name(site), text);
+            texts.overlays.insert(site.clone(), source);
+        }
+        texts
+    }
+
+    /// Checks the digest against the content.
+    ///
+    /// # Errors
+    ///
+    /// Returns both digests when they differ.
+    pub fn verify(&self) -> Result<(), ConfigError> {
+        let computed = self.computed_digest();
+        if computed == self.digest {
+            return Ok(());
+        }
+        Err(ConfigError::Digest {
+            generation: self.generation,
+            found: self.digest.clone(),
+            computed,
+        })
+    }
+
+    fn computed_digest(&self) -> String {
+        let bare = Self {
+            digest: String::new(),
+            ..self.clone()
+        };
+        digest_of(&bare.to_json())
+    }
+
+    fn check_size(&self) -> Result<(), ConfigError> {
+        check_size(self.to_json().len())
+    }
+}
+
+/// Returns the digest of bytes as 16 hexadecimal digits. It detects damage, not forgery.
+#[must_use]
+pub fn digest_of(bytes: &[u8]) -> String {
+    format!("{:016x}", stable_hash(bytes))
+}
+
+fn check_size(size_bytes: usize) -> Result<(), ConfigError> {
+    if size_bytes <= MAX_COMMITTED_BYTES {
+        return Ok(());
+    }
+    Err(ConfigError::TooLarge {
+        size_bytes,
+        limit_bytes: MAX_COMMITTED_BYTES,
+    })
+}
+
+/// Reads `base.yaml` and `overlays/{site}.yaml` in a directory.
+///
+/// # Errors
+///
+/// Returns the file that cannot be read. A missing directory `overlays` means no overlays.
+pub fn read_texts(directory: &Path) -> Result<Texts, ConfigError> {
+    let mut texts = Texts::new(read_source(&directory.join(BASE_FILE))?);
+    for path in overlay_paths(&directory.join(OVERLAY_DIRECTORY))? {
+        let site = path.file_stem().unwrap_or_default().to_string_lossy();
+        texts
+            .overlays
+            .insert(site.into_owned(), read_source(&path)?);
+    }
+    Ok(texts)
+}
+
+fn overlay_paths(directory: &Path) -> Result<Vec<PathBuf>, ConfigError> {
+    let entries = match fs::read_dir(directory) {
+        Ok(entries) => entries,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(error) => return Err(read_error(directory, error)),
+    };
+    let mut paths = Vec::new();
+    for entry in entries {
+        let path = entry.map_err(|error| read_error(directory, error))?.path();
+        let hidden = path
+            .file_name()
+            .is_some_and(|name| name.as_encoded_bytes().starts_with(b"."));
+        if hidden {
+            continue;
+        }
+        if path
+            .extension()
+            .is_none_or(|found| found != OVERLAY_EXTENSION)
+        {
+            let cause = io::Error::other("an overlay is named after its site and ends in .yaml");
+            return Err(read_error(&path, cause));
+        }
+        paths.push(path);
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+fn read_source(path: &Path) -> Result<Source, ConfigError> {
+    let file = fs::File::open(path).map_err(|error| read_error(path, error))?;
+    let mut text = String::new();
+    // One byte more than fits shows that the file is too large without reading all of it.
+    let limit = MAX_COMMITTED_BYTES as u64 + 1;
+    file.take(limit)
+        .read_to_string(&mut text)
+        .map_err(|error| read_error(path, error))?;
+    check_size(text.len())?;
+    Ok(Source::new(&path.to_string_lossy(), &text))
+}
+
+fn read_error(path: &Path, cause: io::Error) -> ConfigError {
+    ConfigError::Read {
+        path: path.to_string_lossy().into_owned(),
+        cause,
+    }
+}
+
+fn overlay_name(site: &str) -> String {
+    format!("{OVERLAY_DIRECTORY}/{site}.{OVERLAY_EXTENSION}")
+}
--- /dev/null
+++ b/crates/config/src/fault.rs
@@ -0,0 +1,105 @@
+//! Faults in configuration files, each with its file, line and path.
+
+use std::collections::BTreeSet;
+use std::error::Error;
+use std::fmt;
+
+/// One fault in a configuration file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    /// The file, as it was named when it was read.
+    pub file: String,
+    /// The line, counted from 1; 0 when the fault concerns the whole file.
+    pub line: usize,
+    /// The path of the field.
+    pub path: String,
+    /// What is wrong, and what is expected.
+    pub reason: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            file,
+            line,
+            path,
+            reason,
+        } = self;
+        write!(f, "{file}:{line}: {path}: {reason}")
+    }
+}
+
+/// All faults that were found, in the order of files and lines.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    faults: BTreeSet<Fault>,
+}
+
+impl Faults {
+    /// Creates an empty set.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a fault; one that is already known is not repeated.
+    pub fn add(&mut self, fault: Fault) {
+        self.faults.insert(fault);
+    }
+
+    /// Adds all faults of another set.
+    pub fn extend(&mut self, other: Self) {
+        self.faults.extend(other.faults);
+    }
+
+    /// Returns whether no fault was found.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    /// Returns the number of faults.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.faults.len()
+    }
+
+    /// Returns the faults in the order of files and lines.
+    pub fn iter(&self) -> impl Iterator<Item = &Fault> {
+        self.faults.iter()
+    }
+
+    /// Returns the value when no fault was found.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults when there are some.
+    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
+        if self.is_empty() {
+            return Ok(value);
+        }
+        Err(self)
+    }
+}
+
+impl From<Fault> for Faults {
+    fn from(fault: Fault) -> Self {
+        Self {
+            faults: BTreeSet::from([fault]),
+        }
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, fault) in self.faults.iter().enumerate() {
+            if position > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Faults {}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,7 +1,25 @@
 //! Settings of an instance, and the configuration of a deployment with its site overlays.
+//!
+//! Operators write one base file and an overlay for each site. [`Texts`] holds the texts and
+//! resolves them for a site, [`Committed`] is the record that the platform stores. Nothing is
+//! half applied: an error names every fault with its file, line and path.
 
+pub mod committed;
 pub mod deployment;
+pub mod fault;
+pub mod overlay;
+pub mod path;
+pub mod resolve;
 pub mod settings;
+pub mod source;
+pub mod validate;
 
+pub use committed::Committed;
+pub use committed::ConfigError;
+pub use committed::Stamp;
 pub use deployment::Deployment;
+pub use fault::Fault;
+pub use fault::Faults;
+pub use resolve::Texts;
 pub use settings::Settings;
+pub use source::Source;
--- /dev/null
+++ b/crates/config/src/overlay.rs
@@ -0,0 +1,88 @@
+//! Merging of a site's overlay into the base.
+//!
+//! An overlay has the shape of the base and holds only what differs at its site. It may change
+//! the value of a field that the base has. It can add no field and no name, and it cannot change
+//! the type of a field. Lists are replaced whole.
+
+use serde_norway::Mapping;
+use serde_norway::Value;
+
+use crate::fault::Faults;
+use crate::path::FieldPath;
+use crate::source::Source;
+
+/// Merges an overlay into the base and returns the result; the inputs stay as they are.
+///
+/// # Errors
+///
+/// Returns all faults: unknown fields and names, and values of another type than in the base.
+pub fn merge(base: &Value, overlay: &Value, source: &Source) -> Result<Value, Faults> {
+    let mut merge = Merge {
+        source,
+        faults: Faults::new(),
+    };
+    let merged = merge.node(base, overlay, &FieldPath::new());
+    merge.faults.into_result(merged)
+}
+
+struct Merge<'a> {
+    source: &'a Source,
+    faults: Faults,
+}
+
+impl Merge<'_> {
+    fn node(&mut self, base: &Value, overlay: &Value, path: &FieldPath) -> Value {
+        if let (Value::Mapping(base), Value::Mapping(overlay)) = (base, overlay) {
+            return Value::Mapping(self.mapping(base, overlay, path));
+        }
+        if type_name(base) != type_name(overlay) {
+            self.add(
+                path,
+                &format!(
+                    "the base has {} here, the overlay has {}",
+                    type_name(base),
+                    type_name(overlay)
+                ),
+            );
+        }
+        overlay.clone()
+    }
+
+    fn mapping(&mut self, base: &Mapping, overlay: &Mapping, path: &FieldPath) -> Mapping {
+        let mut merged = base.clone();
+        for (key, value) in overlay {
+            let Some(name) = key.as_str() else {
+                self.add(path, "a key is not a string");
+                continue;
+            };
+            let path = path.key(name);
+            let Some(inherited) = base.get(key) else {
+                self.add(
+                    &path,
+                    "the base has no such field; an overlay only changes fields of the base",
+                );
+                continue;
+            };
+            let value = self.node(inherited, value, &path);
+            merged.insert(key.clone(), value);
+        }
+        merged
+    }
+
+    fn add(&mut self, path: &FieldPath, reason: &str) {
+        self.faults.add(self.source.fault(path, reason));
+    }
+}
+
+/// Returns the name of a value's type for messages.
+pub(crate) fn type_name(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "no value",
+        Value::Bool(_) => "true or false",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Sequence(_) => "a list",
+        Value::Mapping(_) => "a mapping",
+        Value::Tagged(_) => "a tagged value",
+    }
+}
--- /dev/null
+++ b/crates/config/tests/committed.rs
@@ -0,0 +1,89 @@
+//! Guards against records that change on their way through the platform, and against damaged or
+//! oversized records that are taken for valid ones.
+
+use std::fmt::Write;
+
+use arbutus_config::Committed;
+use arbutus_config::ConfigError;
+use arbutus_config::Source;
+use arbutus_config::Stamp;
+use arbutus_config::Texts;
+use arbutus_config::committed::MAX_COMMITTED_BYTES;
+
+const BASE: &str = "\
+services:
+  desk: {kind: plain}
+classes:
+  counter: {priority: 0}
+organisations:
+  potter: {weight: 2}
+pipelines:
+  booking:
+    class: counter
+    idempotent: false
+    deadline_ms: 3000
+    stages:
+      - {name: book, service: desk}
+";
+
+const OVERLAY: &str = "\
+pipelines:
+  booking:
+    deadline_ms: 2500
+";
+
+fn texts() -> Texts {
+    Texts::new(Source::new("base.yaml", BASE))
+        .with_overlay("arita", Source::new("overlays/arita.yaml", OVERLAY))
+}
+
+fn committed() -> Committed {
+    let stamp = Stamp {
+        generation: 7,
+        parent: 6,
+        author: "mei".to_owned(),
+        token: "token-1".to_owned(),
+        ..Stamp::default()
+    };
+    Committed::new(&texts(), stamp).expect("the texts are valid")
+}
+
+#[test]
+fn json_round_trip_keeps_the_record() {
+    let before = committed();
+    let after = Committed::from_json(&before.to_json()).expect("the record is whole");
+    assert_eq!(before, after);
+}
+
+#[test]
+fn an_overlay_changes_only_its_own_site() {
+    let committed = committed();
+    let deadline = |site: &str| {
+        let deployment = committed.deployment(site).expect("the texts are valid");
+        deployment.pipelines["booking"].deadline_ms.0
+    };
+    assert_eq!(deadline("arita"), 2500);
+    assert_eq!(deadline("hakata"), 3000);
+}
+
+#[test]
+fn damage_to_any_field_is_detected() {
+    let json = committed().to_json();
+    for position in 0..json.len() {
+        let mut damaged = json.clone();
+        damaged[position] ^= 1;
+        if let Ok(read) = Committed::from_json(&damaged) {
+            panic!("damage at byte {position} was not detected: {read:?}");
+        }
+    }
+}
+
+#[test]
+fn an_oversized_record_is_refused() {
+    let mut text = BASE.to_owned();
+    while text.len() <= MAX_COMMITTED_BYTES {
+        writeln!(text, "# {}", "-".repeat(90)).expect("a string takes any text");
+    }
+    let result = Committed::new(&Texts::new(Source::new("b", &text)), Stamp::default());
+    assert!(matches!(result, Err(ConfigError::TooLarge { .. })));
+}
