--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Stand-ins of the systems around the instances, and a load generator.
+//!
+//! The stand-ins are small fakes for tests and measurements. No product crate depends on them.
+
+pub mod http;
+pub mod platform;
+pub mod platform_faults;
+pub mod store;
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,420 @@
+//! A stand-in of the platform: an object API with versions, conditional updates and watches,
+//! and a lagging list of instances and targets.
+//!
+//! Everything is kept in memory. Faults are switched with `POST /faults`.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_wire::platform::ListEntry;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http::BodyError;
+use crate::http::Exchange;
+use crate::http::Handler;
+use crate::http::HttpServer;
+use crate::http::bind;
+use crate::platform_faults::Outage;
+use crate::platform_faults::PlatformFaults;
+use crate::platform_faults::PlatformFaultsUpdate;
+use crate::platform_faults::Rate;
+use crate::store::Condition;
+use crate::store::InstanceLog;
+use crate::store::Store;
+use crate::store::WriteError;
+
+/// The largest value of an object, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+const MAX_WORKERS: usize = 512;
+const MAX_WATCH_MS: u64 = 30_000;
+const MAX_ADMIN_BODY_BYTES: usize = 64 * 1024;
+/// The header by which a client names its failure domain.
+pub const FAILURE_DOMAIN: &str = "Failure-Domain";
+
+/// A running stand-in of the platform.
+#[derive(Debug)]
+pub struct Platform {
+    server: HttpServer,
+}
+
+impl Platform {
+    /// Starts the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn start(listen: SocketAddr) -> io::Result<Self> {
+        let handler = Arc::new(PlatformHandler::default());
+        let server = HttpServer::start(bind(listen)?, MAX_WORKERS, handler)?;
+        Ok(Self { server })
+    }
+
+    /// Returns the address that the platform listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops the platform; see [`HttpServer::stop`].
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: Store,
+    instances: InstanceLog,
+    faults: PlatformFaults,
+    writes: Rate,
+    reads: Rate,
+    calls: BTreeMap<&'static str, u64>,
+}
+
+#[derive(Debug, Default)]
+struct PlatformHandler {
+    clock: Clock,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Call {
+    Get,
+    Put,
+    Delete,
+    List,
+    Watch,
+    Instances,
+    Register,
+    Remove,
+}
+
+impl Call {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::Put => "put",
+            Self::Delete => "delete",
+            Self::List => "list",
+            Self::Watch => "watch",
+            Self::Instances => "instances",
+            Self::Register => "register",
+            Self::Remove => "remove",
+        }
+    }
+
+    fn is_write(self) -> bool {
+        matches!(
+            self,
+            Self::Put | Self::Delete | Self::Register | Self::Remove
+        )
+    }
+
+    fn of(exchange: &Exchange) -> Option<(Self, String)> {
+        let path = exchange.path().strip_prefix("/v1/")?;
+        let method = exchange.method();
+        let call = match path {
+            "objects" => (Self::List, ""),
+            "watch" => (Self::Watch, ""),
+            "instances" => (Self::Instances, ""),
+            _ => {
+                let (collection, name) = path.split_once('/')?;
+                match (collection, method) {
+                    ("objects", "GET") => (Self::Get, name),
+                    ("objects", "PUT") => (Self::Put, name),
+                    ("objects", "DELETE") => (Self::Delete, name),
+                    ("instances", "PUT") => (Self::Register, name),
+                    ("instances", "DELETE") => (Self::Remove, name),
+                    _ => return None,
+                }
+            }
+        };
+        Some((call.0, call.1.to_owned()))
+    }
+}
+
+impl Handler for PlatformHandler {
+    fn handle(&self, mut exchange: Exchange) -> io::Result<()> {
+        match (exchange.method(), exchange.path()) {
+            ("GET", "/stats") => {
+                let stats = self.stats();
+                return exchange.respond(200, &[], &stats);
+            }
+            ("POST", "/faults") => {
+                return match exchange.json(MAX_ADMIN_BODY_BYTES) {
+                    Ok(update) => self.set_faults(update, exchange),
+                    Err(error) => exchange.problem(error.status(), &error.to_string()),
+                };
+            }
+            _ => {}
+        }
+        let Some((call, name)) = Call::of(&exchange) else {
+            return exchange.problem(404, "no such call");
+        };
+        match self.admit(call, &exchange) {
+            Admission::Run { slow } => thread::sleep(slow.to_duration()),
+            Admission::Refuse(status) => return exchange.problem(status, "refused by a fault"),
+            Admission::Drop => {
+                exchange.drop_connection();
+                return Ok(());
+            }
+        }
+        match call {
+            Call::Get => self.get(&name, exchange),
+            Call::Put => self.put(&name, exchange),
+            Call::Delete => self.delete(&name, exchange),
+            Call::List => self.list(exchange),
+            Call::Watch => self.watch(exchange),
+            Call::Instances => self.list_instances(exchange),
+            Call::Register => self.register(&name, exchange),
+            Call::Remove => self.remove(&name, exchange),
+        }
+    }
+}
+
+enum Admission {
+    Run { slow: Millis },
+    Refuse(u16),
+    Drop,
+}
+
+impl PlatformHandler {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(state: &mut State, what: &'static str) {
+        *state.calls.entry(what).or_default() += 1;
+    }
+
+    fn stats(&self) -> Value {
+        let state = self.lock();
+        json!({
+            "calls": state.calls,
+            "version": state.store.version(),
+            "objects": state.store.len(),
+            "faults": state.faults,
+        })
+    }
+
+    fn set_faults(&self, update: PlatformFaultsUpdate, exchange: Exchange) -> io::Result<()> {
+        let faults = {
+            let mut state = self.lock();
+            state.faults.apply(update);
+            state.faults.clone()
+        };
+        self.changed.notify_all();
+        exchange.respond(200, &[], &faults)
+    }
+
+    fn admit(&self, call: Call, exchange: &Exchange) -> Admission {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        Self::count(&mut state, call.name());
+        let domain = exchange.header(FAILURE_DOMAIN).unwrap_or("");
+        if state.faults.block_from.iter().any(|name| name == domain) {
+            Self::count(&mut state, "blocked");
+            return Admission::Drop;
+        }
+        match state.faults.outage {
+            Outage::None => {}
+            Outage::Unavailable => {
+                Self::count(&mut state, "unavailable");
+                return Admission::Refuse(503);
+            }
+            Outage::Closed => {
+                Self::count(&mut state, "unavailable");
+                return Admission::Drop;
+            }
+        }
+        let allowed = if call.is_write() {
+            let limit = state.faults.writes_per_s;
+            state.writes.allow(now, limit)
+        } else {
+            let limit = state.faults.reads_per_s;
+            state.reads.allow(now, limit)
+        };
+        if !allowed {
+            Self::count(&mut state, "rate_limited");
+            return Admission::Refuse(429);
+        }
+        Admission::Run {
+            slow: state.faults.slow_ms,
+        }
+    }
+
+    fn get(&self, key: &str, exchange: Exchange) -> io::Result<()> {
+        let found = {
+            let mut state = self.lock();
+            if state.faults.next_read_is_stale() {
+                Self::count(&mut state, "stale_reads");
+                state.store.get_previous(key)
+            } else {
+                state.store.get(key)
+            }
+        };
+        match found {
+            Some(object) => {
+                let etag = ("ETag", format!("\"{}\"", object.version));
+                exchange.respond(200, &[etag], &object)
+            }
+            None => exchange.problem(404, "no such object"),
+        }
+    }
+
+    fn put(&self, key: &str, mut exchange: Exchange) -> io::Result<()> {
+        let value = match exchange.json(MAX_VALUE_BYTES) {
+            Ok(value) => value,
+            Err(error) => return self.bad_body(&error, exchange),
+        };
+        let Some(condition) = condition(&exchange) else {
+            return exchange.problem(400, "If-Match is not a version");
+        };
+        self.write(exchange, |store| store.put(key, condition, value))
+    }
+
+    fn bad_body(&self, error: &BodyError, exchange: Exchange) -> io::Result<()> {
+        Self::count(&mut self.lock(), "bad_requests");
+        exchange.problem(error.status(), &error.to_string())
+    }
+
+    fn delete(&self, key: &str, exchange: Exchange) -> io::Result<()> {
+        let Some(condition) = condition(&exchange) else {
+            return exchange.problem(400, "If-Match is not a version");
+        };
+        self.write(exchange, |store| store.delete(key, condition))
+    }
+
+    fn write(
+        &self,
+        exchange: Exchange,
+        change: impl FnOnce(&mut Store) -> Result<u64, WriteError>,
+    ) -> io::Result<()> {
+        let (outcome, lost) = {
+            let mut state = self.lock();
+            let outcome = change(&mut state.store);
+            if outcome.is_err() {
+                Self::count(&mut state, "conflicts");
+            }
+            let lost = outcome.is_ok() && state.faults.next_answer_is_lost();
+            if lost {
+                Self::count(&mut state, "lost_answers");
+            }
+            (outcome, lost)
+        };
+        self.changed.notify_all();
+        if lost {
+            exchange.drop_connection();
+            return Ok(());
+        }
+        match outcome {
+            Ok(version) => {
+                let etag = ("ETag", format!("\"{version}\""));
+                exchange.respond(200, &[etag], &json!({ "version": version }))
+            }
+            Err(WriteError::Mismatch) => exchange.problem(412, "the version does not match"),
+            Err(WriteError::Absent) => exchange.problem(404, "no such object"),
+        }
+    }
+
+    fn list(&self, exchange: Exchange) -> io::Result<()> {
+        let prefix = exchange.query("prefix").unwrap_or("");
+        let list = {
+            let mut state = self.lock();
+            if state.faults.next_read_is_stale() {
+                Self::count(&mut state, "stale_reads");
+                state.store.list_previous(prefix)
+            } else {
+                state.store.list(prefix)
+            }
+        };
+        exchange.respond(200, &[], &list)
+    }
+
+    fn watch(&self, exchange: Exchange) -> io::Result<()> {
+        let prefix = exchange.query("prefix").unwrap_or("").to_owned();
+        let after = exchange.query_number("after").unwrap_or(0);
+        let timeout_ms = exchange.query_number("timeout_ms").unwrap_or(MAX_WATCH_MS);
+        let until = self.clock.now() + Millis(timeout_ms.min(MAX_WATCH_MS));
+        let mut state = self.lock();
+        loop {
+            if state.faults.outage != Outage::None {
+                drop(state);
+                return exchange.problem(503, "refused by a fault");
+            }
+            let changed = state.store.changed_after(&prefix, after);
+            let left = until - self.clock.now();
+            if !changed.objects.is_empty() || left == Millis::ZERO {
+                drop(state);
+                return exchange.respond(200, &[], &changed);
+            }
+            state = self
+                .changed
+                .wait_timeout(state, left.to_duration())
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+
+    fn list_instances(&self, exchange: Exchange) -> io::Result<()> {
+        let after = exchange.query_number("after");
+        let list = {
+            let state = self.lock();
+            state
+                .instances
+                .at(self.clock.now(), state.faults.list_lag_ms)
+        };
+        if after.is_some_and(|after| after >= list.revision) {
+            return exchange.respond_empty(304);
+        }
+        exchange.respond(200, &[], &list)
+    }
+
+    fn register(&self, name: &str, mut exchange: Exchange) -> io::Result<()> {
+        let entry: ListEntry = match exchange.json(MAX_ADMIN_BODY_BYTES) {
+            Ok(entry) => entry,
+            Err(error) => return self.bad_body(&error, exchange),
+        };
+        if entry.name != name {
+            return exchange.problem(400, "the name in the body differs from the path");
+        }
+        let revision = {
+            let mut state = self.lock();
+            state.instances.put(self.clock.now(), entry)
+        };
+        exchange.respond(200, &[], &json!({ "version": revision }))
+    }
+
+    fn remove(&self, name: &str, exchange: Exchange) -> io::Result<()> {
+        let revision = {
+            let mut state = self.lock();
+            state.instances.remove(self.clock.now(), name)
+        };
+        exchange.respond(200, &[], &json!({ "version": revision }))
+    }
+}
+
+fn condition(exchange: &Exchange) -> Option<Condition> {
+    if exchange.header("If-None-Match").map(str::trim) == Some("*") {
+        return Some(Condition::Absent);
+    }
+    match exchange.header("If-Match") {
+        None => Some(Condition::Any),
+        Some(tag) => {
+            let version = tag.trim().trim_matches('"').parse().ok()?;
+            Some(Condition::Version(version))
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,250 @@
+//! The content of the platform: objects with versions, and the log of the instance list.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use arbutus_coord::Millis;
+use arbutus_wire::platform::InstanceList;
+use arbutus_wire::platform::ListEntry;
+use arbutus_wire::platform::Object;
+use arbutus_wire::platform::ObjectList;
+use serde_json::Value;
+
+const MAX_LOGGED_LISTS: usize = 256;
+
+/// What has to hold for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Nothing.
+    Any,
+    /// The object does not exist.
+    Absent,
+    /// The object has this version.
+    Version(u64),
+}
+
+/// Why a write had no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteError {
+    /// The condition does not hold.
+    Mismatch,
+    /// The object to delete does not exist.
+    Absent,
+}
+
+/// One state of an object; the value of a deleted object is `None`.
+#[derive(Clone, Debug)]
+struct Revision {
+    version: u64,
+    value: Option<Value>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    current: Revision,
+    previous: Option<Revision>,
+}
+
+/// Objects by key.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    version: u64,
+    entries: BTreeMap<String, Entry>,
+}
+
+impl Store {
+    /// Returns the version of the last write.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the number of objects.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| entry.current.value.is_some())
+            .count()
+    }
+
+    /// Returns whether the store holds no object.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns an object.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<Object> {
+        object(key, &self.entries.get(key)?.current)
+    }
+
+    /// Returns an object as it was before its last write.
+    #[must_use]
+    pub fn get_previous(&self, key: &str) -> Option<Object> {
+        object(key, self.entries.get(key)?.previous.as_ref()?)
+    }
+
+    /// Writes an object and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the condition does not hold.
+    pub fn put(
+        &mut self,
+        key: &str,
+        condition: Condition,
+        value: Value,
+    ) -> Result<u64, WriteError> {
+        self.check(key, condition)?;
+        Ok(self.replace(key, Some(value)))
+    }
+
+    /// Deletes an object and returns the version of the deletion.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the condition does not hold or the object does not exist.
+    pub fn delete(&mut self, key: &str, condition: Condition) -> Result<u64, WriteError> {
+        self.check(key, condition)?;
+        if self.get(key).is_none() {
+            return Err(WriteError::Absent);
+        }
+        Ok(self.replace(key, None))
+    }
+
+    /// Returns the objects whose keys start with a prefix.
+    #[must_use]
+    pub fn list(&self, prefix: &str) -> ObjectList {
+        self.select(prefix, |entry| Some(&entry.current))
+    }
+
+    /// Returns the objects as they were before the last write of each.
+    #[must_use]
+    pub fn list_previous(&self, prefix: &str) -> ObjectList {
+        self.select(prefix, |entry| entry.previous.as_ref())
+    }
+
+    /// Returns the objects that changed after a version; deleted ones have the value `null`.
+    #[must_use]
+    pub fn changed_after(&self, prefix: &str, after: u64) -> ObjectList {
+        let objects = self
+            .with_prefix(prefix)
+            .filter(|(_, entry)| entry.current.version > after)
+            .map(|(key, entry)| Object {
+                key: key.clone(),
+                version: entry.current.version,
+                value: entry.current.value.clone().unwrap_or(Value::Null),
+            })
+            .collect();
+        ObjectList {
+            version: self.version,
+            objects,
+        }
+    }
+
+    fn select(&self, prefix: &str, pick: impl Fn(&Entry) -> Option<&Revision>) -> ObjectList {
+        let objects = self
+            .with_prefix(prefix)
+            .filter_map(|(key, entry)| object(key, pick(entry)?))
+            .collect();
+        ObjectList {
+            version: self.version,
+            objects,
+        }
+    }
+
+    fn with_prefix(&self, prefix: &str) -> impl Iterator<Item = (&String, &Entry)> {
+        self.entries
+            .range(prefix.to_owned()..)
+            .take_while(move |(key, _)| key.starts_with(prefix))
+    }
+
+    fn check(&self, key: &str, condition: Condition) -> Result<(), WriteError> {
+        let version = self.get(key).map(|object| object.version);
+        let holds = match condition {
+            Condition::Any => true,
+            Condition::Absent => version.is_none(),
+            Condition::Version(expected) => version == Some(expected),
+        };
+        if holds {
+            Ok(())
+        } else {
+            Err(WriteError::Mismatch)
+        }
+    }
+
+    fn replace(&mut self, key: &str, value: Option<Value>) -> u64 {
+        self.version += 1;
+        let current = Revision {
+            version: self.version,
+            value,
+        };
+        let previous = self.entries.remove(key).map(|entry| entry.current);
+        let entry = Entry { current, previous };
+        self.entries.insert(key.to_owned(), entry);
+        self.version
+    }
+}
+
+fn object(key: &str, revision: &Revision) -> Option<Object> {
+    Some(Object {
+        key: key.to_owned(),
+        version: revision.version,
+        value: revision.value.clone()?,
+    })
+}
+
+/// The instance list with its recent states, so that it can be served with a lag.
+#[derive(Clone, Debug, Default)]
+pub struct InstanceLog {
+    entries: BTreeMap<String, ListEntry>,
+    revision: u64,
+    states: VecDeque<(Millis, InstanceList)>,
+}
+
+impl InstanceLog {
+    /// Adds or changes an entry and returns the revision.
+    pub fn put(&mut self, now: Millis, entry: ListEntry) -> u64 {
+        if self.entries.get(&entry.name) != Some(&entry) {
+            self.entries.insert(entry.name.clone(), entry);
+            self.record(now);
+        }
+        self.revision
+    }
+
+    /// Removes an entry and returns the revision.
+    pub fn remove(&mut self, now: Millis, name: &str) -> u64 {
+        if self.entries.remove(name).is_some() {
+            self.record(now);
+        }
+        self.revision
+    }
+
+    /// Returns the list as it was before the lag.
+    #[must_use]
+    pub fn at(&self, now: Millis, lag: Millis) -> InstanceList {
+        let newest = self
+            .states
+            .iter()
+            .rev()
+            .find(|(changed_at, _)| *changed_at + lag <= now);
+        let mut list = newest.map(|(_, list)| list.clone()).unwrap_or_default();
+        list.age_ms = lag;
+        list
+    }
+
+    fn record(&mut self, now: Millis) {
+        self.revision += 1;
+        let list = InstanceList {
+            revision: self.revision,
+            age_ms: Millis::ZERO,
+            entries: self.entries.values().cloned().collect(),
+        };
+        self.states.push_back((now, list));
+        if self.states.len() > MAX_LOGGED_LISTS {
+            self.states.pop_front();
+        }
+    }
+}
