--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use arbutus_config::committed::CONFIG_KEY;
+use arbutus_config::committed::Committed;
 use arbutus_coord::Millis;
 
 use crate::node::Node;
@@ -9,7 +11,6 @@
 use crate::supervisor::ChildResult;
 
 const POLL_PERIOD_MS: Millis = Millis(500);
-const CONFIGURATION_KEY: &str = "config";
 
 /// Polls the platform until the stop flag is raised.
 ///
@@ -27,25 +28,29 @@
 }
 
 fn poll_configuration(node: &Node) {
-    match node.platform.get(CONFIGURATION_KEY) {
-        Ok(Some(object)) => {
-            let generation = object
-                .value
-                .get("generation")
-                .and_then(serde_json::Value::as_u64);
-            let deployment = object.value.get("deployment").cloned().unwrap_or_default();
-            match (generation, serde_json::from_value(deployment)) {
-                (Some(generation), Ok(deployment)) => {
-                    node.activate(generation, deployment);
-                }
-                _ => node.metrics.count("configuration_malformed"),
-            }
-        }
+    match node.platform.get(CONFIG_KEY) {
+        Ok(Some(object)) => match Committed::from_value(&object.value) {
+            Ok(committed) => apply(node, &committed),
+            Err(_error) => node.metrics.count("configuration_malformed"),
+        },
         Ok(None) => {}
         Err(_error) => node.metrics.count("platform_unavailable"),
     }
 }
 
+/// Puts a committed configuration in force at this instance's site, if it is newer.
+fn apply(node: &Node, committed: &Committed) {
+    if committed.generation <= node.active().generation {
+        return;
+    }
+    match committed.deployment(&node.settings.site) {
+        Ok(deployment) => {
+            node.activate(committed.generation, deployment);
+        }
+        Err(_faults) => node.metrics.count("configuration_invalid"),
+    }
+}
+
 fn poll_instances(node: &Node) {
     match node.platform.instances(node.directory().revision()) {
         Ok(Some(list)) => node.update_directory(&list),
