--- a/crates/policy/tests/attempt.rs
+++ b/crates/policy/tests/attempt.rs
@@ -72,5 +72,6 @@
     );
     let sent = Attempt::first(ids()).send(Millis(7));
     let retry = sent.follow("encode".to_owned(), "a2".to_owned());
-    assert!(retry.send(Millis(8)).not_connected().not_run().is_err());
+    let refused = retry.send(Millis(8)).not_connected().not_run();
+    assert_eq!(refused.expect_err("an attempt was sent").request, "r1");
 }
