standins: add the stand-in of the targets

Instances need targets whose answers can be checked. Executions are counted by idempotency key, so a duplicate is visible.

--- /dev/null
+++ b/crates/standins/src/bin/arbutus-target.rs
@@ -0,0 +1,115 @@
+//! The stand-in of a target as a process.
+
+use std::error::Error;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::thread;
+
+use arbutus_coord::Millis;
+use arbutus_standins::target::Target;
+use arbutus_standins::target::TargetKind;
+use arbutus_standins::target::TargetSpec;
+use getopts::Matches;
+use getopts::Options;
+
+const USAGE: &str = "Usage: arbutus-target --listen ADDRESS --name NAME --service SERVICE \
+                     --failure-domain DOMAIN --kind KIND [options]";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("arbutus-target: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "listen", "address to listen on", "ADDRESS");
+    options.optopt("", "name", "unique name", "NAME");
+    options.optopt("", "service", "service of the target", "SERVICE");
+    options.optopt("", "failure-domain", "failure domain", "DOMAIN");
+    let kinds = "engine, encoder, retriever, reranker or plain";
+    options.optopt("", "kind", kinds, "KIND");
+    options.optopt("", "platform", "platform to register at", "ADDRESS");
+    options.optopt("", "capacity", "calls at once when warm (8)", "N");
+    options.optopt("", "cold-capacity", "calls at once when cold (2)", "N");
+    options.optopt("", "cold-ms", "duration of the cold state (1000)", "MS");
+    options.optopt("", "service-ms", "time of a call or first token (20)", "MS");
+    options.optopt("", "token-ms", "time between tokens (10)", "MS");
+    options.optopt("", "cached-prefixes", "prompt prefixes cached (64)", "N");
+    options.optopt("", "load-lag-ms", "lag of the load report (100)", "MS");
+    options.optopt("", "seed", "seed of variations and faults (1)", "N");
+    options.optflag("", "deduplicates", "run a repeated key only once");
+    options.optflag("", "checks-fencing", "refuse old fencing tokens");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+fn required<T: FromStr>(matches: &Matches, name: &str) -> Result<T, Box<dyn Error>>
+where
+    T::Err: Error + 'static,
+{
+    let value = matches
+        .opt_str(name)
+        .ok_or_else(|| format!("the option --{name} is missing"))?;
+    value
+        .parse()
+        .map_err(|error| format!("--{name} {value}: {error}").into())
+}
+
+fn set<T: FromStr>(matches: &Matches, name: &str, field: &mut T) -> Result<(), Box<dyn Error>>
+where
+    T::Err: Error + 'static,
+{
+    if matches.opt_present(name) {
+        *field = required(matches, name)?;
+    }
+    Ok(())
+}
+
+fn spec(matches: &Matches) -> Result<TargetSpec, Box<dyn Error>> {
+    let name: String = required(matches, "name")?;
+    let service: String = required(matches, "service")?;
+    let failure_domain: String = required(matches, "failure-domain")?;
+    let kind: TargetKind = required(matches, "kind")?;
+    let mut spec = TargetSpec::new(&name, &service, &failure_domain, kind);
+    set(matches, "capacity", &mut spec.size.capacity)?;
+    set(matches, "cold-capacity", &mut spec.size.cold_capacity)?;
+    set_millis(matches, "cold-ms", &mut spec.size.cold_ms)?;
+    set_millis(matches, "service-ms", &mut spec.service_ms)?;
+    set_millis(matches, "token-ms", &mut spec.token_ms)?;
+    set(matches, "cached-prefixes", &mut spec.cached_prefixes)?;
+    set_millis(matches, "load-lag-ms", &mut spec.load_lag_ms)?;
+    set(matches, "seed", &mut spec.seed)?;
+    spec.deduplicates = matches.opt_present("deduplicates");
+    spec.checks_fencing = matches.opt_present("checks-fencing");
+    if matches.opt_present("platform") {
+        spec.platform = Some(required::<SocketAddr>(matches, "platform")?);
+    }
+    Ok(spec)
+}
+
+fn set_millis(matches: &Matches, name: &str, field: &mut Millis) -> Result<(), Box<dyn Error>> {
+    set(matches, name, &mut field.0)
+}
+
+fn run() -> Result<(), Box<dyn Error>> {
+    let options = options();
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Ok(());
+    }
+    let listen: SocketAddr = required(&matches, "listen")?;
+    let target = Target::start(listen, spec(&matches)?)?;
+    println!("listening {}", target.address());
+    std::io::stdout().flush()?;
+    loop {
+        thread::park();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/calls.rs
@@ -0,0 +1,377 @@
+//! The calls of a target: stage calls, orders, load reports, faults and counters.
+
+use std::fmt;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutus_coord::Millis;
+use arbutus_wire::header;
+use arbutus_wire::target::CallAnswer;
+use arbutus_wire::target::CallBody;
+use arbutus_wire::target::CancelBody;
+use arbutus_wire::target::Order;
+use arbutus_wire::target::OrderBody;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::gate::Permit;
+use crate::gate::Refusal;
+use crate::http::BodyError;
+use crate::http::Exchange;
+use crate::http::Handler;
+use crate::target::RunningKey;
+use crate::target::TargetKind;
+use crate::target::TargetState;
+use crate::target::lock;
+use crate::target_faults::TargetFaults;
+use crate::target_faults::TargetFaultsUpdate;
+use crate::text;
+
+pub(crate) const MAX_BODY_BYTES: usize = 1024 * 1024;
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+const DEFAULT_PRIORITY: u8 = 5;
+/// The longest sleep before a cancellation is noticed.
+const CANCEL_SLICE: Duration = Duration::from_millis(20);
+
+/// The handler of a target's requests.
+#[derive(Debug)]
+pub struct TargetHandler {
+    state: Arc<TargetState>,
+}
+
+impl TargetHandler {
+    /// Creates the handler.
+    #[must_use]
+    pub fn new(state: Arc<TargetState>) -> Self {
+        Self { state }
+    }
+}
+
+impl Handler for TargetHandler {
+    fn handle(&self, mut exchange: Exchange) -> io::Result<()> {
+        let state = &self.state;
+        if state.crashed.load(Ordering::SeqCst) {
+            exchange.drop_connection();
+            return Ok(());
+        }
+        match (exchange.method(), exchange.path()) {
+            ("POST", "/v1/call") if state.spec.kind != TargetKind::Engine => {
+                match exchange.json(MAX_BODY_BYTES) {
+                    Ok(body) => run_call(state, body, exchange),
+                    Err(error) => bad_body(&error, exchange),
+                }
+            }
+            ("POST", "/v1/generate") if state.spec.kind == TargetKind::Engine => {
+                match exchange.json(MAX_BODY_BYTES) {
+                    Ok(body) => crate::engine::generate(state, &body, exchange),
+                    Err(error) => bad_body(&error, exchange),
+                }
+            }
+            ("POST", "/v1/cancel") => match exchange.json(MAX_BODY_BYTES) {
+                Ok(body) => cancel(state, body, exchange),
+                Err(error) => bad_body(&error, exchange),
+            },
+            ("POST", "/v1/orders") => match exchange.json(MAX_BODY_BYTES) {
+                Ok(body) => order(state, body, exchange),
+                Err(error) => bad_body(&error, exchange),
+            },
+            ("GET", "/v1/load") => match state.load_report() {
+                Some(report) => exchange.respond(200, &[], &report),
+                None => exchange.problem(503, "no load was recorded yet"),
+            },
+            ("GET", "/stats") => exchange.respond(200, &[], &state.stats()),
+            ("GET", "/executions") => exchange.respond(200, &[], &state.executions.list()),
+            ("POST", "/faults") => match exchange.json(MAX_BODY_BYTES) {
+                Ok(update) => set_faults(state, update, exchange),
+                Err(error) => bad_body(&error, exchange),
+            },
+            _ => exchange.problem(404, "this target has no such call"),
+        }
+    }
+}
+
+pub(crate) fn bad_body(error: &BodyError, exchange: Exchange) -> io::Result<()> {
+    exchange.problem(error.status(), &error.to_string())
+}
+
+fn set_faults(
+    state: &Arc<TargetState>,
+    update: TargetFaultsUpdate,
+    exchange: Exchange,
+) -> io::Result<()> {
+    if update.turn_cold {
+        state.gate.turn_cold();
+    }
+    let faults = state.with_faults(|faults| {
+        faults.apply(update);
+        faults.clone()
+    });
+    state.set_leaving(faults.leaving);
+    exchange.respond(200, &[], &faults)
+}
+
+fn cancel(state: &TargetState, body: CancelBody, exchange: Exchange) -> io::Result<()> {
+    let key = RunningKey {
+        request_id: body.request_id,
+        attempt_id: body.attempt_id,
+    };
+    let found = lock(&state.running).get(&key).map(Arc::clone);
+    if let Some(cancelled) = &found {
+        cancelled.store(true, Ordering::SeqCst);
+    }
+    exchange.respond(200, &[], &json!({ "cancelled": found.is_some() }))
+}
+
+fn order(state: &TargetState, body: OrderBody, exchange: Exchange) -> io::Result<()> {
+    let highest = state.stats().highest_fencing_token;
+    if state.spec.checks_fencing && body.fencing_token < highest {
+        state.count(|stats| stats.orders_refused += 1);
+        let detail = json!({ "detail": "old fencing token", "highest": highest });
+        return exchange.respond(409, &[], &detail);
+    }
+    if let Order::LoadModel { model, version } = body.order {
+        lock(&state.models).insert(format!("{model}@{version}"));
+    }
+    state.count(|stats| {
+        stats.orders += 1;
+        stats.highest_fencing_token = highest.max(body.fencing_token);
+    });
+    exchange.respond(200, &[], &json!({ "accepted": true }))
+}
+
+/// The identifiers and limits of a call, read from its headers.
+pub(crate) struct CallContext {
+    pub request_id: String,
+    pub stage_id: String,
+    pub attempt_id: String,
+    pub idempotency_key: Option<String>,
+    pub priority: u8,
+    pub deadline: Millis,
+    pub started: Instant,
+    pub cancelled: Arc<AtomicBool>,
+    state: Arc<TargetState>,
+}
+
+impl fmt::Debug for CallContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallContext")
+            .field("request_id", &self.request_id)
+            .field("attempt_id", &self.attempt_id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl CallContext {
+    pub fn new(state: &Arc<TargetState>, exchange: &Exchange) -> Self {
+        let text = |name| exchange.header(name).unwrap_or("").to_owned();
+        let number = |name| exchange.header(name).and_then(|text| text.parse().ok());
+        let context = Self {
+            request_id: text(header::REQUEST_ID),
+            stage_id: text(header::STAGE_ID),
+            attempt_id: text(header::ATTEMPT_ID),
+            idempotency_key: exchange.header(header::IDEMPOTENCY_KEY).map(str::to_owned),
+            priority: number(header::PRIORITY)
+                .and_then(|priority: u64| u8::try_from(priority).ok())
+                .unwrap_or(DEFAULT_PRIORITY),
+            deadline: state.clock.now()
+                + Millis(number(header::DEADLINE_MS).unwrap_or(DEFAULT_DEADLINE_MS)),
+            started: Instant::now(),
+            cancelled: Arc::new(AtomicBool::new(false)),
+            state: Arc::clone(state),
+        };
+        state.count(|stats| stats.calls += 1);
+        lock(&state.running).insert(context.key(), Arc::clone(&context.cancelled));
+        context
+    }
+
+    fn key(&self) -> RunningKey {
+        RunningKey {
+            request_id: self.request_id.clone(),
+            attempt_id: self.attempt_id.clone(),
+        }
+    }
+
+    pub fn is_cancelled(&self) -> bool {
+        self.cancelled.load(Ordering::SeqCst)
+    }
+
+    /// Sleeps, and returns early with `false` if the call is cancelled.
+    pub fn sleep(&self, duration: Duration) -> bool {
+        let until = Instant::now() + duration;
+        while !self.is_cancelled() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return true;
+            }
+            thread::sleep(left.min(CANCEL_SLICE));
+        }
+        false
+    }
+
+    /// Returns the headers that echo the identifiers.
+    pub fn echo(&self, faults: &TargetFaults) -> [(&'static str, String); 3] {
+        let echoed = |id: &str| {
+            if faults.wrong_echo {
+                format!("other-{id}")
+            } else {
+                id.to_owned()
+            }
+        };
+        [
+            (header::REQUEST_ID, echoed(&self.request_id)),
+            (header::STAGE_ID, echoed(&self.stage_id)),
+            (header::ATTEMPT_ID, echoed(&self.attempt_id)),
+        ]
+    }
+
+    /// Counts the end of a call that was executed at least in part.
+    pub fn end(&self, sent: &io::Result<()>, whole: bool) {
+        // The permit is held from the end of the queue on, but the queue costs nothing.
+        let spent_ms = self.started.elapsed().as_millis() as u64;
+        let cancelled = self.is_cancelled();
+        self.state.count(|stats| {
+            stats.spent_ms += spent_ms;
+            if sent.is_ok() && whole {
+                stats.completed += 1;
+                return;
+            }
+            stats.wasted_ms += spent_ms;
+            stats.cancelled += u64::from(cancelled);
+            stats.client_gone += u64::from(sent.is_err() && !cancelled);
+        });
+    }
+
+    /// Waits for the right to run.
+    pub fn enter(&mut self) -> Result<Permit, Refusal> {
+        let entered = self.state.gate.enter(self.priority, self.deadline);
+        self.started = Instant::now();
+        if let Err(refusal) = &entered {
+            self.state.count(|stats| match refusal {
+                Refusal::ColdOverload => stats.cold_failures += 1,
+                Refusal::QueueFull => stats.queue_full += 1,
+                Refusal::Expired => stats.expired += 1,
+            });
+        }
+        entered
+    }
+}
+
+impl Drop for CallContext {
+    fn drop(&mut self) {
+        lock(&self.state.running).remove(&self.key());
+    }
+}
+
+pub(crate) fn refuse(
+    refusal: Refusal,
+    context: &CallContext,
+    exchange: Exchange,
+) -> io::Result<()> {
+    let (status, detail) = match refusal {
+        Refusal::ColdOverload => (500, "the target is cold"),
+        Refusal::QueueFull => (503, "the queue is full"),
+        Refusal::Expired => (504, "the deadline passed in the queue"),
+    };
+    let echo = context.echo(&context.state.faults());
+    exchange.respond(status, &echo, &json!({ "detail": detail }))
+}
+
+/// Runs the faults that come before an execution; returns `false` when the call has to fail.
+pub(crate) fn survives(state: &TargetState, faults: &TargetFaults, input: &Value) -> bool {
+    if let Some(marker) = &faults.crash_on
+        && input.to_string().contains(marker)
+    {
+        state.crash();
+    }
+    !state.draw(faults.fail_share)
+}
+
+fn run_call(state: &Arc<TargetState>, body: CallBody, exchange: Exchange) -> io::Result<()> {
+    let context = CallContext::new(state, &exchange);
+    let key = context.idempotency_key.clone();
+    let deduplicated_by = key.filter(|_| state.spec.deduplicates);
+    let Some(key) = deduplicated_by else {
+        return execute(state, context, body.input, exchange);
+    };
+    if let Some(output) = state.executions.deduplicate(&key) {
+        state.count(|stats| stats.deduplicated += 1);
+        let echo = context.echo(&state.faults());
+        return exchange.respond(200, &echo, &CallAnswer { output });
+    }
+    let outcome = execute(state, context, body.input, exchange);
+    state.executions.abandon(&key);
+    outcome
+}
+
+fn execute(
+    state: &Arc<TargetState>,
+    mut context: CallContext,
+    input: Value,
+    exchange: Exchange,
+) -> io::Result<()> {
+    let permit = match context.enter() {
+        Ok(permit) => permit,
+        Err(refusal) => return refuse(refusal, &context, exchange),
+    };
+    let faults = state.faults();
+    let survives = survives(state, &faults, &input);
+    if state.crashed.load(Ordering::SeqCst) {
+        exchange.drop_connection();
+        return Ok(());
+    }
+    if !survives {
+        state.count(|stats| stats.failed += 1);
+        let echo = context.echo(&faults);
+        return exchange.respond(500, &echo, &json!({ "detail": "failed by a fault" }));
+    }
+    let uncancelled = context.sleep(state.duration(state.spec.service_ms));
+    if !uncancelled && context.idempotency_key.is_none() {
+        context.end(&Ok(()), false);
+        return exchange.problem(409, "cancelled");
+    }
+    let output = output(state, input);
+    if let Some(key) = &context.idempotency_key {
+        state.executions.finish(key, text::marker(&output), &output);
+    }
+    drop(permit);
+    if faults.drop_after_execution {
+        context.end(&Ok(()), false);
+        exchange.drop_connection();
+        return Ok(());
+    }
+    let sent = exchange.respond(200, &context.echo(&faults), &CallAnswer { output });
+    context.end(&sent, true);
+    sent
+}
+
+fn output(state: &TargetState, input: Value) -> Value {
+    let spec = &state.spec;
+    let sequence = state.next_sequence();
+    let origin = text::origin(&input).clone();
+    match spec.kind {
+        TargetKind::Plain => json!({
+            "origin": origin,
+            "input": input,
+            "service": spec.service,
+            "target": spec.name,
+            "execution": sequence,
+        }),
+        TargetKind::Encoder => json!({
+            "origin": origin,
+            "vector": [text::prompt_prefix(&origin) % 1_000, 1, 2],
+        }),
+        TargetKind::Retriever => json!({
+            "origin": origin,
+            "documents": ["d1", "d2", "d3", "d4"],
+        }),
+        TargetKind::Reranker | TargetKind::Engine => json!({
+            "origin": origin,
+            "documents": ["d2", "d1"],
+        }),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,7 +2,15 @@
 //!
 //! The stand-ins are small fakes for tests and measurements. No product crate depends on them.
 
+pub mod calls;
+pub mod client;
+mod engine;
+pub mod executions;
+pub mod gate;
 pub mod http;
 pub mod platform;
 pub mod platform_faults;
 pub mod store;
+pub mod target;
+pub mod target_faults;
+pub mod text;
