standins: add the quickstart over both example deployments

It checks the streamed text against the text that the engine computes from the input, and the number of executions at the targets.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -264,7 +264,9 @@
         match result {
             Ok(answer) if self.request.stream => self.finish_stream(&answer),
             Ok(answer) => match self.responder.take() {
-                Some(responder) => responder.send_json(200, &answer.output),
+                Some(responder) => responder
+                    .with_replayed(answer.replayed)
+                    .send_json(200, &answer.output),
                 None => Ok(()),
             },
             Err(problem) => match self.responder.take() {
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -26,6 +26,7 @@
     request_id: String,
     close: bool,
     chunked: bool,
+    replayed: bool,
 }
 
 /// A stream of server-sent events.
@@ -44,9 +45,17 @@
             request_id: request_id.to_owned(),
             close,
             chunked,
+            replayed: false,
         }
     }
 
+    /// Marks the answer as one that an earlier attempt with the same idempotency key recorded.
+    #[must_use]
+    pub fn with_replayed(mut self, replayed: bool) -> Self {
+        self.replayed = replayed;
+        self
+    }
+
     /// Writes a whole answer.
     ///
     /// # Errors
@@ -123,6 +132,9 @@
             head.push_str(value);
             head.push_str("\r\n");
         }
+        if self.replayed {
+            head.push_str("Idempotency-Replayed: true\r\n");
+        }
         if self.close {
             head.push_str("Connection: close\r\n");
         }
--- /dev/null
+++ b/crates/standins/src/bin/arbutus-quickstart.rs
@@ -0,0 +1,277 @@
+//! Starts both example deployments in small and sends requests through every kind of pipeline.
+
+use std::env;
+use std::error::Error;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use arbutus_config::Deployment;
+use arbutus_config::committed::read_texts;
+use arbutus_config::deployment::ServiceKind;
+use arbutus_standins::executions::ExecutionList;
+use arbutus_standins::fleet::Fleet;
+use arbutus_standins::fleet::FleetSpec;
+use arbutus_standins::fleet::ServiceTargets;
+use arbutus_standins::text::Text;
+use serde_json::Value;
+use serde_json::json;
+
+type Outcome<T> = Result<T, Box<dyn Error>>;
+
+/// An example deployment.
+struct Example {
+    cluster: &'static str,
+    failure_domains: &'static [&'static str],
+}
+
+const EXAMPLES: [Example; 2] = [
+    Example {
+        cluster: "kamagama",
+        failure_domains: &["arita", "hakata", "kumamoto", "kagoshima"],
+    },
+    Example {
+        cluster: "rustwell",
+        failure_domains: &["gent-a", "gent-b", "brugge-c"],
+    },
+];
+
+const INSTANCES_PER_FAILURE_DOMAIN: usize = 2;
+const TOKEN_MS: &str = "10";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => {
+            println!("quickstart: ok");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            println!("quickstart: failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Outcome<()> {
+    let program = env::current_exe()?;
+    let binaries = program.parent().ok_or("the program has no directory")?;
+    let scratch = env::temp_dir().join(format!("arbutus-quickstart-{}", std::process::id()));
+    for example in &EXAMPLES {
+        run_example(example, binaries, &scratch.join(example.cluster))?;
+    }
+    std::fs::remove_dir_all(&scratch)?;
+    Ok(())
+}
+
+fn run_example(example: &Example, binaries: &Path, directory: &Path) -> Outcome<()> {
+    let cluster = example.cluster;
+    let configuration = Path::new("examples").join(cluster);
+    let site = example.failure_domains[0];
+    let deployment = read_texts(&configuration)?
+        .deployment(site)
+        .map_err(|faults| format!("{cluster}: {faults}"))?;
+    let spec = FleetSpec {
+        cluster: cluster.to_owned(),
+        failure_domains: example
+            .failure_domains
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
+        instances_per_failure_domain: INSTANCES_PER_FAILURE_DOMAIN,
+        services: targets(&deployment),
+        configuration,
+    };
+    let begun = Instant::now();
+    let fleet = Fleet::start(&spec, binaries, directory)?;
+    println!(
+        "{cluster}: {} instances and {} targets in {} failure domains are ready after {} ms",
+        fleet.instances.len(),
+        fleet.targets.len(),
+        spec.failure_domains.len(),
+        begun.elapsed().as_millis(),
+    );
+    let organisation = deployment
+        .organisations
+        .keys()
+        .next()
+        .ok_or("no organisation")?;
+    for (name, pipeline) in &deployment.pipelines {
+        let last = pipeline.stages.last().ok_or("a pipeline has no stages")?;
+        if deployment.services[&last.service].kind == ServiceKind::Engine {
+            stream(&fleet, cluster, name, organisation, last.max_tokens)?;
+        } else if pipeline.idempotent {
+            lookup(&fleet, cluster, name, organisation)?;
+        } else {
+            booking(&fleet, cluster, name, organisation, &last.service)?;
+        }
+    }
+    if !fleet.shut_down()? {
+        return Err(format!("{cluster}: an instance did not shut down cleanly").into());
+    }
+    println!("{cluster}: all instances have shut down gracefully");
+    Ok(())
+}
+
+fn targets(deployment: &Deployment) -> Vec<ServiceTargets> {
+    let service_targets = |(service, spec): (&String, &arbutus_config::deployment::ServiceSpec)| {
+        let options = [
+            "--service-ms",
+            "5",
+            "--token-ms",
+            TOKEN_MS,
+            "--cold-ms",
+            "0",
+        ];
+        ServiceTargets {
+            service: service.clone(),
+            kind: spec.kind.to_string(),
+            per_failure_domain: 1,
+            options: options.iter().map(ToString::to_string).collect(),
+        }
+    };
+    deployment.services.iter().map(service_targets).collect()
+}
+
+fn stream(
+    fleet: &Fleet,
+    cluster: &str,
+    pipeline: &str,
+    organisation: &str,
+    max_tokens: u32,
+) -> Outcome<()> {
+    let address = fleet.instance_addresses()[0];
+    let input = json!({ "marker": format!("{cluster}-{pipeline}"), "prompt": "how long to fire" });
+    let begun = Instant::now();
+    let answer = fleet
+        .agent()
+        .post(format!("http://{address}/v1/pipelines/{pipeline}"))
+        .header("Organisation", organisation)
+        .header("Accept", "text/event-stream")
+        .send_json(&input)?;
+    let status = answer.status().as_u16();
+    let mut first_token_ms = None;
+    let mut text = String::new();
+    let mut last_event = String::new();
+    for line in BufReader::new(answer.into_body().into_reader()).lines() {
+        let line = line?;
+        if let Some(event) = line.strip_prefix("event: ") {
+            event.clone_into(&mut last_event);
+        }
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if last_event == "token" {
+            first_token_ms.get_or_insert(begun.elapsed().as_millis());
+            let token: Value = serde_json::from_str(data)?;
+            text.push_str(token["text"].as_str().unwrap_or_default());
+        }
+    }
+    let expected = Text::new(&input, max_tokens).whole();
+    if status != 200 || last_event != "done" || text != expected {
+        let detail = format!("{cluster}: {pipeline}: status {status}, last event {last_event:?}");
+        return Err(detail.into());
+    }
+    println!(
+        "{cluster}: {pipeline}: first token after {} ms, {} tokens in {} ms, done",
+        first_token_ms.unwrap_or_default(),
+        text.split_whitespace().count(),
+        begun.elapsed().as_millis(),
+    );
+    Ok(())
+}
+
+fn lookup(fleet: &Fleet, cluster: &str, pipeline: &str, organisation: &str) -> Outcome<()> {
+    let address = fleet.instance_addresses()[0];
+    let input = json!({ "marker": format!("{cluster}-{pipeline}") });
+    let begun = Instant::now();
+    let (status, _replay, answer) = call(fleet, address, pipeline, organisation, None, &input)?;
+    if status != 200 {
+        return Err(format!("{cluster}: {pipeline}: status {status}: {answer}").into());
+    }
+    println!(
+        "{cluster}: {pipeline}: answered in {} ms",
+        begun.elapsed().as_millis()
+    );
+    Ok(())
+}
+
+fn booking(
+    fleet: &Fleet,
+    cluster: &str,
+    pipeline: &str,
+    organisation: &str,
+    service: &str,
+) -> Outcome<()> {
+    let addresses = fleet.instance_addresses();
+    let (first, other) = (addresses[0], addresses[addresses.len() - 1]);
+    let key = format!("{cluster}-{pipeline}-1");
+    let input = json!({ "marker": key });
+    let begun = Instant::now();
+    let (status, _, answer) = call(fleet, first, pipeline, organisation, Some(&key), &input)?;
+    if status != 200 {
+        return Err(format!("{cluster}: {pipeline}: status {status}: {answer}").into());
+    }
+    println!(
+        "{cluster}: {pipeline}: booked in {} ms",
+        begun.elapsed().as_millis()
+    );
+    let (status, replayed, resent) =
+        call(fleet, other, pipeline, organisation, Some(&key), &input)?;
+    let executions = executions(fleet, service, &key)?;
+    if status != 200 || resent != answer || executions != 1 {
+        let detail = format!(
+            "{cluster}: {pipeline}: resend has status {status}, {executions} executions: {resent}"
+        );
+        return Err(detail.into());
+    }
+    println!(
+        "{cluster}: {pipeline}: resent to another failure domain, same answer (replayed: \
+         {replayed}), 1 execution"
+    );
+    Ok(())
+}
+
+fn call(
+    fleet: &Fleet,
+    address: SocketAddr,
+    pipeline: &str,
+    organisation: &str,
+    key: Option<&str>,
+    input: &Value,
+) -> Outcome<(u16, bool, Value)> {
+    let mut request = fleet
+        .agent()
+        .post(format!("http://{address}/v1/pipelines/{pipeline}"))
+        .header("Organisation", organisation);
+    if let Some(key) = key {
+        request = request.header("Idempotency-Key", key);
+    }
+    let mut answer = request.send_json(input)?;
+    let replayed = answer.headers().contains_key("Idempotency-Replayed");
+    Ok((
+        answer.status().as_u16(),
+        replayed,
+        answer.body_mut().read_json()?,
+    ))
+}
+
+fn executions(fleet: &Fleet, service: &str, key: &str) -> Outcome<u32> {
+    let mut total = 0;
+    for target in fleet
+        .targets
+        .iter()
+        .filter(|target| target.service == service)
+    {
+        let list = fleet.get(target.address, "/executions")?;
+        let list: ExecutionList = serde_json::from_value(list)?;
+        let of_key = list
+            .executions
+            .iter()
+            .filter(|execution| execution.key == key);
+        total += of_key.map(|execution| execution.count).sum::<u32>();
+    }
+    Ok(total)
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A deployment of separate processes on loopback: platform, targets and instances.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -134,7 +135,10 @@
     /// Returns the HTTP addresses of all instances.
     #[must_use]
     pub fn instance_addresses(&self) -> Vec<SocketAddr> {
-        self.instances.iter().map(|instance| instance.settings.http_address).collect()
+        self.instances
+            .iter()
+            .map(|instance| instance.settings.http_address)
+            .collect()
     }
 
     /// Returns the address of the platform's process.
@@ -230,7 +234,10 @@
         if answer.status().is_success() {
             return Ok(());
         }
-        Err(io::Error::other(format!("committing the configuration: {}", answer.status())))
+        Err(io::Error::other(format!(
+            "committing the configuration: {}",
+            answer.status()
+        )))
     }
 
     fn start_targets(&mut self, spec: &FleetSpec) -> io::Result<()> {
@@ -295,14 +302,24 @@
                 all.push(serde_json::from_value::<Settings>(text)?);
             }
         }
-        for settings in all {
+        let seeds = seeds(&all);
+        for mut settings in all {
+            settings.seeds.clone_from(&seeds);
             self.register(&settings)?;
             // JSON is valid YAML.
             let settings_file = self.directory.join(format!("{}.yaml", settings.name));
             fs::write(&settings_file, serde_json::to_string_pretty(&settings)?)?;
-            let process =
-                start_instance(&self.binaries, &self.directory, &settings.name, &settings_file)?;
-            self.instances.push(InstanceProcess { process, settings, settings_file });
+            let process = start_instance(
+                &self.binaries,
+                &self.directory,
+                &settings.name,
+                &settings_file,
+            )?;
+            self.instances.push(InstanceProcess {
+                process,
+                settings,
+                settings_file,
+            });
         }
         Ok(())
     }
@@ -318,7 +335,10 @@
             state: EntryState::Live,
         };
         let url = format!("http://{}/v1/instances/{}", self.platform, entry.name);
-        self.agent.put(url).send_json(&entry).map_err(io::Error::other)?;
+        self.agent
+            .put(url)
+            .send_json(&entry)
+            .map_err(io::Error::other)?;
         Ok(())
     }
 
@@ -337,6 +357,16 @@
     }
 }
 
+/// Returns the peer address of the first instance of each failure domain.
+fn seeds(all: &[Settings]) -> Vec<SocketAddr> {
+    let mut domains = BTreeSet::new();
+    let first_of_domain = |settings: &&Settings| domains.insert(settings.failure_domain.clone());
+    all.iter()
+        .filter(first_of_domain)
+        .map(|settings| settings.peer_address)
+        .collect()
+}
+
 fn start_instance(
     binaries: &Path,
     directory: &Path,
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -33,12 +33,19 @@
     pub fn start(name: &str, command: &mut Command, log: &Path) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
         let errors = output.try_clone()?;
-        let child =
-            command.stdin(Stdio::null()).stdout(output).stderr(errors).spawn().map_err(|error| {
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .map_err(|error| {
                 let program = command.get_program().to_string_lossy();
                 io::Error::new(error.kind(), format!("starting {program}: {error}"))
             })?;
-        Ok(Self { name: name.to_owned(), child })
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
     }
 
     /// Returns the name.
