--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -334,7 +334,7 @@
         context.end(&Ok(()), false);
         return exchange.problem(409, "cancelled");
     }
-    let output = output(state, input);
+    let output = output(state, &input);
     if let Some(key) = &context.idempotency_key {
         state.executions.finish(key, text::marker(&output), &output);
     }
@@ -349,10 +349,10 @@
     sent
 }
 
-fn output(state: &TargetState, input: Value) -> Value {
+fn output(state: &TargetState, input: &Value) -> Value {
     let spec = &state.spec;
     let sequence = state.next_sequence();
-    let origin = text::origin(&input).clone();
+    let origin = text::origin(input).clone();
     match spec.kind {
         TargetKind::Plain => json!({
             "origin": origin,
