--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -62,7 +62,7 @@
         match (exchange.method(), exchange.path()) {
             ("POST", "/v1/call") if state.spec.kind != TargetKind::Engine => {
                 match exchange.json(MAX_BODY_BYTES) {
-                    Ok(body) => run_call(state, body, exchange),
+                    Ok(body) => run_call(state, &body, exchange),
                     Err(error) => bad_body(&error, exchange),
                 }
             }
@@ -291,19 +291,19 @@
     !state.draw(faults.fail_share)
 }
 
-fn run_call(state: &Arc<TargetState>, body: CallBody, exchange: Exchange) -> io::Result<()> {
+fn run_call(state: &Arc<TargetState>, body: &CallBody, exchange: Exchange) -> io::Result<()> {
     let context = CallContext::new(state, &exchange);
     let key = context.idempotency_key.clone();
     let deduplicated_by = key.filter(|_| state.spec.deduplicates);
     let Some(key) = deduplicated_by else {
-        return execute(state, context, body.input, exchange);
+        return execute(state, context, &body.input, exchange);
     };
     if let Some(output) = state.executions.deduplicate(&key) {
         state.count(|stats| stats.deduplicated += 1);
         let echo = context.echo(&state.faults());
         return exchange.respond(200, &echo, &CallAnswer { output });
     }
-    let outcome = execute(state, context, body.input, exchange);
+    let outcome = execute(state, context, &body.input, exchange);
     state.executions.abandon(&key);
     outcome
 }
@@ -311,7 +311,7 @@
 fn execute(
     state: &Arc<TargetState>,
     mut context: CallContext,
-    input: Value,
+    input: &Value,
     exchange: Exchange,
 ) -> io::Result<()> {
     let permit = match context.enter() {
@@ -334,7 +334,7 @@
         context.end(&Ok(()), false);
         return exchange.problem(409, "cancelled");
     }
-    let output = output(state, &input);
+    let output = output(state, input);
     if let Some(key) = &context.idempotency_key {
         state.executions.finish(key, text::marker(&output), &output);
     }
