--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -319,7 +319,7 @@
         Err(refusal) => return refuse(refusal, &context, exchange),
     };
     let faults = state.faults();
-    let survives = survives(state, &faults, &input);
+    let survives = survives(state, &faults, input);
     if state.crashed.load(Ordering::SeqCst) {
         exchange.drop_connection();
         return Ok(());
