policy: add retry budget, breakers, choice of targets, quarantine, hedging

Retries, probes, hedges and popular prefixes must not add load to a service that is already in trouble, and a request that makes targets fail has to be stopped after two failures.

--- /dev/null
+++ b/crates/policy/src/latency.rs
@@ -0,0 +1,89 @@
+//! Recent latency in histograms.
+//!
+//! Two histograms cover between one and two windows of time, so old measurements are forgotten
+//! and memory is constant.
+
+use arbutus_coord::Millis;
+use hdrhistogram::Histogram;
+
+const LOWEST_MS: u64 = 1;
+const HIGHEST_MS: u64 = 600_000;
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// A histogram of recent latencies.
+#[derive(Clone, Debug)]
+pub struct RecentLatency {
+    window_ms: Millis,
+    window_start: Millis,
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+}
+
+impl RecentLatency {
+    /// Creates an empty histogram that forgets after at most two windows.
+    ///
+    /// # Panics
+    ///
+    /// Never: the bounds of the histogram are constants that its constructor accepts.
+    #[must_use]
+    pub fn new(window_ms: Millis) -> Self {
+        let empty = Histogram::new_with_bounds(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
+            .expect("the bounds are valid");
+        Self {
+            window_ms,
+            window_start: Millis::ZERO,
+            current: empty.clone(),
+            previous: empty,
+        }
+    }
+
+    /// Records one latency.
+    pub fn record(&mut self, now: Millis, latency_ms: Millis) {
+        self.rotate(now);
+        self.current.saturating_record(latency_ms.0.max(LOWEST_MS));
+    }
+
+    /// Returns the number of recent measurements.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.current.len() + self.previous.len()
+    }
+
+    /// Returns the quantile of the recent latencies, or nothing without measurements.
+    ///
+    /// It is computed over the larger of the two windows, which changes only when they rotate.
+    #[must_use]
+    pub fn quantile(&self, quantile: f64) -> Option<Millis> {
+        let largest = if self.current.len() > self.previous.len() {
+            &self.current
+        } else {
+            &self.previous
+        };
+        (!largest.is_empty()).then(|| Millis(largest.value_at_quantile(quantile)))
+    }
+
+    /// Returns the mean of the recent latencies, or nothing without measurements.
+    #[must_use]
+    pub fn mean(&self) -> Option<Millis> {
+        let count = self.count();
+        if count == 0 {
+            return None;
+        }
+        let sum = self.current.mean() * self.current.len() as f64
+            + self.previous.mean() * self.previous.len() as f64;
+        Some(Millis((sum / count as f64).round() as u64))
+    }
+
+    fn rotate(&mut self, now: Millis) {
+        let age = now - self.window_start;
+        if age < self.window_ms {
+            return;
+        }
+        std::mem::swap(&mut self.current, &mut self.previous);
+        self.current.reset();
+        if age >= self.window_ms.times(2) {
+            self.previous.reset();
+        }
+        self.window_start = now;
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,4 +4,10 @@
 //! organisations and classes are the typed indices of [`arbutus_coord::entity`].
 
 pub mod attempt;
+pub mod balance;
+pub mod health;
+pub mod hedge;
+pub mod latency;
+pub mod quarantine;
+pub mod retry;
 pub mod stream;
--- /dev/null
+++ b/crates/policy/tests/balance.rs
@@ -0,0 +1,142 @@
+//! Guards against calls to targets without a slot, against load that follows a popular prefix to
+//! one engine, and against targets that no instance uses.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Entity;
+use arbutus_coord::entity::Target;
+use arbutus_policy::balance::Balance;
+use arbutus_policy::balance::BalanceSettings;
+use arbutus_policy::balance::Candidate;
+use arbutus_policy::balance::Choice;
+use arbutus_policy::balance::prefix_key;
+use arbutus_policy::balance::subset;
+
+const NAMES: [&str; 8] = ["t0", "t1", "t2", "t3", "t4", "t5", "t6", "t7"];
+
+fn candidate(index: usize, load: u32) -> Candidate<'static> {
+    Candidate {
+        target: Target::from_index(index as u32),
+        name: NAMES[index],
+        healthy: true,
+        free_slots: 1,
+        capacity: 8,
+        load,
+        latency_ms: Some(Millis(20)),
+    }
+}
+
+/// Healthy, free slots, capacity, load and latency.
+type TargetState = (bool, u8, u8, u8, u8);
+
+fn choice_is_usable(targets: Vec<TargetState>, prefix: Option<u64>, random: u64) -> bool {
+    let candidates: Vec<Candidate<'_>> = targets
+        .into_iter()
+        .take(NAMES.len())
+        .enumerate()
+        .map(
+            |(index, (healthy, free, capacity, load, latency))| Candidate {
+                healthy,
+                free_slots: u32::from(free % 3),
+                capacity: u32::from(capacity % 9),
+                latency_ms: (latency > 100).then(|| Millis(u64::from(latency))),
+                ..candidate(index, u32::from(load % 12))
+            },
+        )
+        .collect();
+    let usable = |c: &Candidate<'_>| c.healthy && c.free_slots > 0 && c.capacity > 0;
+    [Choice::LeastLoaded, Choice::RoundRobin]
+        .into_iter()
+        .all(|choice| {
+            let mut balance = Balance::new(BalanceSettings {
+                choice,
+                ..BalanceSettings::default()
+            });
+            match balance.choose(&candidates, prefix, random) {
+                Some(index) => usable(&candidates[index]),
+                None => !candidates.iter().any(usable),
+            }
+        })
+}
+
+#[test]
+fn only_a_usable_target_is_chosen() {
+    common::checker(5_000)
+        .quickcheck(choice_is_usable as fn(Vec<TargetState>, Option<u64>, u64) -> bool);
+}
+
+#[test]
+fn a_popular_prefix_keeps_its_engine_only_while_the_load_is_bounded() {
+    let settings = BalanceSettings::default();
+    let mut balance = Balance::new(settings);
+    let mut loads = [0_u32; 8];
+    let key = prefix_key("You are the clerk of a pottery");
+    let mut first = BTreeMap::new();
+    for random in 0..48_u64 {
+        let candidates: Vec<_> = (0..8).map(|i| candidate(i, loads[i])).collect();
+        let chosen = balance
+            .choose(&candidates, Some(key), random)
+            .expect("every target is usable");
+        loads[chosen] += 1;
+        *first.entry(chosen).or_insert(0) += 1;
+    }
+    let highest = f64::from(*loads.iter().max().expect("loads exist"));
+    let bound = settings.affinity_load_factor * (48.0 + 8.0) / 8.0;
+    assert!(highest <= bound + 1.0, "loads {loads:?} exceed {bound}");
+    assert!(
+        loads.iter().max() > loads.iter().min(),
+        "the prefix has a preferred engine"
+    );
+}
+
+#[test]
+fn a_slow_target_is_avoided_until_the_others_are_loaded() {
+    let mut balance = Balance::new(BalanceSettings::default());
+    for prefix in [None, Some(1), Some(2), Some(3)] {
+        let mut candidates: Vec<_> = (0..3).map(|i| candidate(i, 2)).collect();
+        candidates[1].latency_ms = Some(Millis(200));
+        for random in 0..30 {
+            assert_ne!(balance.choose(&candidates, prefix, random), Some(1));
+        }
+    }
+    let mut candidates: Vec<_> = (0..2).map(|i| candidate(i, 7)).collect();
+    candidates[1] = Candidate {
+        latency_ms: Some(Millis(50)),
+        load: 0,
+        ..candidates[1]
+    };
+    assert_eq!(balance.choose(&candidates, None, 0), Some(1));
+}
+
+#[test]
+fn round_robin_takes_each_target_in_turn() {
+    let mut balance = Balance::new(BalanceSettings {
+        choice: Choice::RoundRobin,
+        ..BalanceSettings::default()
+    });
+    let candidates: Vec<_> = (0..3).map(|i| candidate(i, i as u32)).collect();
+    let chosen: Vec<_> = (0..6)
+        .map(|_| balance.choose(&candidates, None, 0).expect("usable"))
+        .collect();
+    assert_eq!(chosen, [0, 1, 2, 0, 1, 2]);
+}
+
+#[test]
+fn subsets_are_bounded_and_cover_the_targets() {
+    let targets: Vec<String> = (0..20).map(|i| format!("engine-{i}")).collect();
+    let mut used = BTreeSet::new();
+    for instance in 0..17 {
+        let name = format!("instance-{instance}");
+        let members = subset(&name, targets.iter().map(String::as_str), 8);
+        assert_eq!(members.len(), 8);
+        let fewer = subset(&name, targets.iter().skip(1).map(String::as_str), 8);
+        let moved = fewer.iter().filter(|name| !members.contains(name)).count();
+        assert!(moved <= 1, "one target left, {moved} moved");
+        used.extend(members);
+    }
+    assert_eq!(used.len(), targets.len());
+}
--- /dev/null
+++ b/crates/policy/tests/hedge.rs
@@ -0,0 +1,48 @@
+//! Guards against hedges that double the load of a slow service.
+
+mod common;
+
+use arbutus_coord::Millis;
+use arbutus_policy::hedge::Hedge;
+use arbutus_policy::hedge::HedgeSettings;
+
+/// Each step is the time since the previous one and whether a waiting call asks for a hedge.
+fn hedges_are_a_bounded_share(steps: Vec<(u8, u8)>) -> bool {
+    let settings = HedgeSettings::default();
+    let mut hedge = Hedge::new(settings);
+    let mut now = Millis::ZERO;
+    let (mut calls, mut hedges) = (0_u64, 0_u64);
+    for (gap, wishes) in steps {
+        now = now + Millis(u64::from(gap));
+        calls += 1;
+        hedge.start_call();
+        for _ in 0..wishes % 3 {
+            hedges += u64::from(hedge.try_hedge());
+        }
+        hedge.record(now, Millis(u64::from(wishes)));
+    }
+    hedges * 100 <= calls * u64::from(settings.max_percent)
+}
+
+#[test]
+fn at_most_a_tenth_of_the_calls_is_hedged() {
+    common::checker(2_000).quickcheck(hedges_are_a_bounded_share as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn the_delay_is_the_95th_percentile_of_recent_calls() {
+    let mut hedge = Hedge::new(HedgeSettings::default());
+    assert_eq!(hedge.start_call(), None);
+    for latency in 1..=100 {
+        hedge.record(Millis(latency), Millis(latency));
+    }
+    assert_eq!(hedge.start_call(), Some(Millis(95)));
+    for latency in 0..100 {
+        hedge.record(Millis(200_000 + latency), Millis(10));
+    }
+    assert_eq!(
+        hedge.start_call(),
+        Some(Millis(10)),
+        "old measurements are forgotten"
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,79 @@
+//! Guards against retries that multiply the load of an outage or start too late to finish.
+
+mod common;
+
+use arbutus_coord::Millis;
+use arbutus_policy::retry::RetryBudget;
+use arbutus_policy::retry::RetryRefusal;
+use arbutus_policy::retry::RetryRequest;
+use arbutus_policy::retry::RetrySettings;
+
+/// Each step is the time since the previous one, whether a call succeeded or wants a retry, and a
+/// random number.
+fn retries_stay_within_budget(percent: u8, steps: Vec<(u8, bool, u64)>) -> bool {
+    let settings = RetrySettings {
+        budget_percent: u32::from(percent % 50),
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(Millis::ZERO, settings);
+    let mut now = Millis::ZERO;
+    let (mut successes, mut retries) = (0_u64, 0_u64);
+    for (gap, success, random) in steps {
+        now = now + Millis(u64::from(gap));
+        if success {
+            successes += 1;
+            budget.on_success();
+            continue;
+        }
+        let request = RetryRequest {
+            attempts: 1 + (random % 2) as u32,
+            deadline: now + Millis(random % 200),
+            expected_ms: Millis(random % 90),
+            random,
+        };
+        if let Ok(delay) = budget.try_retry(now, request) {
+            retries += 1;
+            let doubled = settings.base_delay_ms.times(1 << (request.attempts - 1));
+            assert!(
+                delay.0 * 2 >= doubled.0 && delay <= doubled,
+                "jitter within bounds"
+            );
+            assert!(now + delay + request.expected_ms < request.deadline);
+        }
+    }
+    let floor = u64::from(settings.floor_per_s);
+    let allowed = floor * 1_000 * 100
+        + floor * now.0 * 100
+        + successes * u64::from(settings.budget_percent) * 1_000;
+    retries * 1_000 * 100 <= allowed
+}
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    common::checker(2_000)
+        .quickcheck(retries_stay_within_budget as fn(u8, Vec<(u8, bool, u64)>) -> bool);
+}
+
+#[test]
+fn an_outage_leaves_only_the_floor() {
+    let settings = RetrySettings::default();
+    let mut budget = RetryBudget::new(Millis::ZERO, settings);
+    let mut retries = 0;
+    for step in 0..10_000_u64 {
+        let now = Millis(step);
+        let request = RetryRequest {
+            attempts: 1,
+            deadline: now + Millis(4_000),
+            expected_ms: Millis(10),
+            random: step,
+        };
+        match budget.try_retry(now, request) {
+            Ok(_) => retries += 1,
+            Err(refusal) => assert_eq!(refusal, RetryRefusal::Budget),
+        }
+    }
+    assert!(
+        (9..=11).contains(&retries),
+        "one retry a second, got {retries}"
+    );
+}
