--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Stand-ins of the systems around the instances, and a load generator.
+//!
+//! The stand-ins are small fakes for tests and measurements. No product crate depends on them.
+
+pub mod calls;
+pub mod client;
+mod engine;
+pub mod executions;
+pub mod gate;
+pub mod http;
+pub mod platform;
+pub mod platform_faults;
+pub mod store;
+pub mod target;
+pub mod target_faults;
+pub mod text;
