--- /dev/null
+++ b/crates/coord/src/claim/holder.rs
@@ -0,0 +1,315 @@
+//! Life cycle of a claim at the instance that runs the request.
+//!
+//! ```text
+//! Claim<Proposed> --claimed--> Claim<Confirmed> --within window--> Claim<Dispatched>
+//!        |                          |  ^                                |
+//!        | may have landed          |  '------ connection refused ------|
+//!        v                          v                                   v
+//!        '----------------> Claim<Closing> (release) <- never ---- Claim<Closing>
+//!                                                                (settle or unknown)
+//! ```
+//!
+//! Only a confirmed claim within its window becomes dispatched, and only a claim that was not
+//! dispatched is released. The types leave no other way.
+
+use std::fmt;
+
+use crate::claim::command::ClaimAnswer;
+use crate::claim::command::ClaimCommand;
+use crate::claim::command::ClaimReply;
+use crate::claim::command::Proposal;
+use crate::claim::record::AttemptId;
+use crate::claim::record::SettledBy;
+use crate::claim::record::StoredAnswer;
+use crate::claim::record::UnknownReason;
+use crate::clock::Millis;
+
+/// Time after the proposal within which a claim may be dispatched.
+pub const DISPATCH_WINDOW_MS: Millis = Millis(2_000);
+
+/// The claim was proposed and its answer is awaited.
+#[derive(Debug)]
+pub struct Proposed {
+    window_ends: Millis,
+}
+
+/// The claim is in a version that the platform returned.
+#[derive(Debug)]
+pub struct Confirmed {
+    window_ends: Millis,
+}
+
+/// The request may have reached a target.
+#[derive(Debug)]
+pub struct Dispatched {
+    window_ends: Millis,
+}
+
+/// The claim is about to be released, settled or marked as unknown.
+#[derive(Debug)]
+pub struct Closing {
+    command: Box<ClaimCommand>,
+}
+
+/// A claim in one state of its life cycle.
+#[derive(Debug)]
+pub struct Claim<S> {
+    proposal: Box<Proposal>,
+    state: S,
+}
+
+/// Proof that no byte of a dispatched request left the instance.
+///
+/// A caller creates it only when the connection to the target was not established.
+#[derive(Debug)]
+pub struct NotSent(());
+
+impl NotSent {
+    /// States that the connection to the target was not established.
+    #[must_use]
+    pub fn connection_not_established() -> Self {
+        Self(())
+    }
+}
+
+/// Why a proposal ended without a claim and without effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum NotRunReason {
+    /// The platform could not be reached in time.
+    Unavailable,
+    /// The claim was confirmed after its dispatch window.
+    Late,
+    /// The shard has no room.
+    ShardFull,
+    /// The attempt was withdrawn before.
+    Withdrawn,
+}
+
+/// Result of a proposal.
+#[derive(Debug)]
+pub enum ProposalResult {
+    /// The claim is confirmed.
+    Confirmed(Claim<Confirmed>),
+    /// The request is not run by this attempt. When a claim is given, it may exist at the platform
+    /// and has to be released in the background.
+    NotRun(NotRunReason, Option<Claim<Closing>>),
+    /// Another attempt holds the claim; its outcome is to be awaited.
+    Running,
+    /// The outcome is recorded.
+    Settled {
+        /// The answer for the caller.
+        answer: StoredAnswer,
+        /// Who recorded it.
+        by: SettledBy,
+    },
+    /// The request may have run and is not run again.
+    Unknown,
+    /// The key is in use for another body.
+    Conflict,
+}
+
+impl<S: fmt::Debug> Claim<S> {
+    /// Returns the attempt.
+    #[must_use]
+    pub fn attempt(&self) -> &AttemptId {
+        &self.proposal.attempt
+    }
+
+    /// Returns the proposal.
+    #[must_use]
+    pub fn proposal(&self) -> &Proposal {
+        &self.proposal
+    }
+
+    fn release(self) -> Claim<Closing> {
+        let command = ClaimCommand::Release((*self.proposal).clone());
+        self.close(command)
+    }
+
+    fn close(self, command: ClaimCommand) -> Claim<Closing> {
+        Claim {
+            proposal: self.proposal,
+            state: Closing {
+                command: Box::new(command),
+            },
+        }
+    }
+}
+
+impl Claim<Proposed> {
+    /// Creates a claim that is proposed at `now` on the holder's monotonic clock.
+    #[must_use]
+    pub fn new(now: Millis, proposal: Proposal, window: Millis) -> Self {
+        Self {
+            proposal: Box::new(proposal),
+            state: Proposed {
+                window_ends: now + window,
+            },
+        }
+    }
+
+    /// Returns the command to send. It may be sent to several writers.
+    #[must_use]
+    pub fn command(&self) -> ClaimCommand {
+        ClaimCommand::Propose((*self.proposal).clone())
+    }
+
+    /// Takes the reply to the command.
+    #[must_use]
+    pub fn resolve(self, now: Millis, reply: ClaimReply) -> ProposalResult {
+        let answer = match reply {
+            ClaimReply::Decided(answer) => answer,
+            ClaimReply::Unavailable { may_have_landed } => {
+                let closing = may_have_landed.then(|| self.release());
+                return ProposalResult::NotRun(NotRunReason::Unavailable, closing);
+            }
+        };
+        match answer {
+            ClaimAnswer::Claimed if now < self.state.window_ends => {
+                ProposalResult::Confirmed(Claim {
+                    proposal: self.proposal,
+                    state: Confirmed {
+                        window_ends: self.state.window_ends,
+                    },
+                })
+            }
+            ClaimAnswer::Running { .. } => ProposalResult::Running,
+            ClaimAnswer::Settled { answer, by } => ProposalResult::Settled { answer, by },
+            ClaimAnswer::Unknown { .. } => ProposalResult::Unknown,
+            ClaimAnswer::Conflict => ProposalResult::Conflict,
+            ClaimAnswer::Full => ProposalResult::NotRun(NotRunReason::ShardFull, None),
+            ClaimAnswer::Released => ProposalResult::NotRun(NotRunReason::Withdrawn, None),
+            // The other answers do not belong to a proposal. They prove nothing.
+            ClaimAnswer::Claimed
+            | ClaimAnswer::Recorded
+            | ClaimAnswer::Absent
+            | ClaimAnswer::NotHolder => {
+                ProposalResult::NotRun(NotRunReason::Late, Some(self.release()))
+            }
+        }
+    }
+
+    /// Gives the claim up without a reply. It may exist at the platform.
+    #[must_use]
+    pub fn abandon(self) -> Claim<Closing> {
+        self.release()
+    }
+}
+
+impl Claim<Confirmed> {
+    /// Allows the dispatch of the request, which has to follow at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the claim to be released when the dispatch window has passed.
+    pub fn dispatch(self, now: Millis) -> Result<Claim<Dispatched>, Claim<Closing>> {
+        if now >= self.state.window_ends {
+            return Err(self.release());
+        }
+        Ok(Claim {
+            proposal: self.proposal,
+            state: Dispatched {
+                window_ends: self.state.window_ends,
+            },
+        })
+    }
+
+    /// Gives the claim up without dispatching the request.
+    #[must_use]
+    pub fn withdraw(self) -> Claim<Closing> {
+        self.release()
+    }
+}
+
+impl Claim<Dispatched> {
+    /// Takes the dispatch back on the proof that nothing was sent. The claim can be dispatched to
+    /// another target within the window, or withdrawn.
+    #[must_use]
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a proof is good for one dispatch only"
+    )]
+    pub fn not_sent(self, proof: NotSent) -> Claim<Confirmed> {
+        let NotSent(()) = proof;
+        Claim {
+            proposal: self.proposal,
+            state: Confirmed {
+                window_ends: self.state.window_ends,
+            },
+        }
+    }
+
+    /// Records the answer of the request.
+    #[must_use]
+    pub fn settle(self, answer: StoredAnswer, wall_ms: Millis) -> Claim<Closing> {
+        let command = ClaimCommand::Settle {
+            key: self.proposal.key.clone(),
+            attempt: self.proposal.attempt.clone(),
+            answer,
+            wall_ms,
+        };
+        self.close(command)
+    }
+
+    /// Records that the call ended without a whole answer.
+    #[must_use]
+    pub fn lose(self, wall_ms: Millis) -> Claim<Closing> {
+        let command = ClaimCommand::MarkUnknown {
+            key: self.proposal.key.clone(),
+            attempt: self.proposal.attempt.clone(),
+            reason: UnknownReason::CallBroken,
+            wall_ms,
+        };
+        self.close(command)
+    }
+}
+
+/// Result of a closing command.
+#[derive(Debug)]
+pub enum ClosingResult {
+    /// The command has taken effect.
+    Done,
+    /// An operator has settled the claim before.
+    Overruled {
+        /// The operator's answer, which resends receive.
+        answer: StoredAnswer,
+    },
+    /// The claim is not held by this attempt any more. The record was lost or changed by hand.
+    NotHolder,
+    /// The command has to be repeated.
+    Retry(Claim<Closing>),
+}
+
+impl Claim<Closing> {
+    /// Returns the command to send until it is decided.
+    #[must_use]
+    pub fn command(&self) -> &ClaimCommand {
+        &self.state.command
+    }
+
+    /// Takes the reply to the command.
+    #[must_use]
+    pub fn resolve(self, reply: &ClaimReply) -> ClosingResult {
+        let ClaimReply::Decided(answer) = reply else {
+            return ClosingResult::Retry(self);
+        };
+        match answer {
+            ClaimAnswer::Settled {
+                answer,
+                by: SettledBy::Operator(_),
+            } => ClosingResult::Overruled {
+                answer: answer.clone(),
+            },
+            ClaimAnswer::Recorded
+            | ClaimAnswer::Released
+            | ClaimAnswer::Settled { .. }
+            | ClaimAnswer::Unknown { .. } => ClosingResult::Done,
+            ClaimAnswer::Full | ClaimAnswer::Claimed => ClosingResult::Retry(self),
+            ClaimAnswer::Running { .. }
+            | ClaimAnswer::Conflict
+            | ClaimAnswer::Absent
+            | ClaimAnswer::NotHolder => ClosingResult::NotHolder,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/claim/record.rs
@@ -0,0 +1,222 @@
+//! The identity and the record of a claim.
+//!
+//! All types serialize to JSON for the platform and to a compact binary form for peers, so they
+//! use neither internally tagged enums nor skipped fields.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::rendezvous::stable_hash;
+
+const KEY_PARTS: usize = 3;
+const KEY_SEPARATOR: char = '/';
+
+/// Identity of a non-idempotent request.
+///
+/// The text form is `organisation/pipeline/idempotency-key`, where `%` and `/` in the first two
+/// parts are escaped, so that two identities never share a text form.
+#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct ClaimKey {
+    /// The organisation on whose behalf the request is made.
+    pub organisation: String,
+    /// The pipeline.
+    pub pipeline: String,
+    /// The caller's idempotency key.
+    pub idempotency_key: String,
+}
+
+impl ClaimKey {
+    /// Creates an identity.
+    #[must_use]
+    pub fn new(organisation: &str, pipeline: &str, idempotency_key: &str) -> Self {
+        Self {
+            organisation: organisation.to_owned(),
+            pipeline: pipeline.to_owned(),
+            idempotency_key: idempotency_key.to_owned(),
+        }
+    }
+
+    /// Returns the index of the shard that holds the claim.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `shard_count` is 0.
+    #[must_use]
+    pub fn shard_index(&self, shard_count: u32) -> u32 {
+        let hash = stable_hash(self.to_string().as_bytes());
+        (hash % u64::from(shard_count)) as u32
+    }
+}
+
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let organisation = escape(&self.organisation);
+        let pipeline = escape(&self.pipeline);
+        write!(f, "{organisation}/{pipeline}/{}", self.idempotency_key)
+    }
+}
+
+impl From<ClaimKey> for String {
+    fn from(key: ClaimKey) -> Self {
+        key.to_string()
+    }
+}
+
+impl TryFrom<String> for ClaimKey {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let mut parts = text.splitn(KEY_PARTS, KEY_SEPARATOR);
+        match (parts.next(), parts.next(), parts.next()) {
+            (Some(organisation), Some(pipeline), Some(idempotency_key)) => Ok(Self {
+                organisation: unescape(organisation),
+                pipeline: unescape(pipeline),
+                idempotency_key: idempotency_key.to_owned(),
+            }),
+            _ => Err(format!(
+                "claim key `{text}` is not `organisation/pipeline/idempotency-key`"
+            )),
+        }
+    }
+}
+
+fn escape(part: &str) -> String {
+    part.replace('%', "%25").replace(KEY_SEPARATOR, "%2F")
+}
+
+fn unescape(part: &str) -> String {
+    part.replace("%2F", "/").replace("%25", "%")
+}
+
+/// Identifier of one attempt to claim a key, unique over all instances and restarts.
+#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AttemptId(String);
+
+impl AttemptId {
+    /// Creates the identifier of a holder's attempt with a sequence number.
+    #[must_use]
+    pub fn new(holder: &Holder, sequence: u64) -> Self {
+        Self(format!(
+            "{}-{:x}-{sequence}",
+            holder.instance, holder.boot_id
+        ))
+    }
+
+    /// Creates an identifier from its text form.
+    #[must_use]
+    pub fn from_text(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+
+    /// Returns the text form.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Fingerprint of a request's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a body.
+    #[must_use]
+    pub fn of(body: &[u8]) -> Self {
+        Self(stable_hash(body))
+    }
+}
+
+/// A process that holds a claim.
+#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// The name of the instance.
+    pub instance: String,
+    /// A value that differs for each start of the instance.
+    pub boot_id: u64,
+}
+
+/// The answer that resends of a request receive.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The whole body, or `None` when it was too large to be kept.
+    pub body: Option<String>,
+}
+
+/// Who recorded an outcome.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum SettledBy {
+    /// The instance that ran the request.
+    Holder,
+    /// An operator, with a note. Nothing changes such a record.
+    Operator(String),
+}
+
+/// Why an outcome is unknown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum UnknownReason {
+    /// The holder disappeared.
+    HolderGone,
+    /// The call to the target ended without a whole answer.
+    CallBroken,
+    /// The holder was taken for dead, and reported later that it had not dispatched the request.
+    ReportedNotDispatched,
+}
+
+/// State of a claim.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    /// The holder may dispatch the request, or has done so.
+    Claimed,
+    /// The outcome is recorded.
+    Settled {
+        /// The answer for resends.
+        answer: StoredAnswer,
+        /// Who recorded it.
+        by: SettledBy,
+    },
+    /// The request was not run and can be claimed again.
+    Released,
+    /// The request may have run, and is never run again under this key.
+    Unknown {
+        /// Why the outcome is unknown.
+        reason: UnknownReason,
+    },
+}
+
+/// Record of a claim.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    /// The fingerprint of the request's body.
+    pub fingerprint: Fingerprint,
+    /// The attempt that holds the claim.
+    pub attempt: AttemptId,
+    /// The process that made the attempt.
+    pub holder: Holder,
+    /// The wall time of the last change.
+    pub changed_wall_ms: Millis,
+    /// The state.
+    pub state: ClaimState,
+    /// Earlier attempts at the same key that were released. A copy of their proposal that arrives
+    /// late does not claim the key.
+    pub withdrawn: Vec<AttemptId>,
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,6 +4,7 @@
 //! input, and returns outputs. Nothing here opens a socket, starts a thread or reads a clock,
 //! apart from [`clock::Clock`], which callers use to obtain the time that they pass in.
 
+pub mod claim;
 pub mod clock;
 pub mod entity;
 pub mod rendezvous;
