lease: add lease with fencing token and renewal counter

Orders to targets need one order giver at a time and a token that a former order giver cannot use.

Adds the lease's typestate and a client without I/O. The holder counts from before it sent the write, the successor from when it first saw the renewal, so no wall clock is involved.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claim;
 pub mod clock;
 pub mod entity;
+pub mod lease;
 pub mod rendezvous;
 
 pub use clock::Clock;
