--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,8 +9,8 @@
 pub mod document;
 pub mod drain;
 pub mod entity;
-pub mod membership;
 pub mod lease;
+pub mod membership;
 pub mod rendezvous;
 
 pub use clock::Clock;
