--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod target;
 pub mod target_faults;
 pub mod text;
+pub mod usage;
