config: check the merged configuration of every site

A configuration could name unknown classes and services, contradict itself, or differ between sites in what decides whether a request runs twice. All faults of all files are now reported at once with file, line and path: `schema` finds every value of the wrong type or range, `validate` and `limits` the contradictions, and an entry that is unusable is left out of the cross checks so that it hides no other fault.

An overlay cannot change claim shards, retention and dispatch window, nor what makes a pipeline or a service safe to repeat: any instance may receive a resend, and sites that disagree would run it twice.

Adds `Deployment::sites` (default empty), both example deployments and the page with all fields.

--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -14,6 +14,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Deployment {
+    /// The sites that may have an overlay; when empty, any site may.
+    #[serde(default)]
+    pub sites: Vec<String>,
     /// The services by name.
     pub services: BTreeMap<String, ServiceSpec>,
     /// The pipelines by name.
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -4,6 +4,8 @@
 use std::error::Error;
 use std::fmt;
 
+use crate::source::Source;
+
 /// One fault in a configuration file.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Fault {
@@ -52,6 +54,18 @@
         self.faults.extend(other.faults);
     }
 
+    /// Names the site in faults of the base that only occur after the site's overlay.
+    pub(crate) fn name_site(&mut self, base: &Source, site: &str, known: &Self) {
+        let named = self.faults.iter().map(|fault| {
+            let mut fault = fault.clone();
+            if fault.file == base.file() && !known.faults.contains(&fault) {
+                fault.reason = format!("{} (at the site {site})", fault.reason);
+            }
+            fault
+        });
+        self.faults = named.collect();
+    }
+
     /// Returns whether no fault was found.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod committed;
 pub mod deployment;
 pub mod fault;
+mod limits;
 pub mod overlay;
 pub mod path;
 pub mod resolve;
+pub mod schema;
 pub mod settings;
 pub mod source;
-pub mod validate;
+mod validate;
 
 pub use committed::Committed;
 pub use committed::ConfigError;
--- a/crates/config/src/overlay.rs
+++ b/crates/config/src/overlay.rs
@@ -17,12 +17,26 @@
 ///
 /// Returns all faults: unknown fields and names, and values of another type than in the base.
 pub fn merge(base: &Value, overlay: &Value, source: &Source) -> Result<Value, Faults> {
+    let (merged, faults) = merge_valid_fields(base, overlay, source);
+    faults.into_result(merged)
+}
+
+/// Merges the valid fields of an overlay into the base, and returns the faults of the others.
+pub(crate) fn merge_valid_fields(
+    base: &Value,
+    overlay: &Value,
+    source: &Source,
+) -> (Value, Faults) {
     let mut merge = Merge {
         source,
         faults: Faults::new(),
     };
+    // An empty text is a document without a value, and changes nothing.
+    if overlay.is_null() {
+        return (base.clone(), merge.faults);
+    }
     let merged = merge.node(base, overlay, &FieldPath::new());
-    merge.faults.into_result(merged)
+    (merged, merge.faults)
 }
 
 struct Merge<'a> {
@@ -32,20 +46,20 @@
 
 impl Merge<'_> {
     fn node(&mut self, base: &Value, overlay: &Value, path: &FieldPath) -> Value {
-        if let (Value::Mapping(base), Value::Mapping(overlay)) = (base, overlay) {
-            return Value::Mapping(self.mapping(base, overlay, path));
-        }
-        if type_name(base) != type_name(overlay) {
-            self.add(
-                path,
-                &format!(
-                    "the base has {} here, the overlay has {}",
-                    type_name(base),
-                    type_name(overlay)
-                ),
-            );
+        match (base, overlay) {
+            (Value::Mapping(base), Value::Mapping(overlay)) => {
+                Value::Mapping(self.mapping(base, overlay, path))
+            }
+            _ if type_name(base) == type_name(overlay) => overlay.clone(),
+            _ => {
+                let (found, expected) = (type_name(overlay), type_name(base));
+                self.add(
+                    path,
+                    &format!("the base has {expected} here, found {found}"),
+                );
+                base.clone()
+            }
         }
-        overlay.clone()
     }
 
     fn mapping(&mut self, base: &Mapping, overlay: &Mapping, path: &FieldPath) -> Mapping {
@@ -57,10 +71,7 @@
             };
             let path = path.key(name);
             let Some(inherited) = base.get(key) else {
-                self.add(
-                    &path,
-                    "the base has no such field; an overlay only changes fields of the base",
-                );
+                self.add(&path, UNKNOWN);
                 continue;
             };
             let value = self.node(inherited, value, &path);
@@ -74,6 +85,8 @@
     }
 }
 
+const UNKNOWN: &str = "the base has no such field; an overlay only changes fields of the base";
+
 /// Returns the name of a value's type for messages.
 pub(crate) fn type_name(value: &Value) -> &'static str {
     match value {
--- /dev/null
+++ b/crates/config/src/schema.rs
@@ -0,0 +1,340 @@
+//! The shape of the configuration: every field with its type and range.
+//!
+//! The typed structures of [`crate::deployment`] stop at the first error. This table finds all
+//! of them, and names the path of each. A test keeps both in agreement.
+
+use serde_norway::Mapping;
+use serde_norway::Value;
+
+use crate::overlay::type_name;
+use crate::path::FieldPath;
+
+/// The largest length of a name in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+const MAX_U32: u64 = u32::MAX as u64;
+const MAX_U8: u64 = u8::MAX as u64;
+
+/// What a value has to be.
+#[derive(Debug)]
+pub enum Shape {
+    /// A mapping with exactly these fields.
+    Fields(&'static [Field]),
+    /// A mapping from names to values of one shape.
+    Names(&'static Shape),
+    /// A list of values of one shape.
+    List(&'static Shape),
+    /// A name: letters, digits, `-`, `_` and `.`.
+    Name,
+    /// A name or the wildcard `*`.
+    NameOrWildcard,
+    /// A whole number from `min` to `max`.
+    Whole {
+        /// The smallest value.
+        min: u64,
+        /// The largest value.
+        max: u64,
+    },
+    /// True or false.
+    Flag,
+    /// One of these words.
+    OneOf(&'static [&'static str]),
+    /// No value, or a value of this shape.
+    Optional(&'static Shape),
+}
+
+/// A field of a mapping.
+#[derive(Debug)]
+pub struct Field {
+    /// The field's name.
+    pub name: &'static str,
+    /// What its value has to be.
+    pub shape: &'static Shape,
+    /// Whether the field may be left out.
+    pub has_default: bool,
+}
+
+const fn required(name: &'static str, shape: &'static Shape) -> Field {
+    Field {
+        name,
+        shape,
+        has_default: false,
+    }
+}
+
+const fn defaulted(name: &'static str, shape: &'static Shape) -> Field {
+    Field {
+        name,
+        shape,
+        has_default: true,
+    }
+}
+
+static NAME: Shape = Shape::Name;
+static NAMES: Shape = Shape::List(&NAME);
+static NAMES_OR_WILDCARD: Shape = Shape::List(&Shape::NameOrWildcard);
+static FLAG: Shape = Shape::Flag;
+static ANY_U64: Shape = Shape::Whole {
+    min: 0,
+    max: u64::MAX,
+};
+static ANY_U32: Shape = Shape::Whole {
+    min: 0,
+    max: MAX_U32,
+};
+static POSITIVE_U32: Shape = Shape::Whole {
+    min: 1,
+    max: MAX_U32,
+};
+static POSITIVE_U64: Shape = Shape::Whole {
+    min: 1,
+    max: u64::MAX,
+};
+static ANY_U8: Shape = Shape::Whole {
+    min: 0,
+    max: MAX_U8,
+};
+static PERCENT: Shape = Shape::Whole { min: 0, max: 100 };
+/// Claims are spread over a bounded number of objects, so that listing them stays cheap.
+static SHARDS: Shape = Shape::Whole { min: 1, max: 1_024 };
+
+/// The whole configuration.
+pub static DEPLOYMENT: Shape = Shape::Fields(&[
+    defaulted("sites", &NAMES),
+    required("services", &Shape::Names(&SERVICE)),
+    required("pipelines", &Shape::Names(&PIPELINE)),
+    required("classes", &Shape::Names(&CLASS)),
+    required("organisations", &Shape::Names(&ORGANISATION)),
+    defaulted("limits", &LIMITS),
+    defaulted("policy", &POLICY),
+    defaulted("claims", &CLAIMS),
+]);
+
+static SERVICE: Shape = Shape::Fields(&[
+    required(
+        "kind",
+        &Shape::OneOf(&["engine", "encoder", "retriever", "reranker", "plain"]),
+    ),
+    defaulted("deduplicates", &FLAG),
+    defaulted("checks_fencing", &FLAG),
+    defaulted("model", &Shape::Optional(&MODEL)),
+]);
+
+static MODEL: Shape = Shape::Fields(&[required("name", &NAME), required("version", &ANY_U64)]);
+
+static PIPELINE: Shape = Shape::Fields(&[
+    required("class", &NAME),
+    required("idempotent", &FLAG),
+    required("deadline_ms", &POSITIVE_U64),
+    required("stages", &Shape::List(&STAGE)),
+]);
+
+static STAGE: Shape = Shape::Fields(&[
+    required("name", &NAME),
+    required("service", &NAME),
+    defaulted("max_tokens", &POSITIVE_U32),
+]);
+
+static CLASS: Shape = Shape::Fields(&[
+    required("priority", &ANY_U8),
+    defaulted("stall_ms", &POSITIVE_U64),
+    defaulted("hedge", &FLAG),
+]);
+
+static ORGANISATION: Shape = Shape::Fields(&[defaulted("weight", &POSITIVE_U32)]);
+
+static LIMITS: Shape = Shape::Fields(&[
+    defaulted("max_in_flight", &Shape::Optional(&POSITIVE_U32)),
+    defaulted("organisations", &LIMIT_ENTRIES),
+]);
+
+static LIMIT_ENTRIES: Shape = Shape::List(&LIMIT_ENTRY);
+
+static LIMIT_ENTRY: Shape = Shape::Fields(&[
+    required("names", &NAMES_OR_WILDCARD),
+    required("max_in_flight", &ANY_U32),
+    defaulted("within", &LIMIT_ENTRIES),
+]);
+
+static POLICY: Shape = Shape::Fields(&[
+    defaulted("choice", &Shape::OneOf(&["least_loaded", "round_robin"])),
+    defaulted("admission", &FLAG),
+    defaulted("slow_start", &FLAG),
+    defaulted("stage_budgets", &FLAG),
+    defaulted("prefix_affinity", &FLAG),
+    defaulted("retry_budget_percent", &PERCENT),
+    defaulted("max_attempts", &POSITIVE_U32),
+    defaulted("subset_size", &POSITIVE_U32),
+]);
+
+static CLAIMS: Shape = Shape::Fields(&[
+    defaulted("shards", &SHARDS),
+    defaulted("group_commit_ms", &ANY_U64),
+    defaulted("dispatch_window_ms", &POSITIVE_U64),
+    defaulted("retention_ms", &POSITIVE_U64),
+]);
+
+/// A value that does not have its shape.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Misfit {
+    /// The path of the value, or of the mapping that lacks a field.
+    pub path: FieldPath,
+    /// What is wrong, and what is expected.
+    pub reason: String,
+}
+
+/// Returns all values of a document that do not have their shape.
+#[must_use]
+pub fn misfits(value: &Value) -> Vec<Misfit> {
+    let mut found = Vec::new();
+    check(value, &DEPLOYMENT, &FieldPath::new(), &mut found);
+    found
+}
+
+fn check(value: &Value, shape: &Shape, path: &FieldPath, found: &mut Vec<Misfit>) {
+    match (shape, value) {
+        (Shape::Fields(fields), Value::Mapping(mapping)) => {
+            check_fields(mapping, fields, path, found);
+        }
+        (Shape::Names(inner), Value::Mapping(mapping)) => {
+            check_names(mapping, inner, path, found);
+        }
+        (Shape::List(inner), Value::Sequence(items)) => {
+            for (index, item) in items.iter().enumerate() {
+                check(item, inner, &path.item(index), found);
+            }
+        }
+        (Shape::Optional(_), Value::Null) => {}
+        (Shape::Optional(inner), _) => check(value, inner, path, found),
+        _ => {
+            if let Some(reason) = scalar_fault(value, shape) {
+                add(found, path, reason);
+            }
+        }
+    }
+}
+
+fn check_fields(mapping: &Mapping, fields: &[Field], path: &FieldPath, found: &mut Vec<Misfit>) {
+    for (key, value) in mapping {
+        let Some(name) = key.as_str() else {
+            add(found, path, "a key is not a string".to_owned());
+            continue;
+        };
+        match fields.iter().find(|field| field.name == name) {
+            Some(field) => check(value, field.shape, &path.key(name), found),
+            None => add(found, &path.key(name), unknown_field(fields)),
+        }
+    }
+    for field in fields {
+        if !field.has_default && !mapping.contains_key(field.name) {
+            add(
+                found,
+                path,
+                format!("the field `{}` is missing", field.name),
+            );
+        }
+    }
+}
+
+fn check_names(mapping: &Mapping, inner: &Shape, path: &FieldPath, found: &mut Vec<Misfit>) {
+    for (key, value) in mapping {
+        let Some(name) = key.as_str() else {
+            add(found, path, "a key is not a string".to_owned());
+            continue;
+        };
+        let path = path.key(name);
+        if !is_name(name) {
+            add(found, &path, name_rule());
+        }
+        check(value, inner, &path, found);
+    }
+}
+
+fn scalar_fault(value: &Value, shape: &Shape) -> Option<String> {
+    let expected = match (shape, value) {
+        (Shape::Flag, Value::Bool(_)) => return None,
+        (Shape::NameOrWildcard, Value::String(text)) if text == WILDCARD => return None,
+        (Shape::Name | Shape::NameOrWildcard, Value::String(text)) => {
+            return (!is_name(text)).then(name_rule);
+        }
+        (Shape::OneOf(words), Value::String(text)) => {
+            let known = words.contains(&text.as_str());
+            return (!known).then(|| format!("`{text}` is none of {}", words.join(", ")));
+        }
+        (&Shape::Whole { min, max }, Value::Number(number)) => {
+            let inside = number.as_u64().is_some_and(|n| (min..=max).contains(&n));
+            return (!inside).then(|| format!("{number} is not {}", whole_rule(min, max)));
+        }
+        (Shape::Fields(_) | Shape::Names(_), _) => "a mapping".to_owned(),
+        (Shape::List(_), _) => "a list".to_owned(),
+        (Shape::Name | Shape::NameOrWildcard, _) => "a name".to_owned(),
+        (&Shape::Whole { min, max }, _) => whole_rule(min, max),
+        (Shape::Flag, _) => "true or false".to_owned(),
+        (Shape::OneOf(words), _) => format!("one of {}", words.join(", ")),
+        (Shape::Optional(inner), _) => return scalar_fault(value, inner),
+    };
+    Some(format!("expected {expected}, found {}", type_name(value)))
+}
+
+/// The name in a limit that stands for all names that no earlier entry has.
+pub const WILDCARD: &str = "*";
+
+fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed)
+}
+
+fn name_rule() -> String {
+    format!("a name has 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`")
+}
+
+fn whole_rule(min: u64, max: u64) -> String {
+    if max == u64::MAX {
+        return format!("a whole number of at least {min}");
+    }
+    format!("a whole number from {min} to {max}")
+}
+
+fn unknown_field(fields: &[Field]) -> String {
+    let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
+    format!("unknown field; the fields here are {}", names.join(", "))
+}
+
+fn add(found: &mut Vec<Misfit>, path: &FieldPath, reason: String) {
+    found.push(Misfit {
+        path: path.clone(),
+        reason,
+    });
+}
+
+/// Returns the paths of all fields, with `*` for a name and `[]` for a list item.
+///
+/// Nested limit entries are named once.
+#[must_use]
+pub fn field_paths() -> Vec<String> {
+    let mut paths = Vec::new();
+    collect_paths(&DEPLOYMENT, "", &mut paths);
+    paths
+}
+
+fn collect_paths(shape: &Shape, prefix: &str, paths: &mut Vec<String>) {
+    match shape {
+        Shape::Fields(fields) => {
+            for field in *fields {
+                let path = if prefix.is_empty() {
+                    field.name.to_owned()
+                } else {
+                    format!("{prefix}.{}", field.name)
+                };
+                paths.push(path.clone());
+                if field.name != "within" {
+                    collect_paths(field.shape, &path, paths);
+                }
+            }
+        }
+        Shape::Names(inner) => collect_paths(inner, &format!("{prefix}.*"), paths),
+        Shape::List(inner) => collect_paths(inner, &format!("{prefix}[]"), paths),
+        Shape::Optional(inner) => collect_paths(inner, prefix, paths),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/config/tests/examples.rs
@@ -0,0 +1,152 @@
+//! Guards against example configurations that the tool would refuse, that lack a service of the
+//! two deployments, or whose documentation lacks a field.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use arbutus_config::Committed;
+use arbutus_config::Deployment;
+use arbutus_config::Source;
+use arbutus_config::Stamp;
+use arbutus_config::Texts;
+use arbutus_config::schema::field_paths;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn example(name: &str) -> Committed {
+    match Committed::from_files(&root().join("examples").join(name), Stamp::default()) {
+        Ok(committed) => committed,
+        Err(error) => panic!("{error}"),
+    }
+}
+
+fn check(name: &str, sites: &[&str], services: &[&str], claimed: &[&str]) {
+    let committed = example(name);
+    let base = committed.deployment("").expect("the example is valid");
+    assert_eq!(base.sites, sites);
+    for service in services {
+        assert!(base.services.contains_key(*service), "{service} is missing");
+    }
+    let in_use: BTreeSet<&str> = base
+        .pipelines
+        .values()
+        .flat_map(|pipeline| pipeline.stages.iter().map(|stage| stage.service.as_str()))
+        .collect();
+    for service in base.services.keys() {
+        assert!(in_use.contains(service.as_str()), "{service} is unused");
+    }
+    let found: Vec<&str> = base
+        .pipelines
+        .iter()
+        .filter(|(_, pipeline)| !pipeline.idempotent)
+        .map(|(name, _)| name.as_str())
+        .collect();
+    assert_eq!(found, claimed);
+    assert_eq!(base.organisations.len(), 5);
+    assert!(!committed.overlays.is_empty());
+    for site in committed.overlays.keys() {
+        let deployment = committed.deployment(site).expect("the example is valid");
+        assert_ne!(deployment, base, "the overlay of {site} changes nothing");
+    }
+}
+
+#[test]
+fn kamagama_is_complete() {
+    check(
+        "kamagama",
+        &["arita", "hakata", "kumamoto", "kagoshima"],
+        &[
+            "hearth-llm",
+            "order-desk",
+            "glaze-log",
+            "ship-desk",
+            "baker-club",
+        ],
+        &["booking", "deposit"],
+    );
+}
+
+#[test]
+fn rustwell_is_complete() {
+    check(
+        "rustwell",
+        &["gent-a", "gent-b", "brugge-c"],
+        &[
+            "bloemtaal",
+            "rondeboek",
+            "kerkhofkaart",
+            "fotodienst",
+            "kasregister",
+        ],
+        &["extra-round", "payment"],
+    );
+}
+
+/// The table of shapes and the typed structures are written separately. A field that only one of
+/// them has would be refused by the other.
+#[test]
+fn the_schema_and_the_structures_have_the_same_fields() {
+    let deployment = example("kamagama").deployment("").expect("it is valid");
+    let text = serde_norway::to_string(&deployment).expect("a deployment has a YAML form");
+    let read = Texts::new(Source::new("rendered", &text)).deployment("");
+    assert_eq!(read, Ok(deployment));
+
+    let rendered: BTreeSet<String> = rendered_paths(&text);
+    let expected: BTreeSet<String> = field_paths().into_iter().collect();
+    assert_eq!(rendered, expected);
+}
+
+#[test]
+fn the_documentation_has_every_field() {
+    let page = fs::read_to_string(root().join("docs/configuration.md")).expect("the page exists");
+    for path in field_paths() {
+        assert!(page.contains(&format!("`{path}`")), "{path} is missing");
+    }
+}
+
+fn rendered_paths(text: &str) -> BTreeSet<String> {
+    let value: serde_norway::Value = serde_norway::from_str(text).expect("it was just rendered");
+    let mut paths = BTreeSet::new();
+    collect(&value, "", &mut paths);
+    paths
+}
+
+fn collect(value: &serde_norway::Value, prefix: &str, paths: &mut BTreeSet<String>) {
+    const NAMED: [&str; 4] = ["services", "pipelines", "classes", "organisations"];
+    if let Some(items) = value.as_sequence() {
+        for item in items {
+            collect(item, &format!("{prefix}[]"), paths);
+        }
+    }
+    for (key, value) in value.as_mapping().into_iter().flatten() {
+        let key = key.as_str().expect("keys are strings");
+        let path = if NAMED.contains(&prefix) {
+            format!("{prefix}.*")
+        } else if prefix.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{prefix}.{key}")
+        };
+        if !path.ends_with('*') {
+            paths.insert(path.clone());
+        }
+        if key != "within" {
+            collect(value, &path, paths);
+        }
+    }
+}
+
+/// Guards against a deployment that cannot be compared after a round trip through its defaults.
+#[test]
+fn defaults_survive_a_round_trip() {
+    let deployment = Deployment::default();
+    let text = serde_norway::to_string(&deployment).expect("a deployment has a YAML form");
+    assert_eq!(
+        Texts::new(Source::new("d", &text)).deployment(""),
+        Ok(deployment)
+    );
+}
--- /dev/null
+++ b/crates/config/tests/properties.rs
@@ -0,0 +1,197 @@
+//! Guards against merges that depend on anything but their inputs, records that change on their
+//! way, and inputs that stop the process.
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes arguments by value"
+)]
+
+use std::env;
+
+use arbutus_config::Committed;
+use arbutus_config::Deployment;
+use arbutus_config::Source;
+use arbutus_config::Stamp;
+use arbutus_config::Texts;
+use arbutus_config::overlay::merge;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+use serde_norway::Mapping;
+use serde_norway::Value;
+
+const GEN_SIZE: usize = 40;
+const DEFAULT_SEED: u64 = 0x0c0f;
+const TESTS: u64 = 300;
+
+/// Runs a property with a fixed seed, which the environment variable `ARBUTUS_SEED` overrides.
+fn check(property: impl Testable) {
+    let seed = env::var("ARBUTUS_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(DEFAULT_SEED);
+    let generator = Gen::from_size_and_seed(GEN_SIZE, seed);
+    let result = QuickCheck::new()
+        .rng(generator)
+        .tests(TESTS)
+        .quicktest(property);
+    if let Err(failure) = result {
+        panic!("ARBUTUS_SEED={seed}: {failure:?}");
+    }
+}
+
+/// A document of nested mappings whose keys come from a small set.
+#[derive(Clone, Debug)]
+struct Document(Value);
+
+impl Arbitrary for Document {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(value(g, 3))
+    }
+}
+
+fn value(g: &mut Gen, depth: u32) -> Value {
+    if depth == 0 {
+        return match u8::arbitrary(g) % 4 {
+            0 => Value::from(u32::arbitrary(g)),
+            1 => Value::from(bool::arbitrary(g)),
+            2 => Value::from(format!("text {}", u8::arbitrary(g))),
+            _ => Value::Sequence(vec![Value::from(u8::arbitrary(g))]),
+        };
+    }
+    let mut mapping = Mapping::new();
+    for key in ["a", "b", "c", "d"] {
+        if bool::arbitrary(g) {
+            let below = u32::arbitrary(g) % depth;
+            mapping.insert(Value::from(key), value(g, below));
+        }
+    }
+    Value::Mapping(mapping)
+}
+
+/// A valid configuration with arbitrary numbers.
+fn base_text(seed: &[u32]) -> String {
+    let number = |index: usize| u64::from(seed.get(index).copied().unwrap_or(3)) % 100_000 + 1;
+    format!(
+        "services: {{desk: {{kind: plain}}, llm: {{kind: engine}}}}\n\
+         classes: {{counter: {{priority: {}, stall_ms: {}}}}}\n\
+         organisations: {{potter: {{weight: {}}}}}\n\
+         pipelines:\n  booking:\n    class: counter\n    idempotent: false\n    \
+         deadline_ms: {}\n    stages: [{{name: book, service: desk}}]\n\
+         limits: {{max_in_flight: {}}}\n",
+        number(0) % 256,
+        number(1),
+        number(2),
+        number(3),
+        number(4),
+    )
+}
+
+fn source(text: &str) -> Source {
+    Source::new("text", text)
+}
+
+fn render(value: &Value) -> String {
+    serde_norway::to_string(value).expect("the value has a YAML form")
+}
+
+#[test]
+fn merging_is_deterministic() {
+    fn property(base: Document, overlay: Document) -> bool {
+        let overlay_source = source(&render(&overlay.0));
+        let first = merge(&base.0, &overlay.0, &overlay_source);
+        first == merge(&base.0, &overlay.0, &overlay_source)
+    }
+    check(property as fn(Document, Document) -> bool);
+}
+
+#[test]
+fn an_overlay_with_the_values_of_the_base_changes_nothing() {
+    fn property(base: Document) -> bool {
+        merge(&base.0, &base.0, &source(&render(&base.0))) == Ok(base.0)
+    }
+    check(property as fn(Document) -> bool);
+}
+
+/// An overlay that is accepted adds and removes no field, and each of its values is in effect.
+#[test]
+fn merging_keeps_the_shape_and_applies_every_value() {
+    fn same_shape(base: &Value, merged: &Value, overlay: Option<&Value>) -> bool {
+        let Value::Mapping(fields) = base else {
+            return overlay.is_none_or(|value| value == merged);
+        };
+        let Value::Mapping(merged) = merged else {
+            return false;
+        };
+        fields.len() == merged.len()
+            && fields.iter().all(|(key, value)| {
+                let overlay = overlay.and_then(|overlay| overlay.get(key));
+                merged
+                    .get(key)
+                    .is_some_and(|found| same_shape(value, found, overlay))
+            })
+    }
+    fn property(base: Document, overlay: Document) -> bool {
+        match merge(&base.0, &overlay.0, &source(&render(&overlay.0))) {
+            Ok(merged) => same_shape(&base.0, &merged, Some(&overlay.0)),
+            Err(faults) => faults.iter().all(|fault| fault.line > 0),
+        }
+    }
+    check(property as fn(Document, Document) -> bool);
+}
+
+#[test]
+fn parsing_and_rendering_round_trip() {
+    fn property(seed: Vec<u32>) -> bool {
+        let parsed = Texts::new(source(&base_text(&seed))).deployment("");
+        let deployment: Deployment = parsed.expect("the base is valid");
+        let text = serde_norway::to_string(&deployment).expect("it has a YAML form");
+        Texts::new(source(&text)).deployment("") == Ok(deployment)
+    }
+    check(property as fn(Vec<u32>) -> bool);
+}
+
+#[test]
+fn records_round_trip_and_resolve_to_the_same_deployment() {
+    fn property(seed: Vec<u32>, author: String, comment: String, generation: u64) -> bool {
+        let stamp = Stamp {
+            generation,
+            author,
+            comment,
+            ..Stamp::default()
+        };
+        let texts = Texts::new(source(&base_text(&seed)))
+            .with_overlay("a", source("classes: {counter: {priority: 255}}"));
+        let Ok(record) = Committed::new(&texts, stamp) else {
+            return seed
+                .first()
+                .is_some_and(|&n| (n % 100_000 + 1) % 256 == 255);
+        };
+        let read = Committed::from_json(&record.to_json()).expect("the record is whole");
+        read == record
+            && read.deployment("a") == texts.deployment("a")
+            && read.deployment("b") == texts.deployment("b")
+    }
+    check(property as fn(Vec<u32>, String, String, u64) -> bool);
+}
+
+#[test]
+fn random_bytes_never_stop_the_process() {
+    fn property(bytes: Vec<u8>, position: usize, replacement: Vec<u8>) -> bool {
+        let random = String::from_utf8_lossy(&bytes);
+        let mut damaged = base_text(&[]).into_bytes();
+        let position = position % damaged.len();
+        let end = (position + replacement.len()).min(damaged.len());
+        damaged.splice(position..end, replacement);
+        let damaged = String::from_utf8_lossy(&damaged).into_owned();
+        for text in [&*random, damaged.as_str()] {
+            let base = Texts::new(source(text)).with_overlay("a", source(&random));
+            drop(base.validate());
+            let valid_base = Texts::new(source(&base_text(&[]))).with_overlay("a", source(text));
+            drop(valid_base.validate());
+        }
+        drop(Committed::from_json(&bytes));
+        true
+    }
+    check(property as fn(Vec<u8>, usize, Vec<u8>) -> bool);
+}
