--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -66,7 +66,7 @@
             "ship-desk",
             "baker-club",
         ],
-        &["booking", "deposit"],
+        &["deposit", "kiln-booking"],
     );
 }
 
--- a/crates/config/tests/validation.rs
+++ b/crates/config/tests/validation.rs
@@ -66,10 +66,10 @@
 fn all_faults_of_all_files_are_reported_at_once() {
     let text = base_text()
         .replace("deadline_ms: 20000", "deadline_ms: 0")
-        .replace("service: ship-desk", "service: shop")
+        .replace("service: baker-club", "service: shop")
         .replace("subset_size: 8", "subset_size: none");
     let hakata = "classes:\n  counter:\n    patience_ms: 4\nservices:\n  hut: {kind: plain}\n";
-    let kagoshima = "pipelines: {booking: {deadline_ms: 0}}\nclaims:\n  shards: '8'\n";
+    let kagoshima = "pipelines: {kiln-booking: {deadline_ms: 0}}\nclaims:\n  shards: '8'\n";
     let texts = Texts::new(Source::new("base.yaml", &text))
         .with_overlay("hakata", Source::new("hakata.yaml", hakata))
         .with_overlay("kagoshima", Source::new("kagoshima.yaml", kagoshima))
@@ -84,16 +84,20 @@
     let subset = line_of(&text, "subset_size: none");
     let expected = [
         place("arita.yaml", 2, "(root)"),
-        place("base.yaml", deadline, "pipelines.consultation.deadline_ms"),
+        place(
+            "base.yaml",
+            deadline,
+            "pipelines.glaze-consultation.deadline_ms",
+        ),
         place(
             "base.yaml",
             shop,
-            "pipelines.shipment-lookup.stages[0].service",
+            "pipelines.member-lookup.stages[0].service",
         ),
         place("base.yaml", subset, "policy.subset_size"),
         place("hakata.yaml", 3, "classes.counter.patience_ms"),
         place("hakata.yaml", 5, "services.hut"),
-        place("kagoshima.yaml", 1, "pipelines.booking.deadline_ms"),
+        place("kagoshima.yaml", 1, "pipelines.kiln-booking.deadline_ms"),
         place("kagoshima.yaml", 3, "claims.shards"),
     ];
     assert_eq!(found, expected);
@@ -110,12 +114,12 @@
             "claims: {dispatch_window_ms: 1000}",
         ),
         (
-            "pipelines.booking.idempotent",
-            "pipelines: {booking: {idempotent: true}}",
+            "pipelines.kiln-booking.idempotent",
+            "pipelines: {kiln-booking: {idempotent: true}}",
         ),
         (
-            "pipelines.booking.stages",
-            "pipelines: {booking: {stages: [{name: book, service: ship-desk}]}}",
+            "pipelines.kiln-booking.stages",
+            "pipelines: {kiln-booking: {stages: [{name: book, service: ship-desk}]}}",
         ),
         (
             "services.order-desk.deduplicates",
