config: split records into sections and refuse a change of claim shards

Distribution can send only the sections that a receiver lacks: the base is cut before each top-level field, without loss, and each overlay is one section. The receiver verifies the digest of the whole record.

The number of claim shards decides where a claim is stored. After a change, a resend would look into another shard and run again, so a record with another number cannot replace the committed one.

--- a/crates/config/src/committed.rs
+++ b/crates/config/src/committed.rs
@@ -49,7 +49,7 @@
 }
 
 /// A committed configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Committed {
     /// The generation, which rises with each change.
@@ -106,6 +106,15 @@
         /// The digest of the content.
         computed: String,
     },
+    /// the number of claim shards is {from} and cannot become {to}: the shard of a claim depends on it, and a resend would run again
+    ShardsChanged {
+        /// The committed number.
+        from: u32,
+        /// The refused number.
+        to: u32,
+    },
+    /// the section {0} is neither in the delta nor known
+    MissingSection(String),
 }
 
 impl std::error::Error for ConfigError {}
@@ -207,6 +216,20 @@
         texts
     }
 
+    /// Checks that the record may replace another one.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the number of claim shards differs, or that one of the records is faulty.
+    pub fn check_successor_of(&self, previous: &Self) -> Result<(), ConfigError> {
+        let from = previous.deployment("")?.claims.shards;
+        let to = self.deployment("")?.claims.shards;
+        if from == to {
+            return Ok(());
+        }
+        Err(ConfigError::ShardsChanged { from, to })
+    }
+
     /// Checks the digest against the content.
     ///
     /// # Errors
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod path;
 pub mod resolve;
 pub mod schema;
+pub mod sections;
 pub mod settings;
 pub mod source;
 mod validate;
--- a/crates/config/tests/committed.rs
+++ b/crates/config/tests/committed.rs
@@ -87,3 +87,48 @@
     let result = Committed::new(&Texts::new(Source::new("b", &text)), Stamp::default());
     assert!(matches!(result, Err(ConfigError::TooLarge { .. })));
 }
+
+/// A resend finds its claim only while the number of shards stays the same.
+#[test]
+fn a_change_of_the_claim_shards_is_refused() {
+    let text = format!("{BASE}claims: {{shards: 8}}\n");
+    let texts = Texts::new(Source::new("base.yaml", &text));
+    let after = Committed::new(&texts, Stamp::default()).expect("the text is valid");
+    let result = after.check_successor_of(&committed());
+    assert!(matches!(
+        result,
+        Err(ConfigError::ShardsChanged { from: 16, to: 8 })
+    ));
+}
+
+#[test]
+fn a_delta_carries_only_changed_sections_and_rebuilds_the_record() {
+    let before = committed();
+    let text = BASE.replace("weight: 2", "weight: 3");
+    let texts = Texts::new(Source::new("base.yaml", &text))
+        .with_overlay("arita", Source::new("overlays/arita.yaml", OVERLAY));
+    let stamp = Stamp {
+        generation: 8,
+        ..Stamp::default()
+    };
+    let after = Committed::new(&texts, stamp).expect("the texts are valid");
+    let delta = after.delta(&before.sections());
+    let sent: Vec<&str> = delta
+        .sections
+        .iter()
+        .filter(|section| section.text.is_some())
+        .map(|section| section.name.as_str())
+        .collect();
+    assert_eq!(sent, ["base/organisations"]);
+    assert_eq!(
+        before.with_delta(delta.clone()).expect("it is whole"),
+        after
+    );
+
+    let mut incomplete = delta;
+    incomplete.sections.remove(0);
+    assert!(matches!(
+        before.with_delta(incomplete),
+        Err(ConfigError::Digest { .. })
+    ));
+}
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -191,6 +191,16 @@
             drop(valid_base.validate());
         }
         drop(Committed::from_json(&bytes));
+        let record = Committed {
+            base: damaged,
+            ..Committed::default()
+        };
+        let sections = record.sections();
+        let joined: String = sections
+            .into_iter()
+            .filter_map(|section| section.text)
+            .collect();
+        assert_eq!(joined, record.base);
         true
     }
     check(property as fn(Vec<u8>, usize, Vec<u8>) -> bool);
