standins: add the load generator

Attainment, cost by stage and service during changes of failure domains have to be measured from the caller's side. Arrivals are open-loop and a function of scenario and seed; callers recompute their answers; bookings are compared with the executions that the targets counted.

--- /dev/null
+++ b/crates/standins/src/bin/arbutus-loadgen.rs
@@ -0,0 +1,148 @@
+//! The load generator as a command.
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use arbutus_coord::Clock;
+use arbutus_standins::loadgen::event::TimedEvent;
+use arbutus_standins::loadgen::run::DeploymentAddresses;
+use arbutus_standins::loadgen::run::run;
+use arbutus_standins::loadgen::scenario::Scenario;
+use arbutus_standins::report::plot;
+use arbutus_standins::report::summary::Summary;
+use arbutus_standins::report::text::TextReport;
+use getopts::Matches;
+use getopts::Options;
+
+const USAGE: &str = "Usage: arbutus-loadgen --scenario NAME|FILE --instances ADDRESS,.. \
+                     [--platform ADDRESS] [options]";
+const DEFAULT_SEED: u64 = 1;
+const EXIT_VIOLATIONS: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    match generate() {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(EXIT_VIOLATIONS),
+        Err(error) => {
+            eprintln!("arbutus-loadgen: {error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    let scenario = "kamagama, rustwell or a YAML or JSON file";
+    options.optopt("", "scenario", scenario, "NAME|FILE");
+    options.optopt("", "instances", "HTTP addresses of the instances", "LIST");
+    options.optopt("", "platform", "platform, to find the targets", "ADDRESS");
+    options.optopt("", "label", "label of the deployment", "TEXT");
+    options.optflag(
+        "",
+        "compare",
+        "send the same arrivals to a second deployment",
+    );
+    options.optopt("", "instances-b", "instances of the second one", "LIST");
+    options.optopt("", "platform-b", "platform of the second one", "ADDRESS");
+    options.optopt("", "label-b", "label of the second one", "TEXT");
+    options.optflag("", "no-balancer", "use instances that are not ready, too");
+    options.optopt("", "seed", "seed of the arrivals (1)", "N");
+    options.optopt("", "rate", "arrivals for each second", "N");
+    options.optopt("", "duration", "time of arrivals, in seconds", "S");
+    options.optopt("", "warmup", "time left out at the start, in seconds", "S");
+    let event = "TIME:drain:DOMAIN, TIME:undrain:DOMAIN or TIME:KIND:NAME=JSON with the kinds \
+                 target, service, domain, platform and post";
+    options.optmulti("", "event", event, "EVENT");
+    options.optopt("", "json", "file for the summary", "FILE");
+    options.optopt("", "svg", "file for the plot", "FILE");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+fn optional<T: FromStr>(matches: &Matches, name: &str) -> Result<Option<T>, Box<dyn Error>>
+where
+    T::Err: Error + 'static,
+{
+    let parse = |text: String| {
+        text.parse()
+            .map_err(|error| format!("--{name} {text}: {error}").into())
+    };
+    matches.opt_str(name).map(parse).transpose()
+}
+
+fn addresses(matches: &Matches, name: &str) -> Result<Vec<SocketAddr>, Box<dyn Error>> {
+    let list = matches
+        .opt_str(name)
+        .ok_or_else(|| format!("the option --{name} is missing"))?;
+    list.split(',')
+        .map(|address| {
+            address
+                .parse()
+                .map_err(|error| format!("--{name} {address}: {error}").into())
+        })
+        .collect()
+}
+
+fn deployment(
+    matches: &Matches,
+    suffix: &str,
+    label: &str,
+) -> Result<DeploymentAddresses, Box<dyn Error>> {
+    let option = |name: &str| format!("{name}{suffix}");
+    Ok(DeploymentAddresses {
+        label: matches
+            .opt_str(&option("label"))
+            .unwrap_or_else(|| label.to_owned()),
+        instances: addresses(matches, &option("instances"))?,
+        platform: optional(matches, &option("platform"))?,
+        balancer: !matches.opt_present("no-balancer"),
+    })
+}
+
+fn scenario(matches: &Matches) -> Result<Scenario, Box<dyn Error>> {
+    let name = matches
+        .opt_str("scenario")
+        .ok_or("the option --scenario is missing")?;
+    let mut scenario = Scenario::load(&name)?;
+    scenario.rate_per_s = optional(matches, "rate")?.unwrap_or(scenario.rate_per_s);
+    scenario.duration_s = optional(matches, "duration")?.unwrap_or(scenario.duration_s);
+    scenario.warmup_s = optional(matches, "warmup")?.unwrap_or(scenario.warmup_s);
+    for event in matches.opt_strs("event") {
+        scenario.events.push(event.parse::<TimedEvent>()?);
+    }
+    scenario.validate()?;
+    Ok(scenario)
+}
+
+fn generate() -> Result<u64, Box<dyn Error>> {
+    let options = options();
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Ok(0);
+    }
+    let scenario = scenario(&matches)?;
+    let seed = optional(&matches, "seed")?.unwrap_or(DEFAULT_SEED);
+    let mut deployments = vec![deployment(&matches, "", "a")?];
+    if matches.opt_present("compare") {
+        deployments.push(deployment(&matches, "-b", "b")?);
+    }
+    // Markers of an earlier run at the same targets must not be taken for this run's.
+    let run_id = format!("{:x}", Clock::wall().0);
+    let data = run(&scenario, seed, &run_id, &deployments);
+    let summary = Summary::new(&data);
+    print!("{}", TextReport(&summary));
+    if let Some(path) = matches.opt_str("json") {
+        fs::write(&path, serde_json::to_vec_pretty(&summary)?)
+            .map_err(|error| format!("{path}: {error}"))?;
+    }
+    if let Some(path) = matches.opt_str("svg") {
+        plot::write(&summary, Path::new(&path))?;
+    }
+    Ok(summary.violations())
+}
--- /dev/null
+++ b/crates/standins/src/loadgen/scenario.rs
@@ -0,0 +1,211 @@
+//! Scenarios: what callers send, how often, and what happens during the run.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use arbutus_coord::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::loadgen::event::TimedEvent;
+
+/// The largest number of requests of one run.
+pub const MAX_REQUESTS: f64 = 500_000.0;
+
+const KAMAGAMA: &str = include_str!("../../scenarios/kamagama.yaml");
+const RUSTWELL: &str = include_str!("../../scenarios/rustwell.yaml");
+
+/// Why a scenario cannot be used.
+#[derive(Debug, displaydoc::Display)]
+pub enum ScenarioError {
+    /// {0}: cannot read the file: {1}
+    Read(String, io::Error),
+    /// {0}: {1}
+    Parse(String, serde_norway::Error),
+    /// {0}: {1}
+    Invalid(String, String),
+}
+
+impl Error for ScenarioError {}
+
+/// What callers send during a run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// The name for reports.
+    pub name: String,
+    /// The time during which requests arrive, in seconds.
+    pub duration_s: f64,
+    /// The time at the start that the report leaves out, in seconds.
+    #[serde(default)]
+    pub warmup_s: f64,
+    /// The mean number of arrivals for each second, without bursts.
+    pub rate_per_s: f64,
+    /// The classes by name.
+    pub classes: BTreeMap<String, ClassLoad>,
+    /// The organisations.
+    pub organisations: Vec<OrganisationLoad>,
+    /// The pipelines.
+    pub pipelines: Vec<PipelineLoad>,
+    /// Times of higher or lower load.
+    #[serde(default)]
+    pub bursts: Vec<Burst>,
+    /// What happens during the run.
+    #[serde(default)]
+    pub events: Vec<TimedEvent>,
+}
+
+/// What callers of a class expect.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassLoad {
+    /// The longest silence within a stream that is not counted as a stall.
+    pub stall_ms: Millis,
+}
+
+/// The load of one organisation.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationLoad {
+    /// The name.
+    pub name: String,
+    /// The part of the arrivals, relative to other organisations.
+    pub weight: f64,
+}
+
+/// How a pipeline is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallKind {
+    /// A token stream.
+    Stream,
+    /// One JSON answer; the request may run more than once.
+    Lookup,
+    /// One JSON answer; the request has an idempotency key and may run once.
+    Booking,
+}
+
+/// The load of one pipeline.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PipelineLoad {
+    /// The name.
+    pub name: String,
+    /// The class.
+    pub class: String,
+    /// The part of the arrivals, relative to other pipelines.
+    pub weight: f64,
+    /// How the pipeline is called.
+    pub kind: CallKind,
+    /// The deadline.
+    pub deadline_ms: Millis,
+    /// The `max_tokens` of the generating stage, which tells the expected text.
+    #[serde(default)]
+    pub max_tokens: u32,
+    /// The number of different prompt prefixes for each organisation.
+    #[serde(default = "default_prefixes")]
+    pub prefixes: u32,
+    /// The share of bookings that are sent again, with the same key, through another instance.
+    #[serde(default)]
+    pub resend_share: f64,
+    /// How long after the first copy the second one is sent.
+    #[serde(default = "default_resend_after_ms")]
+    pub resend_after_ms: Millis,
+}
+
+/// A time of higher or lower load.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// The start, in seconds after the start of the run.
+    pub from_s: f64,
+    /// The end, in seconds after the start of the run.
+    pub to_s: f64,
+    /// The organisation; all of them if absent.
+    #[serde(default)]
+    pub organisation: Option<String>,
+    /// The factor on the arrival rate.
+    pub factor: f64,
+}
+
+fn default_prefixes() -> u32 {
+    1
+}
+
+fn default_resend_after_ms() -> Millis {
+    Millis(30)
+}
+
+impl Scenario {
+    /// Loads a built-in scenario by name, or else a file of YAML or JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file and what is wrong with it.
+    pub fn load(name: &str) -> Result<Self, ScenarioError> {
+        let text = match name {
+            "kamagama" => KAMAGAMA.to_owned(),
+            "rustwell" => RUSTWELL.to_owned(),
+            path => fs::read_to_string(Path::new(path))
+                .map_err(|error| ScenarioError::Read(name.to_owned(), error))?,
+        };
+        Self::parse(name, &text)
+    }
+
+    /// Parses a scenario; JSON is valid YAML.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file and what is wrong with it.
+    pub fn parse(name: &str, text: &str) -> Result<Self, ScenarioError> {
+        let scenario: Self = serde_norway::from_str(text)
+            .map_err(|error| ScenarioError::Parse(name.to_owned(), error))?;
+        scenario
+            .validate()
+            .map_err(|detail| ScenarioError::Invalid(name.to_owned(), detail))?;
+        Ok(scenario)
+    }
+
+    /// Checks that the scenario is complete and bounded.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of what is wrong.
+    pub fn validate(&self) -> Result<(), String> {
+        let times = [self.duration_s, self.rate_per_s];
+        if !times.iter().all(|value| value.is_finite() && *value > 0.0) {
+            return Err("duration_s and rate_per_s have to be positive".to_owned());
+        }
+        let factors = self.bursts.iter().map(|burst| burst.factor);
+        if factors
+            .clone()
+            .any(|factor| !factor.is_finite() || factor < 0.0)
+        {
+            return Err("the factor of a burst is negative".to_owned());
+        }
+        let highest = factors.fold(1.0, f64::max);
+        if self.duration_s * self.rate_per_s * highest > MAX_REQUESTS {
+            return Err(format!("more than {MAX_REQUESTS} requests"));
+        }
+        let organisations = self.organisations.iter().map(|each| each.weight);
+        let pipelines = self.pipelines.iter().map(|each| each.weight);
+        for weight in organisations.chain(pipelines) {
+            if !weight.is_finite() || weight <= 0.0 {
+                return Err("a weight is not positive".to_owned());
+            }
+        }
+        if self.organisations.is_empty() || self.pipelines.is_empty() {
+            return Err("there are no organisations or no pipelines".to_owned());
+        }
+        for pipeline in &self.pipelines {
+            if !self.classes.contains_key(&pipeline.class) {
+                let (name, class) = (&pipeline.name, &pipeline.class);
+                return Err(format!("pipeline {name}: there is no class {class}"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/report/mod.rs
@@ -0,0 +1,6 @@
+//! Reports of a run: a summary in JSON, a text table and a plot.
+
+pub mod group;
+pub mod plot;
+pub mod summary;
+pub mod text;
--- /dev/null
+++ b/crates/standins/src/report/plot.rs
@@ -0,0 +1,156 @@
+//! The plot of a run: attainment over time, and latency percentiles over time.
+
+use std::error::Error;
+use std::path::Path;
+
+use plotters::coord::Shift;
+use plotters::prelude::BLACK;
+use plotters::prelude::ChartBuilder;
+use plotters::prelude::Color;
+use plotters::prelude::DrawingArea;
+use plotters::prelude::IntoDrawingArea;
+use plotters::prelude::LineSeries;
+use plotters::prelude::PathElement;
+use plotters::prelude::RGBColor;
+use plotters::prelude::SVGBackend;
+use plotters::prelude::SeriesLabelPosition;
+use plotters::prelude::WHITE;
+
+use crate::report::group::ratio;
+use crate::report::summary::DeploymentSummary;
+use crate::report::summary::Second;
+use crate::report::summary::Summary;
+
+const SIZE: (u32, u32) = (1_000, 760);
+const COLOURS: [RGBColor; 2] = [RGBColor(31, 90, 180), RGBColor(205, 80, 20)];
+const EVENT_COLOUR: RGBColor = RGBColor(120, 120, 120);
+/// The top of the attainment axis, in percent.
+const FULL: f64 = 105.0;
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Points = Vec<(f64, f64)>;
+
+/// One line of a chart.
+struct Line {
+    label: String,
+    colour: RGBColor,
+    alpha: f64,
+    points: Points,
+}
+
+/// Writes the plot to a file.
+///
+/// # Errors
+///
+/// Returns an error when the plot cannot be drawn or written.
+pub fn write(summary: &Summary, path: &Path) -> Result<(), Box<dyn Error>> {
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let (top, bottom) = root.split_vertically(SIZE.1 / 2);
+    let title = format!(
+        "{}: answered whole in time, % of arrivals",
+        summary.scenario
+    );
+    let lines = lines(summary, attainment_lines);
+    chart(&top, &title, FULL, &lines, summary)?;
+    let lines = self::lines(summary, latency_lines);
+    let highest = lines
+        .iter()
+        .flat_map(|line| line.points.iter().map(|(_, value)| *value))
+        .fold(1.0, f64::max);
+    chart(
+        &bottom,
+        "time to the whole answer, ms",
+        highest * 1.1,
+        &lines,
+        summary,
+    )?;
+    root.present()?;
+    Ok(())
+}
+
+fn lines(summary: &Summary, of: fn(&DeploymentSummary, RGBColor) -> Vec<Line>) -> Vec<Line> {
+    summary
+        .deployments
+        .iter()
+        .zip(COLOURS)
+        .flat_map(|(deployment, colour)| of(deployment, colour))
+        .collect()
+}
+
+fn points(deployment: &DeploymentSummary, value: fn(&Second) -> f64) -> Points {
+    deployment
+        .seconds
+        .iter()
+        .enumerate()
+        .filter(|(_, second)| second.arrivals > 0)
+        .map(|(at, second)| (at as f64, value(second)))
+        .collect()
+}
+
+fn attainment_lines(deployment: &DeploymentSummary, colour: RGBColor) -> Vec<Line> {
+    let attainment = |second: &Second| ratio(second.whole as f64, second.arrivals as f64) * 100.0;
+    vec![Line {
+        label: deployment.label.clone(),
+        colour,
+        alpha: 1.0,
+        points: points(deployment, attainment),
+    }]
+}
+
+fn latency_lines(deployment: &DeploymentSummary, colour: RGBColor) -> Vec<Line> {
+    let line = |name: &str, alpha, value| Line {
+        label: format!("{} {name}", deployment.label),
+        colour,
+        alpha,
+        points: points(deployment, value),
+    };
+    vec![
+        line("p50", 0.35, |second| second.latency.p50_ms),
+        line("p95", 0.65, |second| second.latency.p95_ms),
+        line("p99", 1.0, |second| second.latency.p99_ms),
+    ]
+}
+
+fn chart(
+    area: &Area<'_>,
+    title: &str,
+    highest: f64,
+    lines: &[Line],
+    summary: &Summary,
+) -> Result<(), Box<dyn Error>> {
+    let mut chart = ChartBuilder::on(area)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..summary.duration_s, 0.0..highest)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds after the start")
+        .draw()?;
+    for line in lines {
+        let style = line.colour.mix(line.alpha).stroke_width(2);
+        chart
+            .draw_series(LineSeries::new(line.points.iter().copied(), style))?
+            .label(&line.label)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], style));
+    }
+    let events = summary
+        .deployments
+        .iter()
+        .take(1)
+        .flat_map(|each| &each.events);
+    for done in events {
+        let at_s = done.event.at_s;
+        let mark = PathElement::new(vec![(at_s, 0.0), (at_s, highest)], EVENT_COLOUR);
+        chart.draw_series([mark])?;
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerLeft)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    Ok(())
+}
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -30,6 +30,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 use strum::EnumString;
@@ -155,7 +156,8 @@
 }
 
 /// Counters of a target, served at `/stats`.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct TargetStats {
     /// Calls that arrived.
     pub calls: u64,
