daemon: use 16 KiB buffers for calls to targets

Cause: the HTTP library allocates 128 KiB for each direction of a connection, and a token stream holds its connection for its whole life. Ruled out: thread stacks, which are reserved but not resident.

--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -39,6 +39,8 @@
 const MAX_ANSWER_BYTES: u64 = 4 * 1024 * 1024;
 const MAX_IDLE_CONNECTIONS: usize = 256;
 const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 32;
+/// The library's default of 128 KiB for each direction dominates the memory of an open stream.
+const BUFFER_BYTES: usize = 16 * 1024;
 const STATUS_CONFLICT: u16 = 409;
 
 /// Why a call has no usable answer.
@@ -263,6 +265,8 @@
         .max_idle_connections(max_idle_connections)
         .max_idle_connections_per_host(max_idle_connections.min(MAX_IDLE_CONNECTIONS_PER_TARGET))
         .timeout_connect(Some(CONNECT_TIMEOUT_MS.to_duration()))
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .build()
         .new_agent()
 }
