--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,11 +4,13 @@
 //! input, and returns outputs. Nothing here opens a socket, starts a thread or reads a clock,
 //! apart from [`clock::Clock`], which callers use to obtain the time that they pass in.
 
+pub mod claim;
 pub mod clock;
 pub mod document;
 pub mod drain;
 pub mod entity;
 pub mod gossip;
+pub mod lease;
 pub mod membership;
 pub mod rendezvous;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between instances, and the payloads of targets and of the platform.
 
+pub mod admin;
 pub mod datagram;
 pub mod frame;
 pub mod header;
