daemon: drive gossip over UDP and serve peer calls over TCP

Adds the threads around the gossip state machine, the client and server for calls between instances, counters of control traffic, and a switch that makes peers unreachable for tests.

An error of the client says whether the peer may have acted on the call: a frame that was not written as a whole cannot be decoded, so a failed connection or write is proof of not run.

is_self_suspect takes the time, so that a thread that resumes first sees the pause before the state machine has handled an input.

--- a/crates/coord/tests/gossip.rs
+++ b/crates/coord/tests/gossip.rs
@@ -144,7 +144,12 @@
         if all.windows(2).any(|pair| pair[0] != pair[1]) {
             return TestResult::error(format!("knowledge differs: {all:?}"));
         }
-        let suspect = |index: &usize| network.nodes[index].gossip.members().is_self_suspect();
+        let suspect = |index: &usize| {
+            network.nodes[index]
+                .gossip
+                .members()
+                .is_self_suspect(network.now)
+        };
         if network.nodes.keys().any(suspect) {
             return TestResult::error("an instance still regards itself as suspect");
         }
@@ -222,12 +227,20 @@
         // With everything lost, nobody can acknowledge the instance.
         network.faults.loss_percent = 100;
         network.run(Millis(1_200));
-        if !network.nodes[&index].gossip.members().is_self_suspect() {
+        if !network.nodes[&index]
+            .gossip
+            .members()
+            .is_self_suspect(network.now)
+        {
             return TestResult::error("the resumed instance is not suspect");
         }
         network.faults = Faults::default();
         network.run(Millis(10_000));
-        if network.nodes[&index].gossip.members().is_self_suspect() {
+        if network.nodes[&index]
+            .gossip
+            .members()
+            .is_self_suspect(network.now)
+        {
             return TestResult::error("the acknowledged instance is still suspect");
         }
         match network.wrong_view() {
@@ -244,7 +257,12 @@
     let mut network = Network::new(1, 1, 3);
     network.nodes.get_mut(&0).expect("it runs").paused_until = network.now + Millis(60_000);
     network.run(Millis(60_001));
-    assert!(!network.nodes[&0].gossip.members().is_self_suspect());
+    assert!(
+        !network.nodes[&0]
+            .gossip
+            .members()
+            .is_self_suspect(network.now)
+    );
 }
 
 /// Guards against statements about the old process that override the restarted one, and against
--- /dev/null
+++ b/crates/daemon/tests/gossip.rs
@@ -0,0 +1,258 @@
+//! Guards against instances that do not find each other over real sockets, news that does not
+//! spread, and the partition switch that tests rely on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::thread::JoinHandle;
+
+use arbutus_config::Settings;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_coord::document::Document;
+use arbutus_coord::document::DocumentKind;
+use arbutus_coord::drain::DrainEntry;
+use arbutus_coord::drain::Subject;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
+use arbutus_wire::datagram::Body;
+use arbutus_wire::datagram::QuarantineEntry;
+use arbutus_wire::frame::FrameError;
+use arbutus_wire::peer::PeerCall;
+use arbutus_wire::peer::PeerReply;
+use arbutus_wire::peer::PeerRequest;
+use arbutus_wire::peer::TokenFrame;
+use arbutusd::gossip::GossipEvents;
+use arbutusd::gossip::GossipNode;
+use arbutusd::peer::PeerError;
+use arbutusd::peer::Replies;
+use arbutusd::stop::Stop;
+
+const TIMEOUT: Millis = Millis(1_000);
+
+#[derive(Debug, Default)]
+struct Events {
+    bodies: Mutex<Vec<(String, Body)>>,
+    calls: Mutex<u32>,
+}
+
+impl GossipEvents for Events {
+    fn member_changed(&self, _: &Member) {}
+    fn document_changed(&self, _: &Document) {}
+    fn drains_changed(&self, _: &[DrainEntry]) {}
+    fn self_suspect(&self, _: bool) {}
+    fn superseded(&self, _: u64) {}
+
+    fn datagram(&self, _: SocketAddr, sender: &str, body: Body) {
+        let mut bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+        bodies.push((sender.to_owned(), body));
+    }
+
+    fn call(&self, call: PeerCall, replies: &mut Replies<'_>) -> Result<(), FrameError> {
+        *self.calls.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        match call.request {
+            PeerRequest::Claim { command, .. } if command.is_empty() => Ok(()),
+            PeerRequest::Claim { command, .. } => replies.send(&PeerReply::Claim(command)),
+            _ => {
+                for offset in 0..3 {
+                    let text = format!("t{offset}");
+                    replies.send(&PeerReply::Token(TokenFrame { offset, text }))?;
+                }
+                let reason = "no target".to_owned();
+                replies.send(&PeerReply::Refused { reason })
+            }
+        }
+    }
+}
+
+type Task = fn(&Arc<GossipNode<Events>>, &Stop) -> Result<(), String>;
+
+struct Process {
+    node: Arc<GossipNode<Events>>,
+    events: Arc<Events>,
+    stop: Stop,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Process {
+    fn start(name: &str, failure_domain: &str, seeds: &[SocketAddr]) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Settings {
+            name: name.to_owned(),
+            cluster: "test".to_owned(),
+            site: "test".to_owned(),
+            failure_domain: failure_domain.to_owned(),
+            http_address: any,
+            peer_address: any,
+            platform_address: any,
+            seeds: seeds.to_vec(),
+            max_body_bytes: 1_000,
+            max_requests: 10,
+        };
+        let events = Arc::new(Events::default());
+        let boot_id = Clock::wall().0;
+        let node = GossipNode::bind(&settings, boot_id, Clock::new(), Arc::clone(&events))
+            .expect("a free port exists");
+        let stop = Stop::new();
+        let tasks: [Task; 4] = [
+            |node, stop| node.run_receiver(stop),
+            |node, stop| node.run_timer(stop),
+            |node, stop| node.run_fetcher(stop),
+            |node, stop| node.run_server(stop),
+        ];
+        let spawn = |task: Task| {
+            let node = Arc::clone(&node);
+            let stop = stop.clone();
+            thread::spawn(move || task(&node, &stop).expect("the task runs until it is stopped"))
+        };
+        let threads = tasks.into_iter().map(spawn).collect();
+        Self {
+            node,
+            events,
+            stop,
+            threads,
+        }
+    }
+
+    fn live_peers(&self) -> usize {
+        self.node.read(|gossip| {
+            let members = gossip.members().members();
+            let live = members.filter(|member| member.state == MemberState::Alive);
+            live.count() - 1
+        })
+    }
+
+    fn generation(&self) -> u64 {
+        let kind = DocumentKind::Configuration;
+        self.node
+            .read(|gossip| gossip.documents().version(&kind).number)
+    }
+
+    fn end(self) {
+        self.stop.raise();
+        for thread in self.threads {
+            thread.join().expect("the thread ends");
+        }
+    }
+}
+
+fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let clock = Clock::new();
+    while !condition() {
+        assert!(clock.now() < Millis(20_000), "timed out: {what}");
+        thread::sleep(Millis(10).to_duration());
+    }
+}
+
+fn configuration(number: u64, bytes: usize) -> Document {
+    Document {
+        kind: DocumentKind::Configuration,
+        number,
+        content: vec![number as u8; bytes],
+    }
+}
+
+#[test]
+fn instances_join_share_news_and_survive_a_partition() {
+    let first = Process::start("a-1", "a", &[]);
+    let seeds = [first.node.peer_address()];
+    first.node.offer_document(&configuration(1, 300_000));
+    let others = [("a-2", "a"), ("b-1", "b"), ("b-2", "b")];
+    let mut all = vec![first];
+    all.extend(others.map(|(name, domain)| Process::start(name, domain, &seeds)));
+    wait_until("every instance knows all", || {
+        all.iter()
+            .all(|process| process.live_peers() == 3 && process.generation() == 1)
+    });
+
+    let addresses: Vec<SocketAddr> = all.iter().map(|p| p.node.peer_address()).collect();
+    for (index, process) in all.iter().enumerate() {
+        let other_side = if index < 2 { 2..4 } else { 0..2 };
+        process
+            .node
+            .set_blocked(addresses[other_side].iter().copied());
+    }
+    wait_until("the sides are cut off", || {
+        all.iter().all(|process| process.live_peers() == 1)
+    });
+    let call = all[0]
+        .node
+        .client()
+        .call(addresses[2], PeerRequest::Status, TIMEOUT);
+    assert!(matches!(call, Err(PeerError::Unreachable(_))), "{call:?}");
+    let subject = Subject::FailureDomain("b".to_owned());
+    all[1].node.order_drain(subject.clone(), true);
+    all[2].node.offer_document(&configuration(2, 10));
+    let drained = |process: &Process| process.node.read(|g| g.drains().is_drained(&subject));
+    wait_until("each side has its own news", || {
+        drained(&all[0]) && all[3].generation() == 2
+    });
+    assert!(!drained(&all[2]) && all[0].generation() == 1);
+
+    for process in &all {
+        process.node.set_blocked([]);
+    }
+    wait_until("both sides have all news", || {
+        all.iter().all(|process| {
+            process.live_peers() == 3 && process.generation() == 2 && drained(process)
+        })
+    });
+    assert!(all[0].node.counters().bytes_sent() > 0);
+    all.into_iter().for_each(Process::end);
+}
+
+/// Guards against answers that are lost or repeated, and against a call that may have run but is
+/// reported as not run.
+#[test]
+fn calls_have_one_answer_or_a_true_error() {
+    let server = Process::start("a-1", "a", &[]);
+    let to = server.node.peer_address();
+    let client = Process::start("a-2", "a", &[to]);
+    let calls = client.node.client();
+    for number in 1..4 {
+        let request = PeerRequest::Claim {
+            shard: 1,
+            command: vec![number; 10],
+        };
+        let reply = calls.call(to, request, TIMEOUT).expect("the peer answers");
+        assert_eq!(reply, PeerReply::Claim(vec![number; 10]));
+    }
+    let mut stream = calls
+        .stream(to, PeerRequest::Status)
+        .expect("the peer is reachable");
+    for offset in 0..3 {
+        let frame = stream.next(TIMEOUT).expect("the token arrives");
+        assert!(matches!(frame, PeerReply::Token(token) if token.offset == offset));
+    }
+    let end = stream.next(TIMEOUT).expect_err("the peer refuses");
+    assert!(end.is_not_run(), "{end}");
+    let silent = PeerRequest::Claim {
+        shard: 1,
+        command: Vec::new(),
+    };
+    let lost = calls
+        .call_once(to, silent, Millis(200))
+        .expect_err("nobody answers");
+    assert!(!lost.is_not_run(), "{lost}");
+    assert_eq!(*server.events.calls.lock().expect("no panic"), 5);
+
+    let entries = vec![
+        QuarantineEntry {
+            fingerprint: 9,
+            remaining_ms: Millis(5),
+        };
+        2
+    ];
+    let body = Body::Quarantine(entries);
+    client.node.send(to, body.clone()).expect("the body fits");
+    wait_until("the datagram arrives", || {
+        let bodies = server.events.bodies.lock().expect("no panic");
+        bodies.contains(&("a-2".to_owned(), body.clone()))
+    });
+    server.end();
+    let gone = calls.call_once(to, PeerRequest::Status, TIMEOUT);
+    drop(gone.expect_err("the peer has ended"));
+    client.end();
+}
