membership: pass on brief statements about known members

After a partition each side has to spread one statement for each member of the other side.

Instances also pass on many statements in different orders, and grant datagrams no longer use up the number of times a statement is passed on.

Adds the example for embedders and the driver loop that measures the cost for each instance.

--- /dev/null
+++ b/crates/coord/examples/scale.rs
@@ -0,0 +1,347 @@
+//! Measures what membership, documents and drains cost each instance as their number grows.
+//!
+//! One thread drives all instances in simulated time, with a latency of 1 ms, and encodes and
+//! decodes each packet as the daemon does. For each number of instances it prints, per instance:
+//! processor time per second of simulated time, bytes sent per second (the busiest instance in
+//! brackets), memory, and the time until a drain, a new generation and a crash are known
+//! everywhere. `quiet` is a window without changes, `changes` one with a generation each 10.8 s
+//! (8,000 a day), a drain and a crash. Then half of the failure domains are cut off from the rest
+//! until each side regards the other as dead; `heal` is the window until all know each other
+//! again. System calls are not part of the figures.
+//!
+//! Run it with `cargo run --release -p arbutus-coord --example scale [NUMBER..]`.
+
+use std::collections::BTreeMap;
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use arbutus_coord::Millis;
+use arbutus_coord::document::Document;
+use arbutus_coord::document::DocumentKind;
+use arbutus_coord::drain::Subject;
+use arbutus_coord::gossip::Gossip;
+use arbutus_coord::gossip::Input;
+use arbutus_coord::gossip::Output;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
+use arbutus_coord::membership::MembershipSpec;
+use arbutus_coord::membership::Packet;
+
+const SIZES: [usize; 4] = [100, 400, 850, 1_700];
+const DOMAINS: usize = 8;
+const FIRST_PORT: u16 = 10_000;
+const SETTLE: Millis = Millis(20_000);
+const QUIET: Millis = Millis(30_000);
+const LONGEST_HEAL: Millis = Millis(300_000);
+const BETWEEN_GENERATIONS: Millis = Millis(10_800);
+const GENERATIONS: u64 = 3;
+const DOCUMENT_BYTES: usize = 40_000;
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// The bytes that a datagram adds to a packet: version, name of the deployment and kind of body.
+const ENVELOPE_BYTES: usize = 12;
+
+/// The bytes that a call and its answer add to their content.
+const CALL_BYTES: usize = 60;
+
+struct Fleet {
+    now: Millis,
+    instances: Vec<Gossip>,
+    running: Vec<bool>,
+    partitioned: bool,
+    bytes_sent: Vec<usize>,
+    packets: BTreeMap<Millis, Vec<(usize, usize, Vec<u8>)>>,
+    wakes: BTreeMap<Millis, Vec<usize>>,
+}
+
+struct Window {
+    started_at: Millis,
+    processor_seconds: f64,
+    bytes_sent: Vec<usize>,
+}
+
+fn main() {
+    let arguments: Vec<usize> = env::args().skip(1).flat_map(|n| n.parse()).collect();
+    let sizes = if arguments.is_empty() {
+        SIZES.to_vec()
+    } else {
+        arguments
+    };
+    println!("instances  window   % of a core  bytes/s (busiest)  known everywhere after");
+    for size in sizes {
+        measure(size);
+    }
+}
+
+fn measure(size: usize) {
+    let before = resident_bytes();
+    let mut fleet = Fleet::new(size);
+    fleet.run(SETTLE, |_| false);
+    let window = fleet.window();
+    fleet.run(QUIET, |_| false);
+    fleet.print("quiet", &window, "");
+    let memory = (resident_bytes() - before) / size as f64;
+
+    let window = fleet.window();
+    let mut generation_ms = Vec::new();
+    for number in 2..2 + GENERATIONS {
+        let start = fleet.now;
+        fleet.publish(size / 2, number);
+        let spread = fleet.run(BETWEEN_GENERATIONS, |fleet| {
+            fleet.all(|gossip| {
+                let kind = DocumentKind::Configuration;
+                gossip.documents().version(&kind).number == number
+            })
+        });
+        generation_ms.push(spread.0.to_string());
+        fleet.run(BETWEEN_GENERATIONS - (fleet.now - start), |_| false);
+    }
+    let drain = fleet.drain();
+    let crash = fleet.crash(size / 3);
+    let generation_ms = generation_ms.join(" ");
+    let spread = format!("generations {generation_ms}, drain {drain}, crash {crash}");
+    fleet.print("changes", &window, &spread);
+    println!(
+        "{size:9}  memory   {:.2} MB for each instance",
+        memory / 1e6
+    );
+
+    fleet.partitioned = true;
+    let live = fleet.live();
+    let cut = fleet.run(LONGEST_HEAL, |fleet| {
+        fleet.all(|gossip| gossip.members().peers() <= live / 2 + DOMAINS)
+    });
+    fleet.run(QUIET, |_| false);
+    fleet.partitioned = false;
+    let window = fleet.window();
+    let reach = fleet.run(LONGEST_HEAL, |fleet| {
+        fleet.all(|gossip| {
+            let mut domains = (0..DOMAINS).map(domain);
+            domains.all(|domain| gossip.members().live_in(&domain).next().is_some())
+        })
+    });
+    let heal = fleet.run(LONGEST_HEAL, |fleet| {
+        fleet.all(|gossip| gossip.members().peers() + 1 == live)
+    });
+    fleet.print(
+        "heal",
+        &window,
+        &format!(
+            "cut {cut}, all domains {reach}, all members {}",
+            reach + heal
+        ),
+    );
+}
+
+impl Fleet {
+    /// Creates instances that all know each other and hold the first generation.
+    fn new(size: usize) -> Self {
+        let members: Vec<Member> = (0..size).map(member).collect();
+        let create = |me: &Member| {
+            let seed = u64::from(me.peer_address.port());
+            Gossip::new(MembershipSpec::default(), me.clone(), seed, Millis::ZERO)
+        };
+        let mut fleet = Self {
+            now: Millis::ZERO,
+            instances: members.iter().map(create).collect(),
+            running: vec![true; size],
+            partitioned: false,
+            bytes_sent: vec![0; size],
+            packets: BTreeMap::new(),
+            wakes: BTreeMap::new(),
+        };
+        let first = document(1);
+        for index in 0..size {
+            fleet.input(index, Input::Members(&members));
+            // Each holds the first generation before any is told of it.
+            drop(fleet.instances[index].handle(Millis::ZERO, Input::Document(&first)));
+        }
+        fleet
+    }
+
+    fn input(&mut self, index: usize, input: Input<'_>) {
+        if !self.running[index] {
+            return;
+        }
+        let outputs = self.instances[index].handle(self.now, input);
+        for output in outputs {
+            self.output(index, output);
+        }
+        let wake_at = self.instances[index].wake_at().max(self.now + Millis(1));
+        self.wakes.entry(wake_at).or_default().push(index);
+    }
+
+    fn output(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Send { to, packet } => {
+                let bytes = postcard::to_extend(&packet, Vec::new()).expect("it is encodable");
+                self.bytes_sent[index] += bytes.len() + ENVELOPE_BYTES;
+                let delivery = (index, index_of(to), bytes);
+                if !self.is_cut(index, delivery.1) {
+                    let due = self.packets.entry(self.now + Millis(1)).or_default();
+                    due.push(delivery);
+                }
+            }
+            Output::FetchMembers { from } => {
+                let members = self.instances[index_of(from)].members().members();
+                let members: Vec<Member> = members.cloned().collect();
+                self.count_call(index, index_of(from), &members);
+                self.input(index, Input::Members(&members));
+            }
+            Output::FetchDocument { from, kind, held } => {
+                let transfer = self.instances[index_of(from)]
+                    .documents()
+                    .transfer(&kind, held);
+                self.count_call(index, index_of(from), &transfer);
+                let (kind, transfer) = (&kind, &transfer);
+                self.input(index, Input::Transfer { kind, transfer });
+            }
+            Output::ExchangeDrains { .. }
+            | Output::MemberChanged(_)
+            | Output::DocumentChanged(_)
+            | Output::DrainsChanged(_)
+            | Output::SelfSuspect(_)
+            | Output::Superseded { .. } => {}
+        }
+    }
+
+    fn count_call(&mut self, asking: usize, answering: usize, answer: &impl serde::Serialize) {
+        let bytes = postcard::to_extend(answer, Vec::new()).expect("it is encodable");
+        self.bytes_sent[answering] += bytes.len() + CALL_BYTES;
+        self.bytes_sent[asking] += CALL_BYTES;
+    }
+
+    /// Returns whether a partition separates two instances.
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        let side = |index: usize| index % DOMAINS < DOMAINS / 2;
+        self.partitioned && side(one) != side(other)
+    }
+
+    /// Lets time pass until the condition holds or the span ends, and returns the time in
+    /// milliseconds.
+    fn run(&mut self, span: Millis, done: impl Fn(&Self) -> bool) -> Millis {
+        let start = self.now;
+        while self.now < start + span && !(self.now.0.is_multiple_of(10) && done(self)) {
+            self.now = self.now + Millis(1);
+            for (from, to, bytes) in self.packets.remove(&self.now).unwrap_or_default() {
+                let packet: Packet = postcard::from_bytes(&bytes).expect("it was encoded here");
+                let from = address(from);
+                let packet = &packet;
+                self.input(to, Input::Received { from, packet });
+            }
+            for index in self.wakes.remove(&self.now).unwrap_or_default() {
+                if self.instances[index].wake_at() <= self.now {
+                    self.input(index, Input::Tick);
+                }
+            }
+        }
+        self.now - start
+    }
+
+    fn all(&self, condition: impl Fn(&Gossip) -> bool) -> bool {
+        let mut running = self.instances.iter().zip(&self.running);
+        running.all(|(gossip, &running)| !running || condition(gossip))
+    }
+
+    fn live(&self) -> usize {
+        self.running.iter().filter(|running| **running).count()
+    }
+
+    fn publish(&mut self, index: usize, number: u64) {
+        self.input(index, Input::Document(&document(number)));
+    }
+
+    fn drain(&mut self) -> Millis {
+        let subject = Subject::FailureDomain("domain-1".to_owned());
+        let order = self.instances[0].drains().order(subject.clone(), true);
+        self.input(0, Input::Drains(&[order]));
+        self.run(QUIET, |fleet| {
+            fleet.all(|gossip| gossip.drains().is_drained(&subject))
+        })
+    }
+
+    fn crash(&mut self, index: usize) -> Millis {
+        self.running[index] = false;
+        let name = member(index).name;
+        self.run(QUIET, |fleet| {
+            fleet.all(|gossip| {
+                let seen = gossip.members().get(&name);
+                seen.is_none_or(|seen| seen.state == MemberState::Dead)
+            })
+        })
+    }
+
+    fn window(&self) -> Window {
+        Window {
+            started_at: self.now,
+            processor_seconds: processor_seconds(),
+            bytes_sent: self.bytes_sent.clone(),
+        }
+    }
+
+    fn print(&self, name: &str, window: &Window, spread: &str) {
+        let size = self.instances.len();
+        let seconds = (self.now - window.started_at).0 as f64 / 1e3;
+        let busy = processor_seconds() - window.processor_seconds;
+        let percent = 100.0 * busy / seconds / size as f64;
+        let sent = self.bytes_sent.iter().zip(&window.bytes_sent);
+        let sent: Vec<usize> = sent.map(|(now, before)| now - before).collect();
+        let mean = sent.iter().sum::<usize>() as f64 / size as f64 / seconds;
+        let most = sent.iter().max().copied().unwrap_or(0) as f64 / seconds;
+        println!("{size:9}  {name:7}  {percent:11.4}  {mean:7.0} ({most:7.0})  {spread}");
+    }
+}
+
+fn document(number: u64) -> Document {
+    let mut content = vec![b'x'; DOCUMENT_BYTES];
+    let change = format!("organisations: weight: {number}");
+    let at = DOCUMENT_BYTES / 2;
+    content[at..at + change.len()].copy_from_slice(change.as_bytes());
+    Document {
+        kind: DocumentKind::Configuration,
+        number,
+        content,
+    }
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        name: format!("instance-{index:04}"),
+        failure_domain: domain(index % DOMAINS),
+        peer_address: address(index),
+        http_address: address(index),
+        boot_id: 1_796_000_000_000 + index as u64,
+        incarnation: 0,
+        state: MemberState::Alive,
+    }
+}
+
+fn domain(index: usize) -> String {
+    format!("domain-{index}")
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], FIRST_PORT + index as u16))
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
+
+/// Returns the processor time of this process, which does not depend on the load of the machine
+/// as the elapsed time does.
+fn processor_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    // The 14th and 15th fields of the file; the text after the name starts with the third.
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    ticks.flat_map(str::parse::<f64>).sum::<f64>() / TICKS_PER_SECOND
+}
+
+fn resident_bytes() -> f64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    kilobytes.and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) * 1024.0
+}
--- a/crates/coord/src/gossip.rs
+++ b/crates/coord/src/gossip.rs
@@ -213,7 +213,15 @@
         self.generations.get(member).copied().unwrap_or(0)
     }
 
-    /// Returns a packet with the digests that asks for no answer, for messages of other parts.
+    /// Returns a packet with the digests only, for messages of other parts.
+    #[must_use]
+    pub fn bare_notice(&self) -> Packet {
+        let mut packet = self.membership.bare_notice();
+        self.add_digests(&mut packet);
+        packet
+    }
+
+    /// Returns a packet that asks for no answer.
     pub fn notice(&mut self) -> Packet {
         let mut packet = self.membership.notice();
         self.add_digests(&mut packet);
--- a/crates/coord/src/membership/detector.rs
+++ b/crates/coord/src/membership/detector.rs
@@ -13,6 +13,7 @@
 use super::message::MemberState;
 use super::message::Message;
 use super::message::Packet;
+use super::receive::PassOn;
 use super::receive::is_valid;
 use super::ring::Random;
 use super::table::SELF_SLOT;
@@ -99,8 +100,8 @@
         );
         let mut random = Random::new(seed);
         let first = now + Millis(random.below(spec.period_ms.0 as usize) as u64);
-        let mut updates = Updates::default();
-        updates.push(SELF_SLOT, now);
+        let mut updates = Updates::new(random.next());
+        updates.push(SELF_SLOT, now, true);
         Self {
             spec,
             now,
@@ -235,6 +236,12 @@
             .collect()
     }
 
+    /// Returns a packet without piggybacked statements, for messages that need its room.
+    #[must_use]
+    pub fn bare_notice(&self) -> Packet {
+        self.header(Message::Notice)
+    }
+
     /// Returns a packet that asks for no answer.
     pub fn notice(&mut self) -> Packet {
         self.packet(Message::Notice, Vec::new())
@@ -296,7 +303,7 @@
 
     pub(super) fn set_me(&mut self, me: Member, now: Millis) {
         self.table.set_me(me, now);
-        self.updates.push(SELF_SLOT, now);
+        self.updates.push(SELF_SLOT, now, false);
         self.version += 1;
     }
 
@@ -365,7 +372,7 @@
         let mut suspect = member.clone();
         suspect.state = MemberState::Suspect;
         let address = suspect.peer_address;
-        self.store(now, suspect.clone(), true, outputs);
+        self.store(now, suspect.clone(), PassOn::Brief, outputs);
         // The member hears of the suspicion at once and can refute it.
         self.ping(address, vec![suspect], outputs);
     }
@@ -380,7 +387,7 @@
             if let Some(member) = self.table.get(slot) {
                 let mut dead = member.clone();
                 dead.state = MemberState::Dead;
-                self.store(now, dead, true, outputs);
+                self.store(now, dead, PassOn::Brief, outputs);
             }
         }
     }
@@ -498,13 +505,19 @@
         outputs.push(Output::Send { to, packet });
     }
 
-    pub(super) fn packet(&mut self, message: Message, mut members: Vec<Member>) -> Packet {
+    pub(super) fn packet(&mut self, message: Message, members: Vec<Member>) -> Packet {
         let told: usize = members.iter().map(Member::size_bytes).sum();
         let budget = self.spec.piggyback_bytes.saturating_sub(told);
         let bits = (self.table.peers() as u64 + 2).next_power_of_two();
         let limit = MIN_RETRANSMITS + RETRANSMIT_FACTOR * bits.trailing_zeros();
+        let mut packet = self.header(message);
+        packet.members = members;
         self.updates
-            .take(self.now, &self.table, budget, limit, &mut members);
+            .take(self.now, &self.table, budget, limit, &mut packet);
+        packet
+    }
+
+    fn header(&self, message: Message) -> Packet {
         Packet {
             sender: self.me().name.clone(),
             boot_id: self.me().boot_id,
@@ -513,7 +526,8 @@
                 ..Digests::default()
             },
             message,
-            members,
+            members: Vec::new(),
+            briefs: Vec::new(),
             drains: Vec::new(),
         }
     }
--- a/crates/coord/src/membership/message.rs
+++ b/crates/coord/src/membership/message.rs
@@ -9,6 +9,7 @@
 
 use crate::document;
 use crate::drain::DrainEntry;
+use crate::rendezvous::stable_hash;
 
 /// What an instance regards a member as, in ascending order of precedence.
 #[derive(
@@ -53,6 +54,25 @@
         (self.boot_id, self.incarnation, self.state)
     }
 
+    /// Returns the digest of name and boot identifier.
+    #[must_use]
+    pub fn key(&self) -> [u8; 8] {
+        let mut bytes = Vec::with_capacity(self.name.len() + 8);
+        bytes.extend_from_slice(&self.boot_id.to_be_bytes());
+        bytes.extend_from_slice(self.name.as_bytes());
+        stable_hash(&bytes).to_be_bytes()
+    }
+
+    /// Returns the statement for a receiver that knows the member.
+    #[must_use]
+    pub fn brief(&self) -> Brief {
+        Brief {
+            key: self.key(),
+            incarnation: self.incarnation,
+            state: self.state,
+        }
+    }
+
     /// Returns an upper bound of the encoded size, in bytes.
     #[must_use]
     pub fn size_bytes(&self) -> usize {
@@ -62,6 +82,40 @@
     }
 }
 
+/// A statement about a member that the receiver knows; unknown ones are ignored.
+///
+/// It takes a fifth of the bytes of a [`Member`], so that the many statements of a partition or
+/// of its heal spread within the bandwidth for control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// The digest of name and boot identifier.
+    pub key: [u8; 8],
+    /// The incarnation.
+    pub incarnation: u64,
+    /// The state.
+    pub state: MemberState,
+}
+
+impl Brief {
+    /// Returns the encoded size, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        const KEY_AND_STATE_BYTES: usize = 9;
+        let bits = u64::BITS - self.incarnation.leading_zeros();
+        KEY_AND_STATE_BYTES + bits.div_ceil(7).max(1) as usize
+    }
+
+    /// Returns the statement about a member whose key is that of this statement.
+    #[must_use]
+    pub fn expand(&self, known: &Member) -> Member {
+        Member {
+            incarnation: self.incarnation,
+            state: self.state,
+            ..known.clone()
+        }
+    }
+}
+
 /// A message of the failure detector.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -102,7 +156,7 @@
 }
 
 /// A message with its sender, the digests and the piggybacked entries.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Packet {
     /// The name of the sender.
     pub sender: String,
@@ -114,6 +168,8 @@
     pub message: Message,
     /// Piggybacked statements about members.
     pub members: Vec<Member>,
+    /// Piggybacked statements about members that most instances know.
+    pub briefs: Vec<Brief>,
     /// Piggybacked drains.
     pub drains: Vec<DrainEntry>,
 }
--- a/crates/coord/src/membership/mod.rs
+++ b/crates/coord/src/membership/mod.rs
@@ -21,6 +21,7 @@
 mod table;
 
 pub use detector::Membership;
+pub use message::Brief;
 pub use message::Digests;
 pub use message::Member;
 pub use message::MemberState;
--- a/crates/coord/src/membership/receive.rs
+++ b/crates/coord/src/membership/receive.rs
@@ -35,6 +35,14 @@
 /// The shortest time between two requests for all members.
 const MIN_FETCH_INTERVAL_MS: Millis = Millis(5_000);
 
+/// How a statement is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PassOn {
+    No,
+    Brief,
+    Whole,
+}
+
 impl Membership {
     pub(super) fn receive(
         &mut self,
@@ -48,7 +56,13 @@
             return;
         }
         for member in &packet.members {
-            self.apply(now, member, true, outputs);
+            self.apply(now, member, PassOn::Whole, outputs);
+        }
+        for brief in &packet.briefs {
+            let known = self.table.by_key(brief.key);
+            if let Some(member) = known.map(|known| brief.expand(known)) {
+                self.apply(now, &member, PassOn::Brief, outputs);
+            }
         }
         let knows_sender = self.knows(packet);
         match packet.message {
@@ -179,12 +193,18 @@
         self.differs = None;
         for member in members {
             if member.state < MemberState::Suspect || member.name == self.me().name {
-                self.apply(now, member, false, outputs);
+                self.apply(now, member, PassOn::No, outputs);
             }
         }
     }
 
-    fn apply(&mut self, now: Millis, statement: &Member, pass_on: bool, outputs: &mut Vec<Output>) {
+    fn apply(
+        &mut self,
+        now: Millis,
+        statement: &Member,
+        pass_on: PassOn,
+        outputs: &mut Vec<Output>,
+    ) {
         if !is_valid(statement) {
             return;
         }
@@ -205,7 +225,7 @@
         &mut self,
         now: Millis,
         member: Member,
-        pass_on: bool,
+        pass_on: PassOn,
         outputs: &mut Vec<Output>,
     ) {
         let state = member.state;
@@ -219,8 +239,10 @@
             self.deadlines.insert(slot, deadline);
             self.suspects.insert((deadline, slot));
         }
-        if pass_on {
-            self.updates.push(slot, now);
+        match pass_on {
+            PassOn::No => {}
+            PassOn::Brief => self.updates.push(slot, now, false),
+            PassOn::Whole => self.updates.push(slot, now, true),
         }
         self.version += 1;
     }
@@ -230,7 +252,7 @@
         if statement.boot_id > self.me().boot_id {
             self.check_superseded(statement.boot_id, outputs);
         } else if statement.boot_id < self.me().boot_id {
-            self.updates.push(SELF_SLOT, now);
+            self.updates.push(SELF_SLOT, now, true);
         } else if statement.precedence() > self.me().precedence() {
             let mut me = self.me().clone();
             me.incarnation = statement.incarnation.saturating_add(1);
--- a/crates/coord/src/membership/table.rs
+++ b/crates/coord/src/membership/table.rs
@@ -6,6 +6,7 @@
 
 use super::message::Member;
 use super::message::MemberState;
+use super::message::Packet;
 use super::ring::Random;
 use super::ring::Ring;
 use crate::Millis;
@@ -33,6 +34,7 @@
     slots: Vec<Option<Entry>>,
     free: Vec<usize>,
     names: BTreeMap<String, usize>,
+    keys: BTreeMap<[u8; 8], usize>,
     addresses: BTreeMap<SocketAddr, usize>,
     own: Ring,
     other: Ring,
@@ -46,6 +48,7 @@
             slots: Vec::new(),
             free: Vec::new(),
             names: BTreeMap::from([(me.name.clone(), SELF_SLOT)]),
+            keys: BTreeMap::from([(me.key(), SELF_SLOT)]),
             addresses: BTreeMap::from([(me.peer_address, SELF_SLOT)]),
             own: Ring::default(),
             other: Ring::default(),
@@ -80,6 +83,10 @@
         self.names.get(name).copied()
     }
 
+    pub(super) fn by_key(&self, key: [u8; 8]) -> Option<&Member> {
+        self.get(*self.keys.get(&key)?)
+    }
+
     pub(super) fn by_name(&self, name: &str) -> Option<&Member> {
         self.get(self.slot(name)?)
     }
@@ -133,9 +140,11 @@
         let new_place = self.place(&member);
         if let Some(old) = &old {
             self.digest ^= live_hash(old);
+            self.keys.remove(&old.key());
             self.release_address(old.peer_address, slot);
         }
         self.digest ^= live_hash(&member);
+        self.keys.insert(member.key(), slot);
         self.addresses.insert(member.peer_address, slot);
         if old_place != Some(new_place) {
             if let Some(place) = old_place {
@@ -176,6 +185,7 @@
             self.dead.remove(slot);
             if let Some(entry) = self.slots[slot].take() {
                 self.names.remove(&entry.member.name);
+                self.keys.remove(&entry.member.key());
                 self.release_address(entry.member.peer_address, slot);
             }
             self.free.push(slot);
@@ -232,61 +242,101 @@
 struct Pending {
     sent: u32,
     since: Millis,
+    whole: bool,
 }
 
+/// The turn of a statement: how often it was sent, then a rank, then the slot.
+type Turn = (u32, u64, usize);
+
 /// The statements to pass on, those that were sent least often first.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Updates {
+    salt: u64,
     pending: BTreeMap<usize, Pending>,
-    order: BTreeSet<(u32, usize)>,
+    order: BTreeSet<Turn>,
 }
 
 impl Updates {
-    /// Adds the entry of a slot, or starts again with it.
-    pub(super) fn push(&mut self, slot: usize, since: Millis) {
-        let pending = Pending { sent: 0, since };
-        if let Some(old) = self.pending.insert(slot, pending) {
-            self.order.remove(&(old.sent, slot));
+    /// Creates an empty list. The salt differs between instances, so that they do not pass on the
+    /// same statements first when there are many.
+    pub(super) fn new(salt: u64) -> Self {
+        Self {
+            salt,
+            pending: BTreeMap::new(),
+            order: BTreeSet::new(),
+        }
+    }
+
+    fn turn(&self, sent: u32, slot: usize) -> Turn {
+        // What an instance says about itself goes first.
+        let rank = if slot == SELF_SLOT {
+            0
+        } else {
+            (slot as u64).wrapping_mul(self.salt | 1)
+        };
+        (sent, rank, slot)
+    }
+
+    /// Adds the entry of a slot, or starts again with it. It is passed on as a whole when other
+    /// instances may not know the member yet.
+    pub(super) fn push(&mut self, slot: usize, since: Millis, whole: bool) {
+        let old = self.pending.get(&slot).copied();
+        if let Some(old) = old {
+            self.order.remove(&self.turn(old.sent, slot));
         }
-        self.order.insert((0, slot));
+        let pending = Pending {
+            sent: 0,
+            since,
+            whole: whole || old.is_some_and(|old| old.whole),
+        };
+        self.pending.insert(slot, pending);
+        self.order.insert(self.turn(0, slot));
     }
 
-    /// Adds entries that fit into a number of bytes to `members`, each at most `limit` times.
+    /// Adds entries that fit into a number of bytes to a packet, each at most `limit` times.
     pub(super) fn take(
         &mut self,
         now: Millis,
         table: &Table,
         mut budget_bytes: usize,
         limit: u32,
-        members: &mut Vec<Member>,
+        packet: &mut Packet,
     ) {
         let mut taken = Vec::new();
-        for &(sent, slot) in &self.order {
-            if let Some(member) = table.get(slot) {
-                let size = member.size_bytes();
+        for &turn in &self.order {
+            if let (Some(member), Some(pending)) = (table.get(turn.2), self.pending.get(&turn.2)) {
+                let size = if pending.whole {
+                    member.size_bytes()
+                } else {
+                    member.brief().size_bytes()
+                };
                 if size > budget_bytes {
                     break;
                 }
                 budget_bytes -= size;
-                if !members.contains(member) {
-                    members.push(member.clone());
+                if !pending.whole {
+                    packet.briefs.push(member.brief());
+                } else if !packet.members.contains(member) {
+                    packet.members.push(member.clone());
                 }
             }
-            taken.push((sent, slot));
+            taken.push(turn);
         }
-        for (sent, slot) in taken {
-            self.count(now, sent, slot, limit);
+        for turn in taken {
+            self.count(now, turn, limit);
         }
     }
 
-    fn count(&mut self, now: Millis, sent: u32, slot: usize, limit: u32) {
-        self.order.remove(&(sent, slot));
+    fn count(&mut self, now: Millis, turn: Turn, limit: u32) {
+        self.order.remove(&turn);
+        let (sent, _, slot) = turn;
+        let sent = sent + 1;
         let Some(pending) = self.pending.get_mut(&slot) else {
             return;
         };
-        pending.sent += 1;
-        if pending.sent < limit && now - pending.since < PASS_ON_MS {
-            self.order.insert((pending.sent, slot));
+        pending.sent = sent;
+        if sent < limit && now - pending.since < PASS_ON_MS {
+            self.order.insert(self.turn(sent, slot));
         } else {
             self.pending.remove(&slot);
         }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -254,9 +254,7 @@
     ///
     /// Returns an error when the body does not fit into a datagram.
     pub fn send(&self, to: SocketAddr, body: Body) -> Result<(), DatagramError> {
-        let mut packet = lock(&self.state).notice();
-        // The piggybacked entries would take the room of the body.
-        packet.members.clear();
+        let packet = self.read(Gossip::bare_notice);
         let mut datagram = Datagram::from_packet(&self.cluster, packet);
         datagram.body = body;
         let bytes = datagram.encode()?;
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -6,6 +6,7 @@
 
 use arbutus_coord::Millis;
 use arbutus_coord::drain::DrainEntry;
+use arbutus_coord::membership::Brief;
 use arbutus_coord::membership::Digests;
 use arbutus_coord::membership::Member;
 use arbutus_coord::membership::Message;
@@ -35,6 +36,8 @@
     pub body: Body,
     /// Piggybacked statements about members.
     pub members: Vec<Member>,
+    /// Piggybacked statements about members that most instances know.
+    pub briefs: Vec<Brief>,
     /// Piggybacked drains.
     pub drains: Vec<DrainEntry>,
 }
@@ -121,6 +124,7 @@
             digests: packet.digests,
             body: Body::Membership(packet.message),
             members: packet.members,
+            briefs: packet.briefs,
             drains: packet.drains,
         }
     }
@@ -140,6 +144,7 @@
             digests: self.digests,
             message,
             members: self.members,
+            briefs: self.briefs,
             drains: self.drains,
         };
         (packet, body)
--- a/crates/wire/tests/encoding.rs
+++ b/crates/wire/tests/encoding.rs
@@ -42,6 +42,7 @@
         digests: Digests::default(),
         body,
         members: Vec::new(),
+        briefs: Vec::new(),
         drains: Vec::new(),
     }
 }
--- a/crates/wire/tests/size.rs
+++ b/crates/wire/tests/size.rs
@@ -67,6 +67,7 @@
             message: arbutus_coord::membership::Message::Ping { sequence: u64::MAX },
             digests: gossip.notice().digests,
             members: vec![member(index, index % 3)],
+            briefs: Vec::new(),
             drains: Vec::new(),
         };
         let from = packet.members[0].peer_address;
