daemon: dispatch through granted slots, with breakers, retry budget and hedging

A stage takes a slot that the target's owner has granted, waits for one within its deadline, and repeats idempotent calls within the service's retry budget. Streams resume at their offset. Requests that make two targets fail are quarantined.

--- a/crates/coord/src/entity.rs
+++ b/crates/coord/src/entity.rs
@@ -112,6 +112,11 @@
         &self.names[entity.index() as usize]
     }
 
+    /// Returns all names in the order in which they were added.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.names.iter().map(String::as_str)
+    }
+
     /// Returns the number of names.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -1,10 +1,13 @@
-//! Runs one stage at a target, with retries and resumption of streams.
+//! Runs one stage: takes a slot, makes attempts, and resumes broken streams.
 //!
 //! An attempt counts as sent before its call is written. A non-idempotent call is tried again
-//! only while nothing was sent.
+//! only while nothing was sent. Retries are paid from the service's budget; the resumption of a
+//! stream that has made progress is not, because it repeats no work.
 
 use std::collections::BTreeSet;
-use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::thread;
 
 use arbutus_coord::Millis;
 use arbutus_coord::entity::Target;
@@ -12,127 +15,79 @@
 use arbutus_policy::attempt::AttemptIds;
 use arbutus_policy::attempt::Sent;
 use arbutus_policy::attempt::Unsent;
-use arbutus_policy::stream::Assembler;
-use arbutus_policy::stream::Event;
-use arbutus_policy::stream::Frame;
-use arbutus_wire::target::GenerateBody;
+use arbutus_policy::quarantine::Fingerprint;
 use serde_json::Value;
 use serde_json::json;
 
-use crate::metrics::AttemptLabels;
+use crate::call::StreamEnd;
+use crate::call::TokenStream;
+use crate::call::call_once;
+use crate::call::call_stream;
+use crate::hedge::call_hedged;
 use crate::node::Node;
 use crate::problem::Problem;
 use crate::problem::Reason;
+use crate::services::ServiceState;
+use crate::slots::NoSlot;
 use crate::slots::Slot;
-use crate::target_client::CallContext;
+use crate::slots::SlotRequest;
+use crate::stage::StageCall;
+use crate::stage::StageDone;
+use crate::stage::TokenSink;
 use crate::target_client::CallError;
 
-/// The caller went away, so tokens cannot be delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SinkClosed;
-
-/// The receiver of the tokens of a stream, in order and each once.
-pub trait TokenSink {
-    /// Delivers a token.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`SinkClosed`] when the caller went away.
-    fn token(&mut self, offset: u32, text: &str) -> Result<(), SinkClosed>;
-}
-
-/// A sink for stages whose tokens nobody waits for one by one.
-#[derive(Clone, Copy, Debug)]
-pub struct NoSink;
-
-impl TokenSink for NoSink {
-    fn token(&mut self, _offset: u32, _text: &str) -> Result<(), SinkClosed> {
-        Ok(())
-    }
-}
-
-/// What a stage needs to run.
-#[derive(Clone, Copy, Debug)]
-pub struct StageCall<'a> {
-    /// The service that runs the stage.
-    pub service: &'a str,
-    /// Whether the service streams tokens.
-    pub streams: bool,
-    /// The organisation on whose behalf the stage runs.
-    pub organisation: &'a str,
-    /// The urgency, 0 being the most urgent.
-    pub priority: u8,
-    /// When the answer is due.
-    pub deadline: Millis,
-    /// The longest silence within a stream.
-    pub stall_ms: Millis,
-    /// The largest number of tokens.
-    pub max_tokens: u32,
-    /// The largest number of attempts that are sent.
-    pub max_attempts: u32,
-    /// The idempotency key of a non-idempotent call.
-    pub idempotency_key: Option<&'a str>,
-    /// The caller's JSON, or the previous stage's output.
-    pub input: &'a Value,
-}
-
-/// A stage that has run.
-#[derive(Debug)]
-pub struct StageDone {
-    /// The output.
-    pub output: Value,
-    /// The attempt that ran the stage.
-    pub attempt: Attempt<Sent>,
-}
+const BUSY_RETRY_MS: Millis = Millis(500);
 
 enum Outcome {
     Done(Value, Attempt<Sent>),
     NotSent(Attempt<Unsent>, String),
-    Failed(Attempt<Sent>, String),
+    Failed {
+        attempt: Attempt<Sent>,
+        failure: String,
+        progressed: bool,
+    },
     CallerGone,
 }
 
-/// The tokens of a stream over all its attempts.
-struct TokenStream {
-    assembler: Assembler,
-    started: bool,
-    text: String,
-}
-
 /// Runs a stage.
 ///
 /// # Errors
 ///
 /// Returns the problem that the caller gets.
 pub fn run_stage(
-    node: &Node,
-    call: StageCall<'_>,
+    node: &Arc<Node>,
+    call: &StageCall,
     attempt: Attempt<Unsent>,
     sink: &mut dyn TokenSink,
 ) -> Result<StageDone, Problem> {
+    let mut stage = Stage::new(node, call);
     let mut attempt = attempt;
-    let mut excluded = BTreeSet::new();
-    let mut sent = 0;
-    let mut last_failure = None;
-    let mut stream = TokenStream {
-        assembler: Assembler::new(node.now(), call.stall_ms),
-        started: false,
-        text: String::new(),
-    };
     loop {
+        if let Some(remaining_ms) = quarantined(node, call) {
+            let detail = "targets failed each time that they ran this request";
+            return Err(refuse(attempt, Reason::Quarantined, detail).with_retry_after(remaining_ms));
+        }
         if node.now() >= call.deadline {
             return Err(refuse(attempt, Reason::Deadline, "the deadline has passed"));
         }
-        let Some(slot) = acquire(node, call, &excluded) else {
-            let detail = last_failure
-                .unwrap_or_else(|| format!("no target of service {} is available", call.service));
-            return Err(refuse(attempt, Reason::NoTarget, detail));
+        let slot = match acquire(node, call, &stage.excluded(), call.deadline) {
+            Ok(slot) => slot,
+            // The only targets left have failed once; the retry budget allows another attempt.
+            Err(NoSlot::NoTarget) if !stage.failed.is_empty() => {
+                stage.failed.clear();
+                continue;
+            }
+            Err(no_slot) => return Err(stage.refuse_without_slot(attempt, no_slot)),
         };
         let target = slot.target;
-        match run_attempt(node, call, attempt, &slot, &mut stream, sink) {
-            Outcome::Done(output, attempt) => return Ok(StageDone { output, attempt }),
+        match stage.run_attempt(attempt, slot, sink) {
+            Outcome::Done(output, attempt) => {
+                forgive(node, call);
+                return Ok(StageDone { output, attempt });
+            }
             Outcome::NotSent(unsent, failure) => {
-                last_failure = Some(failure);
+                stage.last_failure = Some(failure);
+                stage.unreachable.insert(target);
                 let id = next_attempt_id(unsent.ids());
                 attempt = unsent.retarget(id);
             }
@@ -142,17 +97,15 @@
                     "the caller went away",
                 ));
             }
-            Outcome::Failed(failed, failure) => {
-                sent += 1;
-                if call.idempotency_key.is_some() || sent >= call.max_attempts {
-                    return Err(Problem::unknown(Reason::StageFailed, failure));
-                }
-                last_failure = Some(failure);
-                let id = next_attempt_id(failed.ids());
-                attempt = failed.follow(failed.ids().stage.clone(), id);
+            Outcome::Failed {
+                attempt: failed,
+                failure,
+                progressed,
+            } => {
+                stage.failed.insert(target);
+                attempt = stage.retry(&failed, failure, progressed)?;
             }
         }
-        excluded.insert(target);
     }
 }
 
@@ -164,151 +117,213 @@
     }
 }
 
-fn acquire<'a>(
-    node: &'a Node,
-    call: StageCall<'_>,
+/// Takes a slot at a target of this failure domain.
+pub(crate) fn acquire(
+    node: &Node,
+    call: &StageCall,
     excluded: &BTreeSet<Target>,
-) -> Option<Slot<'a>> {
-    let directory = node.directory();
-    node.slots.acquire(
-        &directory,
-        call.service,
-        &node.settings.failure_domain,
+    until: Millis,
+) -> Result<Slot, NoSlot> {
+    let request = SlotRequest {
+        service: &call.service,
         excluded,
-    )
+        prefix: call.prefix,
+        until,
+    };
+    node.slots
+        .acquire(request, &|| node.now(), &|| node.random())
 }
 
-fn run_attempt(
-    node: &Node,
-    call: StageCall<'_>,
-    attempt: Attempt<Unsent>,
-    slot: &Slot<'_>,
-    stream: &mut TokenStream,
-    sink: &mut dyn TokenSink,
-) -> Outcome {
-    let now = node.now();
-    let context = CallContext {
-        organisation: call.organisation,
-        priority: call.priority,
-        idempotency_key: call.idempotency_key,
-        timeout_ms: call.deadline - now,
-    };
-    let attempt = attempt.send(now);
-    let outcome = if call.streams {
-        run_stream(node, call, attempt, slot, context, stream, sink)
-    } else {
-        let answer = node
-            .targets
-            .call(slot.address, attempt.ids(), context, call.input);
-        match answer {
+/// Returns the identifier after `{request}.{stage}.{number}`.
+pub(crate) fn next_attempt_id(ids: &AttemptIds) -> String {
+    let number = ids
+        .attempt
+        .rsplit('.')
+        .next()
+        .and_then(|number| number.parse::<u32>().ok())
+        .unwrap_or(0);
+    format!("{}.{}.{}", ids.request, ids.stage, number + 1)
+}
+
+/// The state of a stage over its attempts.
+struct Stage<'a> {
+    node: &'a Arc<Node>,
+    call: &'a StageCall,
+    /// The targets to which no connection could be established.
+    unreachable: BTreeSet<Target>,
+    /// The targets that have failed an attempt.
+    failed: BTreeSet<Target>,
+    /// The attempts in a row that were sent and made no progress.
+    fruitless: u32,
+    last_failure: Option<String>,
+    stream: TokenStream,
+}
+
+impl<'a> Stage<'a> {
+    fn new(node: &'a Arc<Node>, call: &'a StageCall) -> Self {
+        Self {
+            node,
+            call,
+            unreachable: BTreeSet::new(),
+            failed: BTreeSet::new(),
+            fruitless: 0,
+            last_failure: None,
+            stream: TokenStream::new(node.now(), call.stall_ms),
+        }
+    }
+
+    fn excluded(&self) -> BTreeSet<Target> {
+        self.unreachable.union(&self.failed).copied().collect()
+    }
+
+    fn run_attempt(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        slot: Slot,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let now = self.node.now();
+        if !slot.may_start(now) {
+            return Outcome::NotSent(attempt, "the slot expired".to_owned());
+        }
+        let attempt = attempt.send(now);
+        if self.call.streams {
+            return self.run_stream(attempt, &slot, sink);
+        }
+        let delay_ms = self.hedge_delay(now);
+        let (attempt, result) = if let Some(delay_ms) = delay_ms {
+            call_hedged(self.node, self.call, attempt, slot, delay_ms)
+        } else {
+            let result = call_once(self.node, self.call, attempt.ids(), &slot);
+            (attempt, result)
+        };
+        match result {
             Ok(output) => Outcome::Done(output, attempt),
             Err(error) => failed(attempt, &error),
         }
-    };
-    count(node, call.service, &outcome);
-    outcome
-}
-
-fn run_stream(
-    node: &Node,
-    call: StageCall<'_>,
-    attempt: Attempt<Sent>,
-    slot: &Slot<'_>,
-    context: CallContext<'_>,
-    stream: &mut TokenStream,
-    sink: &mut dyn TokenSink,
-) -> Outcome {
-    let body = GenerateBody {
-        input: call.input.clone(),
-        max_tokens: call.max_tokens,
-        resume_at: stream.assembler.resume_at(),
-    };
-    if stream.started {
-        stream.assembler.resume(node.now());
     }
-    stream.started = true;
-    let source = stream.assembler.source();
-    let mut end = None;
-    let receive = |frame: Frame| {
-        for event in stream.assembler.push(node.now(), source, frame) {
-            match event {
-                Event::Token { offset, text } => {
-                    stream.text.push_str(&text);
-                    if sink.token(offset, &text).is_err() {
-                        end = Some(StreamEnd::CallerGone);
-                    }
-                }
-                Event::Done { tokens } => end = Some(StreamEnd::Done(tokens)),
-                Event::Broken { fault, resume_at } => {
-                    end = Some(StreamEnd::Broken(format!(
-                        "stream {fault} at token {resume_at}"
-                    )));
+
+    fn run_stream(
+        &mut self,
+        attempt: Attempt<Sent>,
+        slot: &Slot,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let stream = &mut self.stream;
+        match call_stream(self.node, self.call, attempt.ids(), slot, stream, sink) {
+            Ok(StreamEnd::Done { tokens }) => {
+                let output = json!({ "text": stream.text(), "tokens": tokens });
+                Outcome::Done(output, attempt)
+            }
+            Ok(StreamEnd::CallerGone) => Outcome::CallerGone,
+            Ok(StreamEnd::Broken { fault, progressed }) => {
+                self.node.metrics.count(&format!("stream_{fault}"));
+                let failure = format!("stream {fault} at token {}", stream.resume_at());
+                Outcome::Failed {
+                    attempt,
+                    failure,
+                    progressed,
                 }
             }
+            Err(error) => failed(attempt, &error),
         }
-        if end.is_some() {
-            ControlFlow::Break(())
-        } else {
-            ControlFlow::Continue(())
+    }
+
+    fn hedge_delay(&self, now: Millis) -> Option<Millis> {
+        if !self.call.hedge || !self.call.is_idempotent() {
+            return None;
         }
-    };
-    let ids = attempt.ids();
-    let started = node
-        .targets
-        .generate(slot.address, ids, context, call.stall_ms, &body, receive);
-    if let Err(error) = started {
-        return failed(attempt, &error);
+        self.node
+            .slots
+            .with_service(now, &self.call.service, ServiceState::hedge_delay)
     }
-    match end {
-        Some(StreamEnd::Done(tokens)) => {
-            Outcome::Done(json!({ "text": stream.text, "tokens": tokens }), attempt)
+
+    /// Returns the attempt that repeats a failed one, after its delay.
+    fn retry(
+        &mut self,
+        failed: &Attempt<Sent>,
+        failure: String,
+        progressed: bool,
+    ) -> Result<Attempt<Unsent>, Problem> {
+        if !self.call.is_idempotent() {
+            return Err(Problem::unknown(Reason::StageFailed, failure));
         }
-        Some(StreamEnd::CallerGone) => {
-            node.targets.cancel(slot.address, attempt.ids());
-            Outcome::CallerGone
+        if progressed {
+            self.fruitless = 0;
+        } else {
+            self.fruitless += 1;
+            self.wait_before_retry(&failure)?;
         }
-        Some(StreamEnd::Broken(failure)) => {
-            node.targets.cancel(slot.address, attempt.ids());
-            Outcome::Failed(attempt, failure)
+        self.last_failure = Some(failure);
+        let id = next_attempt_id(failed.ids());
+        Ok(failed.follow(failed.ids().stage.clone(), id))
+    }
+
+    fn wait_before_retry(&self, failure: &str) -> Result<(), Problem> {
+        let now = self.node.now();
+        let random = self.node.random();
+        let delay = self
+            .node
+            .slots
+            .with_service(now, &self.call.service, |state| {
+                state.try_retry(now, self.fruitless, self.call.deadline, random)
+            });
+        match delay {
+            Ok(delay_ms) => {
+                thread::sleep(delay_ms.to_duration());
+                Ok(())
+            }
+            Err(refusal) => {
+                self.node.metrics.count("retry_refused");
+                Err(Problem::unknown(
+                    Reason::StageFailed,
+                    format!("{failure}; {refusal}"),
+                ))
+            }
         }
-        None => Outcome::Failed(attempt, "the stream ended without a frame".to_owned()),
     }
-}
 
-enum StreamEnd {
-    Done(u32),
-    Broken(String),
-    CallerGone,
+    fn refuse_without_slot(&mut self, attempt: Attempt<Unsent>, no_slot: NoSlot) -> Problem {
+        let service = &self.call.service;
+        let last_failure = self.last_failure.take();
+        match no_slot {
+            NoSlot::NoTarget => {
+                let detail = last_failure
+                    .unwrap_or_else(|| format!("no target of service {service} takes calls"));
+                refuse(attempt, Reason::NoTarget, detail).with_retry_after(BUSY_RETRY_MS)
+            }
+            NoSlot::Busy => {
+                let detail = format!("all targets of service {service} stayed busy");
+                refuse(attempt, Reason::Deadline, detail)
+            }
+        }
+    }
 }
 
 fn failed(attempt: Attempt<Sent>, error: &CallError) -> Outcome {
+    let failure = error.to_string();
     match error {
-        CallError::NotConnected(_) => Outcome::NotSent(attempt.not_connected(), error.to_string()),
-        _ => Outcome::Failed(attempt, error.to_string()),
+        CallError::NotConnected(_) => Outcome::NotSent(attempt.not_connected(), failure),
+        _ => Outcome::Failed {
+            attempt,
+            failure,
+            progressed: false,
+        },
     }
 }
 
-fn count(node: &Node, service: &str, outcome: &Outcome) {
-    let outcome = match outcome {
-        Outcome::Done(..) => "done",
-        Outcome::NotSent(..) => "not_sent",
-        Outcome::Failed(..) => "failed",
-        Outcome::CallerGone => "caller_gone",
-    };
-    let labels = AttemptLabels {
-        service: service.to_owned(),
-        outcome: outcome.to_owned(),
-    };
-    node.metrics.attempts.get_or_create(&labels).inc();
+fn quarantined(node: &Node, call: &StageCall) -> Option<Millis> {
+    let quarantine = node
+        .quarantine
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    quarantine.remaining(node.now(), Fingerprint(call.fingerprint))
 }
 
-/// Returns the identifier after `{request}.{stage}.{number}`.
-fn next_attempt_id(ids: &AttemptIds) -> String {
-    let number = ids
-        .attempt
-        .rsplit('.')
-        .next()
-        .and_then(|number| number.parse::<u32>().ok())
-        .unwrap_or(0);
-    format!("{}.{}.{}", ids.request, ids.stage, number + 1)
+fn forgive(node: &Node, call: &StageCall) {
+    let mut quarantine = node
+        .quarantine
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    quarantine.record_success(Fingerprint(call.fingerprint));
 }
--- /dev/null
+++ b/crates/daemon/src/hedge.rs
@@ -0,0 +1,117 @@
+//! A second attempt of an idempotent call that takes unusually long.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::Sender;
+use std::thread;
+
+use arbutus_coord::Millis;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Sent;
+use serde_json::Value;
+
+use crate::call::call_once;
+use crate::dispatch::acquire;
+use crate::dispatch::next_attempt_id;
+use crate::node::Node;
+use crate::services::ServiceState;
+use crate::slots::Slot;
+use crate::stage::StageCall;
+use crate::target_client::CallError;
+
+const ATTEMPT_STACK_BYTES: usize = 256 * 1024;
+
+type Answer = (usize, Result<Value, CallError>);
+
+/// Runs a call and hedges it once when it takes longer than a delay.
+///
+/// Returns the attempt whose answer counts, which is the last one when all have failed.
+pub fn call_hedged(
+    node: &Arc<Node>,
+    call: &StageCall,
+    attempt: Attempt<Sent>,
+    slot: Slot,
+    delay_ms: Millis,
+) -> (Attempt<Sent>, Result<Value, CallError>) {
+    let (sender, receiver) = mpsc::channel();
+    let mut excluded = BTreeSet::from([slot.target]);
+    let mut addresses = vec![slot.address];
+    let mut attempts = vec![attempt];
+    spawn(node, call, attempts[0].ids(), slot, 0, &sender);
+    let mut running = 1;
+    let mut wait_ms = delay_ms;
+    loop {
+        match receiver.recv_timeout(wait_ms.to_duration()) {
+            Ok((index, Ok(output))) => {
+                cancel_others(node, &attempts, &addresses, index);
+                return (attempts.swap_remove(index), Ok(output));
+            }
+            Ok((index, Err(error))) => {
+                running -= 1;
+                if running == 0 {
+                    return (attempts.swap_remove(index), Err(error));
+                }
+            }
+            Err(RecvTimeoutError::Disconnected) => {
+                let error = CallError::Failed("the attempt's thread was not started".to_owned());
+                return (attempts.swap_remove(0), Err(error));
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+        wait_ms = call.deadline - node.now() + Millis(1);
+        if attempts.len() > 1 {
+            continue;
+        }
+        let now = node.now();
+        let wanted = node
+            .slots
+            .with_service(now, &call.service, ServiceState::try_hedge);
+        let Some(slot) = acquire(node, call, &excluded, now).ok().filter(|_| wanted) else {
+            continue;
+        };
+        excluded.insert(slot.target);
+        addresses.push(slot.address);
+        let first = &attempts[0];
+        let id = next_attempt_id(first.ids());
+        let second = first.follow(first.ids().stage.clone(), id).send(now);
+        node.metrics.count("hedged");
+        spawn(node, call, second.ids(), slot, 1, &sender);
+        attempts.push(second);
+        running += 1;
+    }
+}
+
+fn spawn(
+    node: &Arc<Node>,
+    call: &StageCall,
+    ids: &AttemptIds,
+    slot: Slot,
+    index: usize,
+    sender: &Sender<Answer>,
+) {
+    let node = Arc::clone(node);
+    let call = call.clone();
+    let ids = ids.clone();
+    let sender = sender.clone();
+    let spawned = thread::Builder::new()
+        .name("attempt".to_owned())
+        .stack_size(ATTEMPT_STACK_BYTES)
+        .spawn(move || {
+            let result = call_once(&node, &call, &ids, &slot);
+            // The receiver is gone when the other attempt was faster.
+            drop(sender.send((index, result)));
+        });
+    drop(spawned);
+}
+
+fn cancel_others(node: &Node, attempts: &[Attempt<Sent>], addresses: &[SocketAddr], winner: usize) {
+    for (index, attempt) in attempts.iter().enumerate() {
+        if index != winner {
+            node.targets.cancel(addresses[index], attempt.ids());
+        }
+    }
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -19,8 +19,6 @@
 use tiny_http::Server;
 
 use crate::admin;
-use crate::dispatch::SinkClosed;
-use crate::dispatch::TokenSink;
 use crate::dispatch::refuse;
 use crate::lifecycle::Phase;
 use crate::metrics::OutcomeLabels;
@@ -34,6 +32,8 @@
 use crate::request::CallerRequest;
 use crate::response::EventStream;
 use crate::response::Responder;
+use crate::stage::SinkClosed;
+use crate::stage::TokenSink;
 use crate::stop::Stop;
 use crate::supervisor::ChildResult;
 
@@ -89,7 +89,7 @@
     Ok(())
 }
 
-fn handle(node: &Node, request: Request) {
+fn handle(node: &Arc<Node>, request: Request) {
     let url = request.url().to_owned();
     let path = url.split('?').next().unwrap_or_default();
     let sent = match path {
@@ -118,7 +118,7 @@
     respond(node, request).send_json(status, &json!({ "phase": phase.to_string() }))
 }
 
-fn pipeline_request(node: &Node, mut request: Request, pipeline: &str) -> io::Result<()> {
+fn pipeline_request(node: &Arc<Node>, mut request: Request, pipeline: &str) -> io::Result<()> {
     if *request.method() != Method::Post {
         return refuse_request(node, request, Reason::MethodNotAllowed, "use POST");
     }
@@ -140,7 +140,7 @@
     }
 }
 
-fn run(node: &Node, request: Request, caller_request: &CallerRequest) -> io::Result<()> {
+fn run(node: &Arc<Node>, request: Request, caller_request: &CallerRequest) -> io::Result<()> {
     let responder = Responder::new(request, &caller_request.id, closes(node));
     let mut sink = CallerSink::new(node, caller_request, responder);
     let result = pipeline::run(node, caller_request, &mut sink);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,19 +4,24 @@
 //! owns the threads and sockets, and passes time, messages and answers to them.
 
 pub mod admin;
+pub mod call;
 pub mod claims;
 pub mod directory;
 pub mod dispatch;
+pub mod hedge;
 pub mod http;
 pub mod lifecycle;
 pub mod metrics;
 pub mod node;
+pub mod owner;
 pub mod pipeline;
 pub mod platform;
 pub mod problem;
 pub mod request;
 pub mod response;
+pub mod services;
 pub mod slots;
+pub mod stage;
 pub mod stop;
 pub mod supervisor;
 pub mod target_client;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,7 @@
 //! The state that the threads of an instance share.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicU64;
@@ -11,13 +12,20 @@
 use arbutus_config::Settings;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
+use arbutus_policy::quarantine::Quarantine;
+use arbutus_policy::quarantine::QuarantineEntry;
+use arbutus_policy::quarantine::QuarantineSettings;
 use arbutus_wire::platform::InstanceList;
 use log::info;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::claims::Claims;
 use crate::directory::Directory;
 use crate::lifecycle::PhaseCell;
 use crate::metrics::Metrics;
+use crate::owner::Owners;
 use crate::platform::Platform;
 use crate::slots::Slots;
 use crate::target_client::TargetClient;
@@ -49,13 +57,18 @@
     /// The targets' client.
     pub targets: TargetClient,
     /// The slots at targets.
-    pub slots: Slots,
+    pub slots: Arc<Slots>,
+    /// The targets whose slots this instance grants.
+    pub owners: Owners,
+    /// The requests that made targets fail.
+    pub quarantine: Mutex<Quarantine>,
     /// The claims of non-idempotent requests.
     pub claims: Claims,
     active: RwLock<Arc<Active>>,
     directory: RwLock<Arc<Directory>>,
     in_flight: AtomicUsize,
     next_request: AtomicU64,
+    random: Mutex<ChaCha8Rng>,
 }
 
 /// A request that counts as in progress until it is dropped.
@@ -75,7 +88,10 @@
             phase: PhaseCell::default(),
             metrics: Metrics::new(),
             targets: TargetClient::new(),
-            slots: Slots::new(),
+            slots: Arc::new(Slots::new(boot_id)),
+            owners: Owners::new(),
+            quarantine: Mutex::new(Quarantine::new(QuarantineSettings::default())),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(boot_id)),
             claims: Claims::new(platform.clone()),
             platform,
             active: RwLock::default(),
@@ -92,6 +108,20 @@
         self.clock.now()
     }
 
+    /// Returns a uniformly distributed random number.
+    #[must_use]
+    pub fn random(&self) -> u64 {
+        self.random
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .next_u64()
+    }
+
+    /// Tells other instances about a request that made targets fail.
+    pub fn share_quarantine(&self, _entry: QuarantineEntry) {
+        self.metrics.count("target_failed_during_request");
+    }
+
     /// Returns an identifier that no other request has, also after a restart.
     #[must_use]
     pub fn new_request_id(&self) -> String {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -3,20 +3,20 @@
 //! A non-idempotent pipeline ends with one call that must not be repeated. Its claim is confirmed
 //! before that call is dispatched; the stages before it may run again when the caller resends.
 
+use std::sync::Arc;
+
 use arbutus_config::deployment::ClassSpec;
 use arbutus_config::deployment::ServiceKind;
 use arbutus_config::deployment::StageSpec;
 use arbutus_policy::attempt::Attempt;
 use arbutus_policy::attempt::AttemptIds;
 use arbutus_policy::attempt::Unsent;
+use arbutus_policy::balance::prefix_key;
 use serde_json::Value;
 
 use crate::claims::ClaimKey;
 use crate::claims::HeldClaim;
 use crate::claims::Proposal;
-use crate::dispatch::NoSink;
-use crate::dispatch::StageCall;
-use crate::dispatch::TokenSink;
 use crate::dispatch::refuse;
 use crate::dispatch::run_stage;
 use crate::node::Node;
@@ -24,6 +24,12 @@
 use crate::problem::Problem;
 use crate::problem::Reason;
 use crate::request::CallerRequest;
+use crate::stage::NoSink;
+use crate::stage::StageCall;
+use crate::stage::TokenSink;
+
+/// The field of a caller's JSON whose start engines cache.
+const PROMPT_FIELD: &str = "prompt";
 
 /// The whole answer to a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,7 +50,7 @@
 ///
 /// Panics when the pipeline has no stages, which validation rules out.
 pub fn run(
-    node: &Node,
+    node: &Arc<Node>,
     request: &CallerRequest,
     sink: &mut dyn TokenSink,
 ) -> Result<Answer, Problem> {
@@ -57,14 +63,14 @@
     let mut attempt = first_attempt(request, &first_stage.name);
     for (index, stage) in earlier.iter().enumerate() {
         let call = stage_call(request, stage, &input, None);
-        let done = run_stage(node, call, attempt, &mut NoSink)?;
+        let done = run_stage(node, &call, attempt, &mut NoSink)?;
         let next = &stages[index + 1].name;
         attempt = done.attempt.follow(next.clone(), attempt_id(request, next));
         input = done.output;
     }
     if request.spec().idempotent {
         let call = stage_call(request, last, &input, None);
-        let done = run_stage(node, call, attempt, sink)?;
+        let done = run_stage(node, &call, attempt, sink)?;
         return Ok(Answer {
             output: done.output,
             replayed: false,
@@ -82,7 +88,7 @@
 }
 
 fn run_claimed(
-    node: &Node,
+    node: &Arc<Node>,
     request: &CallerRequest,
     stage: &StageSpec,
     input: &Value,
@@ -104,7 +110,7 @@
     {
         Proposal::Confirmed(claim) => {
             let call = stage_call(request, stage, input, Some(idempotency_key));
-            let result = run_stage(node, call, attempt, sink);
+            let result = run_stage(node, &call, attempt, sink);
             record(node, claim, result.map(|done| done.output))
         }
         Proposal::Settled(output) => Ok(Answer {
@@ -125,7 +131,7 @@
 }
 
 fn record(
-    node: &Node,
+    node: &Arc<Node>,
     claim: HeldClaim,
     result: Result<Value, Problem>,
 ) -> Result<Answer, Problem> {
@@ -148,25 +154,29 @@
     }
 }
 
-fn stage_call<'a>(
-    request: &'a CallerRequest,
-    stage: &'a StageSpec,
-    input: &'a Value,
-    idempotency_key: Option<&'a str>,
-) -> StageCall<'a> {
+fn stage_call(
+    request: &CallerRequest,
+    stage: &StageSpec,
+    input: &Value,
+    idempotency_key: Option<&str>,
+) -> StageCall {
     let deployment = &request.active.deployment;
     let class: &ClassSpec = &deployment.classes[&request.spec().class];
+    let prompt = request.body.get(PROMPT_FIELD).and_then(Value::as_str);
     StageCall {
-        service: &stage.service,
+        service: stage.service.clone(),
         streams: deployment.services[&stage.service].kind == ServiceKind::Engine,
-        organisation: &request.organisation,
+        organisation: request.organisation.clone(),
         priority: class.priority,
         deadline: request.deadline,
         stall_ms: class.stall_ms,
         max_tokens: stage.max_tokens,
-        max_attempts: deployment.policy.max_attempts,
-        idempotency_key,
-        input,
+        hedge: class.hedge,
+        idempotency_key: idempotency_key.map(str::to_owned),
+        fingerprint: request.fingerprint,
+        prefix: prompt.map(prefix_key),
+        input: input.clone(),
+        forwarded: false,
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/services.rs
@@ -0,0 +1,157 @@
+//! The routing state of each service: retry budget, breakers, choice and hedging.
+
+use std::collections::BTreeMap;
+
+use arbutus_config::deployment::Choice as ConfiguredChoice;
+use arbutus_config::deployment::PolicySpec;
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Target;
+use arbutus_policy::balance::Balance;
+use arbutus_policy::balance::BalanceSettings;
+use arbutus_policy::balance::Candidate;
+use arbutus_policy::balance::Choice;
+use arbutus_policy::health::CallOutcome;
+use arbutus_policy::health::HealthSettings;
+use arbutus_policy::health::HealthTable;
+use arbutus_policy::health::Permit;
+use arbutus_policy::hedge::Hedge;
+use arbutus_policy::hedge::HedgeSettings;
+use arbutus_policy::retry::RetryBudget;
+use arbutus_policy::retry::RetryRefusal;
+use arbutus_policy::retry::RetryRequest;
+use arbutus_policy::retry::RetrySettings;
+
+/// The weight of the newest measurement in the moving average of a service's latency.
+const LATENCY_WEIGHT: f64 = 0.1;
+
+/// The routing state of one service.
+#[derive(Debug)]
+pub struct ServiceState {
+    retry: RetryBudget,
+    health: HealthTable,
+    balance: Balance,
+    hedge: Hedge,
+    latency_ms: f64,
+}
+
+/// The routing state of all services.
+#[derive(Debug, Default)]
+pub struct Services {
+    policy: PolicySpec,
+    states: BTreeMap<String, ServiceState>,
+}
+
+impl Services {
+    /// Takes over a policy; measurements are kept unless the policy changes.
+    pub fn set_policy(&mut self, policy: &PolicySpec) {
+        if self.policy != *policy {
+            self.policy = policy.clone();
+            self.states.clear();
+        }
+    }
+
+    /// Returns the state of a service.
+    pub fn state(&mut self, now: Millis, service: &str) -> &mut ServiceState {
+        let policy = &self.policy;
+        self.states
+            .entry(service.to_owned())
+            .or_insert_with(|| ServiceState::new(now, policy))
+    }
+}
+
+impl ServiceState {
+    fn new(now: Millis, policy: &PolicySpec) -> Self {
+        let retry = RetrySettings {
+            budget_percent: policy.retry_budget_percent,
+            max_attempts: policy.max_attempts,
+            ..RetrySettings::default()
+        };
+        let choice = match policy.choice {
+            ConfiguredChoice::LeastLoaded => Choice::LeastLoaded,
+            ConfiguredChoice::RoundRobin => Choice::RoundRobin,
+        };
+        let balance = BalanceSettings {
+            choice,
+            prefix_affinity: policy.prefix_affinity,
+            ..BalanceSettings::default()
+        };
+        Self {
+            retry: RetryBudget::new(now, retry),
+            health: HealthTable::new(HealthSettings::default()),
+            balance: Balance::new(balance),
+            hedge: Hedge::new(HedgeSettings::default()),
+            latency_ms: 0.0,
+        }
+    }
+
+    /// Returns whether the breaker of a target lets calls pass.
+    #[must_use]
+    pub fn is_healthy(&self, now: Millis, target: Target) -> bool {
+        self.health.permit(now, target) != Permit::Refused
+    }
+
+    /// Returns the measured latency of a target.
+    #[must_use]
+    pub fn latency(&self, target: Target) -> Option<Millis> {
+        self.health.latency(target)
+    }
+
+    /// Returns the index of the chosen candidate.
+    pub fn choose(
+        &mut self,
+        candidates: &[Candidate<'_>],
+        prefix: Option<u64>,
+        random: u64,
+    ) -> Option<usize> {
+        self.balance.choose(candidates, prefix, random)
+    }
+
+    /// Notes that a call to a target starts.
+    pub fn start(&mut self, now: Millis, target: Target) {
+        let _permit = self.health.start(now, target);
+    }
+
+    /// Records how a call to a target ended, and returns whether its breaker changed.
+    pub fn record(&mut self, now: Millis, target: Target, outcome: CallOutcome) -> bool {
+        if let CallOutcome::Success { latency_ms } = outcome {
+            self.retry.on_success();
+            self.hedge.record(now, latency_ms);
+            self.latency_ms += (latency_ms.0 as f64 - self.latency_ms) * LATENCY_WEIGHT;
+        }
+        self.health.record(now, target, outcome)
+    }
+
+    /// Returns the delay before a retry and takes the retry from the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call must not be repeated.
+    pub fn try_retry(
+        &mut self,
+        now: Millis,
+        attempts: u32,
+        deadline: Millis,
+        random: u64,
+    ) -> Result<Millis, RetryRefusal> {
+        let expected_ms = Millis(self.latency_ms.round() as u64);
+        self.retry.try_retry(
+            now,
+            RetryRequest {
+                attempts,
+                deadline,
+                expected_ms,
+                random,
+            },
+        )
+    }
+
+    /// Counts a call and returns after which delay it may be hedged.
+    pub fn hedge_delay(&mut self) -> Option<Millis> {
+        self.hedge.start_call()
+    }
+
+    /// Returns whether a call whose delay has passed is hedged.
+    pub fn try_hedge(&mut self) -> bool {
+        self.hedge.try_hedge()
+    }
+}
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -1,25 +1,126 @@
-//! Choice of a target and count of the calls in progress at each.
+//! The slots that this instance holds at targets, and the choice among them.
+//!
+//! A call starts only with a slot that the target's owner has granted and that has not expired.
+//! Requests that find no free slot wait; the number of waiting requests is part of what the
+//! instance asks the owners for.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use arbutus_config::deployment::PolicySpec;
+use arbutus_coord::Millis;
 use arbutus_coord::entity::Target;
+use arbutus_coord::grant::GrantHolder;
+use arbutus_coord::grant::GrantReply;
+use arbutus_coord::grant::GrantRequest;
+use arbutus_coord::grant::GrantSettings;
+use arbutus_coord::grant::Slot as Permission;
+use arbutus_coord::grant::TargetView;
+use arbutus_policy::balance::Candidate;
 
-use crate::directory::Directory;
+use crate::directory::TargetEntry;
+use crate::services::ServiceState;
+use crate::services::Services;
 
-/// The calls in progress at each target.
-#[derive(Debug, Default)]
+/// How long a request waits for slots of one target before it asks for those of another.
+const WAIT_SLICE_MS: Millis = Millis(50);
+
+/// What a call needs from its target.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The targets that have failed the request.
+    pub excluded: &'a BTreeSet<Target>,
+    /// The key that determines the preferred engine of a prompt.
+    pub prefix: Option<u64>,
+    /// How long to wait for a free slot.
+    pub until: Millis,
+}
+
+/// Why no slot was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoSlot {
+    /// The service has no target here that takes calls.
+    NoTarget,
+    /// All targets stayed busy.
+    Busy,
+}
+
+/// A target as the owner of its slots is asked for them.
+#[derive(Clone, Debug)]
+pub struct UsedTarget {
+    /// The target.
+    pub target: Target,
+    /// What the platform's list says.
+    pub entry: TargetEntry,
+    /// The instance that owns the target's slots.
+    pub owner: String,
+    /// Whether the target is leaving or drained.
+    pub closed: bool,
+}
+
+/// A request for slots that is due.
+#[derive(Clone, Debug)]
+pub struct DueRequest {
+    /// The instance that owns the target's slots.
+    pub owner: String,
+    /// The target's name.
+    pub target: String,
+    /// The request.
+    pub request: GrantRequest,
+}
+
+/// A target as operators see it.
+#[derive(Clone, Debug)]
+pub struct TargetUse {
+    /// What the platform's list says.
+    pub entry: TargetEntry,
+    /// Whether the target is leaving or drained.
+    pub closed: bool,
+    /// What the owner last said.
+    pub view: TargetView,
+    /// The calls of this instance.
+    pub in_use: u32,
+}
+
+/// The slots of this instance at all targets that it uses.
+#[derive(Debug)]
 pub struct Slots {
-    in_flight: Mutex<BTreeMap<Target, u32>>,
+    boot_id: u64,
+    table: Mutex<Table>,
+    freed: Condvar,
+    due: Condvar,
+}
+
+#[derive(Debug)]
+struct Table {
+    settings: GrantSettings,
+    holders: BTreeMap<Target, Holder>,
+    services: Services,
+    kicked: bool,
+}
+
+#[derive(Debug)]
+struct Holder {
+    used: UsedTarget,
+    grants: GrantHolder,
+    waiting: u32,
+    /// Whether the target is no longer used and only waits for its calls to end.
+    retired: bool,
 }
 
-/// A call in progress at a target; it ends when it is dropped.
+/// A slot that a call occupies until it is dropped.
 #[derive(Debug)]
-pub struct Slot<'a> {
-    slots: &'a Slots,
+pub struct Slot {
+    slots: Arc<Slots>,
+    permission: Option<Permission>,
     /// The target.
     pub target: Target,
     /// The target's address.
@@ -27,46 +128,268 @@
 }
 
 impl Slots {
-    /// Creates a table without calls.
+    /// Creates a table without targets.
+    #[must_use]
+    pub fn new(boot_id: u64) -> Self {
+        Self {
+            boot_id,
+            table: Mutex::new(Table {
+                settings: GrantSettings::default(),
+                holders: BTreeMap::new(),
+                services: Services::default(),
+                kicked: false,
+            }),
+            freed: Condvar::new(),
+            due: Condvar::new(),
+        }
+    }
+
+    /// Takes over the policy of a new configuration.
+    pub fn set_policy(&self, policy: &PolicySpec) {
+        let mut table = self.lock();
+        table.settings.slow_start = policy.slow_start;
+        table.services.set_policy(policy);
+    }
+
+    /// Returns the settings of grants.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn settings(&self) -> GrantSettings {
+        self.lock().settings
     }
 
-    /// Takes a slot at the target of a service that has the fewest calls of this instance.
+    /// Takes over the targets that this instance uses and their owners.
+    pub fn sync(&self, used: Vec<UsedTarget>) {
+        let mut table = self.lock();
+        let settings = table.settings;
+        let current: BTreeSet<Target> = used.iter().map(|used| used.target).collect();
+        for used in used {
+            let holder = table.holders.entry(used.target).or_insert_with(|| Holder {
+                used: used.clone(),
+                grants: GrantHolder::new(settings, self.boot_id),
+                waiting: 0,
+                retired: false,
+            });
+            if holder.used.owner != used.owner {
+                holder.grants.change_owner();
+            }
+            holder.grants.set_closed(used.closed);
+            holder.retired = false;
+            holder.used = used;
+        }
+        for (target, holder) in &mut table.holders {
+            holder.retired = !current.contains(target);
+        }
+        table
+            .holders
+            .retain(|_, holder| !holder.retired || holder.grants.in_use() > 0);
+        drop(table);
+        self.freed.notify_all();
+    }
+
+    /// Takes a slot, and waits for one when all targets are busy.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether there is no target or no free slot.
     pub fn acquire(
+        self: &Arc<Self>,
+        request: SlotRequest<'_>,
+        now: &dyn Fn() -> Millis,
+        random: &dyn Fn() -> u64,
+    ) -> Result<Slot, NoSlot> {
+        let mut table = self.lock();
+        loop {
+            let time = now();
+            if let Some(target) = table.choose(request, time, random()) {
+                return Ok(self.take(&mut table, target, time));
+            }
+            let awaited = table.least_awaited(request).ok_or(NoSlot::NoTarget)?;
+            if time >= request.until {
+                return Err(NoSlot::Busy);
+            }
+            table.add_waiting(awaited);
+            table.kicked = true;
+            self.due.notify_all();
+            let slice = WAIT_SLICE_MS.min(request.until - time).max(Millis(1));
+            let (woken, _) = self
+                .freed
+                .wait_timeout(table, slice.to_duration())
+                .unwrap_or_else(PoisonError::into_inner);
+            table = woken;
+            table.remove_waiting(awaited);
+        }
+    }
+
+    /// Returns the requests to owners that are due, after waiting for one at most for a span.
+    #[must_use]
+    pub fn poll(&self, now: &dyn Fn() -> Millis, span: Millis) -> Vec<DueRequest> {
+        let table = self.lock();
+        let (mut table, _) = self
+            .due
+            .wait_timeout_while(table, span.to_duration(), |table| !table.kicked)
+            .unwrap_or_else(PoisonError::into_inner);
+        table.kicked = false;
+        let time = now();
+        let mut due = Vec::new();
+        for holder in table.holders.values_mut() {
+            if let Some(request) = holder.grants.poll(time) {
+                due.push(DueRequest {
+                    owner: holder.used.owner.clone(),
+                    target: holder.used.entry.name.clone(),
+                    request,
+                });
+            }
+        }
+        due
+    }
+
+    /// Takes an owner's answer.
+    pub fn on_reply(&self, now: Millis, target: Target, reply: &GrantReply) {
+        let mut table = self.lock();
+        let Some(holder) = table.holders.get_mut(&target) else {
+            return;
+        };
+        if holder.grants.on_reply(now, reply) {
+            // A hint asks for a report, which the next poll sends.
+            table.kicked |= reply.sequence == 0;
+            drop(table);
+            self.freed.notify_all();
+            self.due.notify_all();
+        }
+    }
+
+    /// Gives access to the routing state of a service.
+    pub fn with_service<T>(
         &self,
-        directory: &Directory,
+        now: Millis,
         service: &str,
-        failure_domain: &str,
-        excluded: &BTreeSet<Target>,
-    ) -> Option<Slot<'_>> {
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let (target, entry) = directory
-            .of_service(service, failure_domain)
-            .filter(|(target, entry)| !entry.leaving && !excluded.contains(target))
-            .min_by_key(|(target, _)| in_flight.get(target).copied().unwrap_or(0))?;
-        *in_flight.entry(target).or_default() += 1;
-        Some(Slot {
-            slots: self,
+        apply: impl FnOnce(&mut ServiceState) -> T,
+    ) -> T {
+        apply(self.lock().services.state(now, service))
+    }
+
+    /// Returns the targets that this instance uses, for operators.
+    #[must_use]
+    pub fn targets(&self) -> Vec<TargetUse> {
+        let table = self.lock();
+        let use_of = |holder: &Holder| TargetUse {
+            entry: holder.used.entry.clone(),
+            closed: holder.used.closed,
+            view: holder.grants.view(),
+            in_use: holder.grants.in_use(),
+        };
+        table.holders.values().map(use_of).collect()
+    }
+
+    fn take(self: &Arc<Self>, table: &mut Table, target: Target, now: Millis) -> Slot {
+        let holder = table
+            .holders
+            .get_mut(&target)
+            .expect("a chosen target has a holder");
+        let permission = holder.grants.try_acquire(now);
+        let address = holder.used.entry.address;
+        let service = holder.used.entry.service.clone();
+        table.services.state(now, &service).start(now, target);
+        Slot {
+            slots: Arc::clone(self),
+            permission,
+            target,
+            address,
+        }
+    }
+
+    fn release(&self, target: Target, permission: Permission) {
+        let mut table = self.lock();
+        if let Some(holder) = table.holders.get_mut(&target) {
+            holder.grants.release(permission);
+        }
+        drop(table);
+        self.freed.notify_all();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Table {
+    fn choose(&mut self, request: SlotRequest<'_>, now: Millis, random: u64) -> Option<Target> {
+        let state = self.services.state(now, request.service);
+        let candidates: Vec<Candidate<'_>> = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.takes(request))
+            .map(|(&target, holder)| holder.candidate(now, target, state))
+            .collect();
+        let index = state.choose(&candidates, request.prefix, random)?;
+        Some(candidates[index].target)
+    }
+
+    /// Returns the open target for which the fewest requests wait, relative to its capacity.
+    fn least_awaited(&self, request: SlotRequest<'_>) -> Option<Target> {
+        let open = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.takes(request));
+        let pressure = |holder: &Holder| {
+            let waiting = u64::from(holder.waiting + holder.grants.in_use());
+            waiting * 1_000 / u64::from(holder.grants.view().allowed.max(1))
+        };
+        open.min_by_key(|(_, holder)| pressure(holder))
+            .map(|(&target, _)| target)
+    }
+
+    fn add_waiting(&mut self, target: Target) {
+        if let Some(holder) = self.holders.get_mut(&target) {
+            holder.waiting += 1;
+            holder.grants.set_waiting(holder.waiting);
+        }
+    }
+
+    fn remove_waiting(&mut self, target: Target) {
+        if let Some(holder) = self.holders.get_mut(&target) {
+            holder.waiting = holder.waiting.saturating_sub(1);
+            holder.grants.set_waiting(holder.waiting);
+        }
+    }
+}
+
+impl Holder {
+    fn takes(&self, request: SlotRequest<'_>) -> bool {
+        !self.retired
+            && !self.used.closed
+            && self.used.entry.service == request.service
+            && !request.excluded.contains(&self.used.target)
+    }
+
+    fn candidate<'a>(&'a self, now: Millis, target: Target, state: &ServiceState) -> Candidate<'a> {
+        let view = self.grants.view();
+        Candidate {
             target,
-            address: entry.address,
-        })
+            name: &self.used.entry.name,
+            healthy: state.is_healthy(now, target),
+            free_slots: self.grants.free(now),
+            capacity: view.allowed.max(1),
+            load: view.load.max(self.grants.in_use()),
+            latency_ms: state.latency(target),
+        }
     }
 }
 
-impl Drop for Slot<'_> {
+impl Slot {
+    /// Returns whether the call may still start; it is checked right before the call is written.
+    #[must_use]
+    pub fn may_start(&self, now: Millis) -> bool {
+        self.permission
+            .as_ref()
+            .is_some_and(|permission| permission.may_start(now))
+    }
+}
+
+impl Drop for Slot {
     fn drop(&mut self) {
-        let mut in_flight = self
-            .slots
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = in_flight.get_mut(&self.target) {
-            *count -= 1;
+        if let Some(permission) = self.permission.take() {
+            self.slots.release(self.target, permission);
         }
     }
 }
--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -50,6 +50,8 @@
     NotConnected(String),
     /// the call failed after the connection was established: {0}
     Failed(String),
+    /// the call took longer than it may: {0}
+    TimedOut(String),
     /// the target answered with status {0}
     Status(u16),
     /// the answer belongs to another attempt
--- a/crates/policy/src/stream.rs
+++ b/crates/policy/src/stream.rs
@@ -123,6 +123,15 @@
         }
     }
 
+    /// Creates an assembler for an answer whose first tokens were delivered elsewhere.
+    #[must_use]
+    pub fn resuming(now: Millis, stall_ms: Millis, offset: u32) -> Self {
+        Self {
+            next_offset: offset,
+            ..Self::new(now, stall_ms)
+        }
+    }
+
     /// Returns the source whose frames are accepted.
     #[must_use]
     pub fn source(&self) -> Source {
