ctl: add the operators' tool

An operator stores a generation in the history before replacing it. The history therefore holds only generations that were committed, and all that were replaced within its bound. The platform offers no deletion, so generation n is kept in slot n modulo 32.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod committed;
 pub mod deployment;
+pub mod difference;
 pub mod fault;
 mod limits;
 pub mod overlay;
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -73,6 +73,9 @@
         let plain = Resolved::of(&base, &Layers::base(&self.base));
         let mut faults = plain.faults.clone();
         for (site, overlay) in &self.overlays {
+            if !schema::is_name(site) {
+                faults.add(overlay.fault(&FieldPath::new(), schema::name_rule()));
+            }
             faults.extend(self.resolve_site(site, overlay, &base, &plain).faults);
         }
         faults.into_result(())
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -279,13 +279,22 @@
 /// The name in a limit that stands for all names that no earlier entry has.
 pub const WILDCARD: &str = "*";
 
-fn is_name(text: &str) -> bool {
+/// Returns whether a text can be the name of a site, a service, a pipeline and so on.
+///
+/// Names are parts of URLs and file names, so a name such as `..` is none.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed)
+    (1..=MAX_NAME_BYTES).contains(&text.len())
+        && text.starts_with(|c: char| c.is_ascii_alphanumeric())
+        && text.chars().all(allowed)
 }
 
-fn name_rule() -> String {
-    format!("a name has 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`")
+pub(crate) fn name_rule() -> String {
+    format!(
+        "a name has 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`, and begins with a \
+         letter or a digit"
+    )
 }
 
 fn whole_rule(min: u64, max: u64) -> String {
--- /dev/null
+++ b/crates/ctl/src/commands/history.rs
@@ -0,0 +1,159 @@
+//! `history`: lists committed generations, or restores the files of one.
+
+use std::fs;
+use std::path::Path;
+
+use arbutus_config::Committed;
+use arbutus_config::schema::is_name;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use serde::Serialize;
+
+use crate::archive;
+use crate::archive::HISTORY_SLOTS;
+use crate::failure::Failure;
+use crate::options::CommandLine;
+use crate::options::Outcome;
+use crate::options::print_json;
+use crate::options::print_text;
+use crate::options::table;
+use crate::platform::Platform;
+
+const USAGE: &str = "history --platform ADDR [--limit N] [--json]
+       arbutusctl history --platform ADDR --generation N --output DIRECTORY";
+const SUMMARY: &str =
+    "Lists the committed configuration and the generations that it replaced, the latest
+first; 32 replaced generations are kept. With --generation and --output, writes the
+files of a generation into a new directory, from which `apply` can commit them again.";
+
+const DEFAULT_LIMIT: u64 = 10;
+
+#[derive(Serialize)]
+struct Entry {
+    generation: u64,
+    parent: u64,
+    author: String,
+    wall_ms: u64,
+    comment: String,
+    token: String,
+    digest: String,
+}
+
+pub(super) fn run(arguments: &[String]) -> Outcome {
+    let command_line = CommandLine::new(USAGE, SUMMARY)
+        .with_platform()
+        .with_value("limit", "how many generations to list; 10 by default", "N")
+        .with_value("generation", "the generation whose files to write", "N")
+        .with_value(
+            "output",
+            "the directory to create for the files",
+            "DIRECTORY",
+        )
+        .with_json();
+    let Some(arguments) = command_line.parse(arguments)? else {
+        return Ok(());
+    };
+    let [] = arguments.positional([])?;
+    let platform = Platform::new(arguments.platform()?);
+    match (arguments.number("generation")?, arguments.value("output")) {
+        (Some(generation), Some(output)) => {
+            restore(&load(&platform, generation)?, Path::new(&output))
+        }
+        (None, None) => {
+            let limit = arguments.number("limit")?.unwrap_or(DEFAULT_LIMIT);
+            list(&platform, limit, arguments.json())
+        }
+        _ => Err(Failure::usage("--generation and --output go together")),
+    }
+}
+
+/// Reads a generation from the committed configuration or from the history.
+pub(super) fn load(platform: &Platform, generation: u64) -> Result<Committed, Failure> {
+    if let Some(current) = platform.current()?
+        && current.committed.generation == generation
+    {
+        return Ok(current.committed);
+    }
+    let kept = archive::load(platform, generation)
+        .map_err(|error| Failure::refused(format!("cannot read the history: {error}")))?;
+    kept.ok_or_else(|| Failure::refused(format!("generation {generation} is not in the history")))
+}
+
+fn list(platform: &Platform, limit: u64, json: bool) -> Outcome {
+    let mut entries = Vec::new();
+    if let Some(current) = platform.current()? {
+        let latest = current.committed.generation;
+        let oldest = latest.saturating_sub(limit.min(HISTORY_SLOTS + 1));
+        entries.push(entry(current.committed));
+        for generation in (oldest + 1..latest).rev() {
+            let kept = archive::load(platform, generation)
+                .map_err(|error| Failure::refused(format!("cannot read the history: {error}")))?;
+            entries.extend(kept.map(entry));
+        }
+    }
+    entries.truncate(usize::try_from(limit).unwrap_or(usize::MAX));
+    if json {
+        return print_json(&entries);
+    }
+    let rows: Vec<[String; 5]> = entries
+        .into_iter()
+        .map(|entry| {
+            [
+                entry.generation.to_string(),
+                age(entry.wall_ms),
+                entry.author,
+                entry.token,
+                entry.comment,
+            ]
+        })
+        .collect();
+    print_text(&table(
+        ["GENERATION", "AGE", "AUTHOR", "TOKEN", "COMMENT"],
+        &rows,
+    ))
+}
+
+fn entry(record: Committed) -> Entry {
+    Entry {
+        generation: record.generation,
+        parent: record.parent,
+        author: record.author,
+        wall_ms: record.wall_ms.0,
+        comment: record.comment,
+        token: record.token,
+        digest: record.digest,
+    }
+}
+
+/// Writes the files of a record into a directory that does not exist yet.
+fn restore(record: &Committed, directory: &Path) -> Outcome {
+    let failed = |error: std::io::Error| {
+        Failure::refused(format!("cannot write to {}: {error}", directory.display()))
+    };
+    if let Some(site) = record.overlays.keys().find(|site| !is_name(site)) {
+        return Err(Failure::refused(format!(
+            "`{site}` is not the name of a site"
+        )));
+    }
+    fs::create_dir(directory).map_err(failed)?;
+    fs::write(directory.join("base.yaml"), &record.base).map_err(failed)?;
+    let overlays = directory.join("overlays");
+    fs::create_dir(&overlays).map_err(failed)?;
+    for (site, text) in &record.overlays {
+        fs::write(overlays.join(format!("{site}.yaml")), text).map_err(failed)?;
+    }
+    print_text(&format!(
+        "generation {} written to {}",
+        record.generation,
+        directory.display()
+    ))
+}
+
+/// Renders the time since a commit in its largest unit.
+fn age(wall_ms: u64) -> String {
+    const UNITS: [(u64, &str); 3] = [(86_400, "d"), (3_600, "h"), (60, "min")];
+    let seconds = (Clock::wall() - Millis(wall_ms)).0 / 1_000;
+    let unit = UNITS.iter().find(|&&(size, _)| seconds >= size);
+    let (size, name) = unit.copied().unwrap_or((1, "s"));
+    format!("{} {name}", seconds / size)
+}
