daemon: connect gossip, grants, forwarding, drains and orders

Instances learn configuration, targets and drains from two watchers for each failure domain through gossip. The owner of a target polls its load and grants its slots over UDP. A stage for which the failure domain has no target, or no free slot within 200 ms, is forwarded once to an instance of another failure domain. An instance is ready when it knows a configuration and the targets and earlier grants have expired.

--- a/crates/coord/src/gossip.rs
+++ b/crates/coord/src/gossip.rs
@@ -22,6 +22,7 @@
 use crate::drain::DrainTable;
 use crate::membership;
 use crate::membership::Member;
+use crate::membership::MemberState;
 use crate::membership::Membership;
 use crate::membership::MembershipSpec;
 use crate::membership::Packet;
@@ -126,6 +127,7 @@
     membership: Membership,
     documents: DocumentStore,
     drains: DrainTable,
+    generations: BTreeMap<String, u64>,
     fetches: BTreeMap<DocumentKind, Millis>,
     whole_next: bool,
     last_exchange: Option<Millis>,
@@ -145,6 +147,7 @@
             documents: DocumentStore::new(&me.failure_domain),
             membership: Membership::new(spec, me, seed, now),
             drains: DrainTable::new(),
+            generations: BTreeMap::new(),
             fetches: BTreeMap::new(),
             whole_next: false,
             last_exchange: None,
@@ -200,6 +203,16 @@
         &self.drains
     }
 
+    /// Returns the generation that a member reported last, or 0 when it has reported none here.
+    #[must_use]
+    pub fn generation_of(&self, member: &str) -> u64 {
+        if member == self.membership.me().name {
+            let kind = DocumentKind::Configuration;
+            return self.documents.version(&kind).number;
+        }
+        self.generations.get(member).copied().unwrap_or(0)
+    }
+
     /// Returns a packet with the digests that asks for no answer, for messages of other parts.
     pub fn notice(&mut self) -> Packet {
         let mut packet = self.membership.notice();
@@ -220,7 +233,12 @@
                     Output::Send { to, packet }
                 }
                 membership::Output::FetchMembers { from } => Output::FetchMembers { from },
-                membership::Output::Changed(member) => Output::MemberChanged(member),
+                membership::Output::Changed(member) => {
+                    if member.state == MemberState::Dead {
+                        self.generations.remove(&member.name);
+                    }
+                    Output::MemberChanged(member)
+                }
                 membership::Output::SelfSuspect(suspect) => Output::SelfSuspect(suspect),
                 membership::Output::Superseded { boot_id } => Output::Superseded { boot_id },
             });
@@ -240,6 +258,10 @@
         if packet.sender == self.membership.me().name {
             return;
         }
+        if self.membership.get(&packet.sender).is_some() {
+            let generation = packet.digests.documents.configuration.number;
+            self.generations.insert(packet.sender.clone(), generation);
+        }
         self.compare_documents(now, from, packet, outputs);
         if packet.digests.drains != self.drains.digest() {
             self.answer_drains(now, from, outputs);
--- a/crates/coord/src/membership/detector.rs
+++ b/crates/coord/src/membership/detector.rs
@@ -197,9 +197,15 @@
     }
 
     /// Returns whether this instance was paused and no peer has acknowledged it since.
+    ///
+    /// A pause counts from the moment the instance goes on, even before its next input.
     #[must_use]
-    pub fn is_self_suspect(&self) -> bool {
-        self.self_suspect
+    pub fn is_self_suspect(&self, now: Millis) -> bool {
+        self.self_suspect || (self.table.peers() > 0 && self.is_late(now))
+    }
+
+    fn is_late(&self, now: Millis) -> bool {
+        now - self.wake_at > self.spec.suspicion_ms
     }
 
     /// Returns the addresses of random members that are not dead, without repetition.
@@ -235,10 +241,10 @@
     }
 
     fn detect_pause(&mut self, now: Millis, outputs: &mut Vec<Output>) {
-        let pause = now - self.wake_at;
-        if pause <= self.spec.suspicion_ms {
+        if !self.is_late(now) {
             return;
         }
+        let pause = now - self.wake_at;
         // Acknowledgements that were on the way are not counted as missing, and members are not
         // declared dead for suspicions that they could not refute here in the meantime.
         self.probes.clear();
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -319,6 +319,6 @@
         .unwrap_or_else(PoisonError::into_inner)
         .record_failure(node.now(), fingerprint, attempt);
     if let Some(entry) = entry {
-        node.share_quarantine(entry);
+        node.share_quarantine(&entry);
     }
 }
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -11,6 +11,7 @@
 
 use arbutus_coord::Millis;
 use arbutus_coord::entity::Target;
+use arbutus_coord::membership::Member;
 use arbutus_policy::attempt::Attempt;
 use arbutus_policy::attempt::AttemptIds;
 use arbutus_policy::attempt::Sent;
@@ -27,6 +28,9 @@
 use crate::node::Node;
 use crate::problem::Problem;
 use crate::problem::Reason;
+use crate::remote::RemoteEnd;
+use crate::remote::choose_peer;
+use crate::remote::run_remote;
 use crate::services::ServiceState;
 use crate::slots::NoSlot;
 use crate::slots::Slot;
@@ -36,8 +40,16 @@
 use crate::stage::TokenSink;
 use crate::target_client::CallError;
 
+/// How long a stage waits for a local slot before it is offered to another failure domain.
+const LOCAL_PATIENCE_MS: Millis = Millis(200);
 const BUSY_RETRY_MS: Millis = Millis(500);
 
+/// Where an attempt runs.
+enum Place {
+    Local(Slot),
+    Remote(Member),
+}
+
 enum Outcome {
     Done(Value, Attempt<Sent>),
     NotSent(Attempt<Unsent>, String),
@@ -70,24 +82,21 @@
         if node.now() >= call.deadline {
             return Err(refuse(attempt, Reason::Deadline, "the deadline has passed"));
         }
-        let slot = match acquire(node, call, &stage.excluded(), call.deadline) {
-            Ok(slot) => slot,
-            // The only targets left have failed once; the retry budget allows another attempt.
-            Err(NoSlot::NoTarget) if !stage.failed.is_empty() => {
-                stage.failed.clear();
-                continue;
-            }
+        let place = match stage.choose_place() {
+            Ok(place) => place,
             Err(no_slot) => return Err(stage.refuse_without_slot(attempt, no_slot)),
         };
-        let target = slot.target;
-        match stage.run_attempt(attempt, slot, sink) {
+        let outcome = match place {
+            Place::Local(slot) => stage.run_local(attempt, slot, sink),
+            Place::Remote(peer) => stage.run_remote(attempt, &peer, sink),
+        };
+        match outcome {
             Outcome::Done(output, attempt) => {
                 forgive(node, call);
                 return Ok(StageDone { output, attempt });
             }
             Outcome::NotSent(unsent, failure) => {
                 stage.last_failure = Some(failure);
-                stage.unreachable.insert(target);
                 let id = next_attempt_id(unsent.ids());
                 attempt = unsent.retarget(id);
             }
@@ -102,7 +111,6 @@
                 failure,
                 progressed,
             } => {
-                stage.failed.insert(target);
                 attempt = stage.retry(&failed, failure, progressed)?;
             }
         }
@@ -134,15 +142,11 @@
         .acquire(request, &|| node.now(), &|| node.random())
 }
 
-/// Returns the identifier after `{request}.{stage}.{number}`.
+/// Returns an identifier with the next number at its end.
 pub(crate) fn next_attempt_id(ids: &AttemptIds) -> String {
-    let number = ids
-        .attempt
-        .rsplit('.')
-        .next()
-        .and_then(|number| number.parse::<u32>().ok())
-        .unwrap_or(0);
-    format!("{}.{}.{}", ids.request, ids.stage, number + 1)
+    let (series, number) = ids.attempt.rsplit_once('.').unwrap_or((&ids.attempt, "0"));
+    let number = number.parse::<u32>().unwrap_or(0);
+    format!("{series}.{}", number + 1)
 }
 
 /// The state of a stage over its attempts.
@@ -153,6 +157,10 @@
     unreachable: BTreeSet<Target>,
     /// The targets that have failed an attempt.
     failed: BTreeSet<Target>,
+    /// The instances of other failure domains that were tried.
+    peers: BTreeSet<String>,
+    /// Whether no other failure domain is left to try.
+    remote_tried: bool,
     /// The attempts in a row that were sent and made no progress.
     fruitless: u32,
     last_failure: Option<String>,
@@ -166,9 +174,11 @@
             call,
             unreachable: BTreeSet::new(),
             failed: BTreeSet::new(),
+            peers: BTreeSet::new(),
+            remote_tried: false,
             fruitless: 0,
             last_failure: None,
-            stream: TokenStream::new(node.now(), call.stall_ms),
+            stream: TokenStream::resuming(node.now(), call.stall_ms, call.resume_at),
         }
     }
 
@@ -176,6 +186,83 @@
         self.unreachable.union(&self.failed).copied().collect()
     }
 
+    /// Returns where the next attempt runs: at a target of this failure domain, or through an
+    /// instance of another one when this one has no target or all of its targets stay busy.
+    fn choose_place(&mut self) -> Result<Place, NoSlot> {
+        let deadline = self.call.deadline;
+        let patient = self.call.forwarded || self.remote_tried;
+        let until = if patient {
+            deadline
+        } else {
+            deadline.min(self.node.now() + LOCAL_PATIENCE_MS)
+        };
+        let no_slot = match acquire(self.node, self.call, &self.excluded(), until) {
+            Ok(slot) => return Ok(Place::Local(slot)),
+            Err(no_slot) => no_slot,
+        };
+        if !self.call.forwarded
+            && let Some(peer) = choose_peer(self.node, &self.call.service, &self.peers)
+        {
+            return Ok(Place::Remote(peer));
+        }
+        self.remote_tried = true;
+        if no_slot == NoSlot::NoTarget && !self.failed.is_empty() {
+            // The only targets left have failed once; the retry budget allows another attempt.
+            self.failed.clear();
+        } else if no_slot == NoSlot::NoTarget || patient {
+            return Err(no_slot);
+        }
+        acquire(self.node, self.call, &self.excluded(), deadline).map(Place::Local)
+    }
+
+    fn run_remote(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        peer: &Member,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        self.peers.insert(peer.name.clone());
+        let attempt = attempt.send(self.node.now());
+        let ids = attempt.ids();
+        let stream = &mut self.stream;
+        match run_remote(self.node, self.call, ids, peer, stream, sink) {
+            RemoteEnd::Answered(output) => Outcome::Done(output, attempt),
+            RemoteEnd::Streamed { tokens } => {
+                Outcome::Done(json!({ "text": stream.text(), "tokens": tokens }), attempt)
+            }
+            RemoteEnd::NotRun(failure) => Outcome::NotSent(attempt.take_back(), failure),
+            RemoteEnd::Failed {
+                failure,
+                progressed,
+            } => Outcome::Failed {
+                attempt,
+                failure,
+                progressed,
+            },
+            RemoteEnd::CallerGone => Outcome::CallerGone,
+        }
+    }
+
+    fn run_local(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        slot: Slot,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let target = slot.target;
+        let outcome = self.run_attempt(attempt, slot, sink);
+        match &outcome {
+            Outcome::NotSent(..) => {
+                self.unreachable.insert(target);
+            }
+            Outcome::Failed { .. } => {
+                self.failed.insert(target);
+            }
+            Outcome::Done(..) | Outcome::CallerGone => {}
+        }
+        outcome
+    }
+
     fn run_attempt(
         &mut self,
         attempt: Attempt<Unsent>,
@@ -303,7 +390,7 @@
 fn failed(attempt: Attempt<Sent>, error: &CallError) -> Outcome {
     let failure = error.to_string();
     match error {
-        CallError::NotConnected(_) => Outcome::NotSent(attempt.not_connected(), failure),
+        CallError::NotConnected(_) => Outcome::NotSent(attempt.take_back(), failure),
         _ => Outcome::Failed {
             attempt,
             failure,
--- /dev/null
+++ b/crates/daemon/src/grants.rs
@@ -0,0 +1,240 @@
+//! The exchange of grants: which targets are used and owned, and the messages about their slots.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Target;
+use arbutus_coord::rendezvous;
+use arbutus_policy::balance::subset;
+use arbutus_wire::datagram::Body;
+use arbutus_wire::datagram::GrantReply;
+use arbutus_wire::datagram::GrantRequest;
+
+use crate::directory::Directory;
+use crate::directory::TargetEntry;
+use crate::node::Node;
+use crate::owner::OutgoingReply;
+use crate::owner::OwnedTarget;
+use crate::slots::DueRequest;
+use crate::slots::UsedTarget;
+use crate::stop::Stop;
+use crate::supervisor::ChildResult;
+
+/// How often the used and owned targets are computed anew.
+const SYNC_PERIOD_MS: Millis = Millis(100);
+/// How long the sender of requests waits for one to become due.
+const REQUEST_PERIOD_MS: Millis = Millis(25);
+/// How often an owner polls the load report of a target.
+const REPORT_PERIOD_MS: Millis = Millis(250);
+const REPORT_STACK_BYTES: usize = 128 * 1024;
+/// The number of requests or replies in a datagram, which keeps it under its size limit.
+const MAX_MESSAGES: usize = 10;
+
+/// Keeps the used and owned targets up to date.
+///
+/// # Errors
+///
+/// Never returns an error.
+pub fn run_sync(node: &Arc<Node>, stop: &Stop) -> ChildResult {
+    loop {
+        sync(node);
+        if stop.wait(SYNC_PERIOD_MS) {
+            return Ok(());
+        }
+    }
+}
+
+/// Sends due requests to the owners.
+///
+/// # Errors
+///
+/// Never returns an error.
+pub fn run_requests(node: &Arc<Node>, stop: &Stop) -> ChildResult {
+    while !stop.is_raised() {
+        let due = node.slots.poll(&|| node.now(), REQUEST_PERIOD_MS);
+        send_requests(node, due);
+        send_replies(node, node.owners.tick(node.now()));
+    }
+    Ok(())
+}
+
+/// Polls the load reports of owned targets.
+///
+/// # Errors
+///
+/// Returns why a thread could not be started.
+pub fn run_reports(node: &Arc<Node>, stop: &Stop) -> ChildResult {
+    loop {
+        // Each target has a thread of its own, so one that does not answer delays no other.
+        for (target, address) in node.owners.addresses() {
+            let node = Arc::clone(node);
+            thread::Builder::new()
+                .name("report".to_owned())
+                .stack_size(REPORT_STACK_BYTES)
+                .spawn(move || poll_report(&node, target, address))
+                .map_err(|error| format!("starting a report thread: {error}"))?;
+        }
+        if stop.wait(REPORT_PERIOD_MS) {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes requests of another instance.
+pub fn on_requests(node: &Node, holder: &str, requests: &[GrantRequest]) {
+    // An instance that was paused may not know that another one owns its targets now.
+    if node.is_self_suspect() {
+        return;
+    }
+    let directory = node.directory();
+    let mut replies = Vec::new();
+    for GrantRequest { target, request } in requests {
+        let Some(target) = directory.find(target) else {
+            continue;
+        };
+        replies.extend(node.owners.on_request(node.now(), target, holder, *request));
+    }
+    send_replies(node, replies);
+}
+
+/// Takes replies of an owner.
+pub fn on_replies(node: &Node, replies: &[GrantReply]) {
+    let directory = node.directory();
+    for GrantReply { target, reply } in replies {
+        if let Some(target) = directory.find(target) {
+            node.slots.on_reply(node.now(), target, reply);
+        }
+    }
+}
+
+fn sync(node: &Node) {
+    let directory = node.directory();
+    let live = node.live_instances();
+    let used = used_targets(node, &directory, &live);
+    let owned = owned_targets(node, &directory, &live);
+    node.slots.sync(used);
+    let known = node.known_instances();
+    let replies = node
+        .owners
+        .sync(node.now(), node.slots.settings(), &owned, &known);
+    send_replies(node, replies);
+}
+
+fn used_targets(node: &Node, directory: &Directory, live: &BTreeSet<String>) -> Vec<UsedTarget> {
+    let size = node.active().deployment.policy.subset_size as usize;
+    let mut services: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for (_, entry) in local_targets(node, directory) {
+        services
+            .entry(&entry.service)
+            .or_default()
+            .push(&entry.name);
+    }
+    let mut used = Vec::new();
+    for names in services.into_values() {
+        for name in subset(&node.settings.name, names.into_iter(), size) {
+            let Some(target) = directory.find(name) else {
+                continue;
+            };
+            let Some(entry) = directory.target(target) else {
+                continue;
+            };
+            let Some(owner) = owner_of(name, live) else {
+                continue;
+            };
+            used.push(UsedTarget {
+                target,
+                entry: entry.clone(),
+                owner: owner.to_owned(),
+                closed: node.is_closed(entry),
+            });
+        }
+    }
+    used
+}
+
+fn owned_targets(node: &Node, directory: &Directory, live: &BTreeSet<String>) -> Vec<OwnedTarget> {
+    local_targets(node, directory)
+        .filter(|(_, entry)| owner_of(&entry.name, live) == Some(node.settings.name.as_str()))
+        .map(|(target, entry)| OwnedTarget {
+            target,
+            entry: entry.clone(),
+            closed: node.is_closed(entry),
+        })
+        .collect()
+}
+
+/// Only instances of a target's own failure domain dispatch to it.
+fn local_targets<'a>(
+    node: &'a Node,
+    directory: &'a Directory,
+) -> impl Iterator<Item = (Target, &'a TargetEntry)> {
+    directory
+        .iter()
+        .filter(|(_, entry)| entry.failure_domain == node.settings.failure_domain)
+}
+
+fn owner_of<'a>(target: &str, live: &'a BTreeSet<String>) -> Option<&'a str> {
+    rendezvous::owner(target.as_bytes(), live.iter().map(String::as_str))
+}
+
+fn send_requests(node: &Node, due: Vec<DueRequest>) {
+    let mut by_owner: BTreeMap<String, Vec<GrantRequest>> = BTreeMap::new();
+    for DueRequest {
+        owner,
+        target,
+        request,
+    } in due
+    {
+        by_owner
+            .entry(owner)
+            .or_default()
+            .push(GrantRequest { target, request });
+    }
+    for (owner, requests) in by_owner {
+        if owner == node.settings.name {
+            on_requests(node, &owner, &requests);
+            continue;
+        }
+        for requests in requests.chunks(MAX_MESSAGES) {
+            node.send(&owner, Body::GrantRequest(requests.to_vec()));
+        }
+    }
+}
+
+fn send_replies(node: &Node, replies: Vec<OutgoingReply>) {
+    let mut by_holder: BTreeMap<String, Vec<GrantReply>> = BTreeMap::new();
+    for OutgoingReply {
+        holder,
+        target,
+        reply,
+    } in replies
+    {
+        by_holder
+            .entry(holder)
+            .or_default()
+            .push(GrantReply { target, reply });
+    }
+    for (holder, replies) in by_holder {
+        if holder == node.settings.name {
+            on_replies(node, &replies);
+            continue;
+        }
+        for replies in replies.chunks(MAX_MESSAGES) {
+            node.send(&holder, Body::GrantReply(replies.to_vec()));
+        }
+    }
+}
+
+fn poll_report(node: &Node, target: Target, address: SocketAddr) {
+    match node.targets.load(address) {
+        Ok(report) => {
+            let replies = node.owners.on_report(node.now(), target, &report);
+            send_replies(node, replies);
+        }
+        Err(_error) => node.metrics.count("load_report_missing"),
+    }
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -114,8 +114,14 @@
 
 fn ready(node: &Node, request: Request) -> io::Result<()> {
     let phase = node.phase.get();
-    let status = if phase == Phase::Serving { 200 } else { 503 };
-    respond(node, request).send_json(status, &json!({ "phase": phase.to_string() }))
+    let drained = node.is_self_drained();
+    let status = if phase == Phase::Serving && !drained {
+        200
+    } else {
+        503
+    };
+    let body = json!({ "phase": phase.to_string(), "drained": drained });
+    respond(node, request).send_json(status, &body)
 }
 
 fn pipeline_request(node: &Arc<Node>, mut request: Request, pipeline: &str) -> io::Result<()> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,10 +8,15 @@
 use arbutus_config::Settings;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
+use arbutusd::events::NodeEvents;
+use arbutusd::gossip::GossipNode;
+use arbutusd::grants;
 use arbutusd::http;
 use arbutusd::lifecycle::Lifecycle;
 use arbutusd::node::Node;
+use arbutusd::orders;
 use arbutusd::stop::Stop;
+use arbutusd::supervisor::ChildResult;
 use arbutusd::supervisor::Supervisor;
 use arbutusd::supervisor::stop_process_on_panic;
 use arbutusd::watcher;
@@ -20,6 +25,7 @@
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
+use tiny_http::Server;
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -78,37 +84,73 @@
 
 fn run(settings: Settings) -> Result<(), String> {
     let signals = Signals::new([SIGTERM, SIGINT]).map_err(|error| error.to_string())?;
-    let terminate = Stop::new();
-    watch_signals(signals, terminate.clone());
+    // A later process of the same name has a higher boot identifier.
     let node = Arc::new(Node::new(settings, Clock::wall().0));
+    watch_signals(signals, node.terminate.clone());
+    let events = Arc::new(NodeEvents::new(Arc::clone(&node)));
+    let gossip = GossipNode::bind(&node.settings, node.boot_id, node.clock, events)
+        .map_err(|error| format!("{}: {error}", node.settings.peer_address))?;
+    node.set_gossip(Arc::clone(&gossip));
     let server =
         http::bind(&node).map_err(|error| format!("{}: {error}", node.settings.http_address))?;
     let stop = Stop::new();
-    let http_node = Arc::clone(&node);
-    let watcher_node = Arc::clone(&node);
-    let running = Supervisor::new("root")
-        .with_branch(
-            Supervisor::new("callers")
-                .with_task("http", move |stop| http::serve(&http_node, &server, stop)),
-        )
-        .with_branch(
-            Supervisor::new("platform")
-                .with_task("watcher", move |stop| watcher::run(&watcher_node, stop)),
-        )
+    let running = tree(&node, &gossip, server)
         .start(&stop, &node.metrics)
         .map_err(|error| error.to_string())?;
     info!(instance = node.settings.name.as_str(), address:% = node.settings.http_address; "started");
-    serve_until(&node, &terminate);
+    serve_until_terminated(&node);
     stop.raise();
     running.join();
     info!("stopped");
     Ok(())
 }
 
+type Task = fn(&Arc<Node>, &Stop) -> ChildResult;
+
+/// Builds the supervisor tree.
+fn tree(node: &Arc<Node>, gossip: &Arc<GossipNode<NodeEvents>>, server: Server) -> Supervisor {
+    let task = |run: Task| {
+        let node = Arc::clone(node);
+        move |stop: &Stop| run(&node, stop)
+    };
+    let http_node = Arc::clone(node);
+    let (receiver, timer, fetcher, peers) = (
+        Arc::clone(gossip),
+        Arc::clone(gossip),
+        Arc::clone(gossip),
+        Arc::clone(gossip),
+    );
+    Supervisor::new("root")
+        .with_branch(
+            Supervisor::new("gossip")
+                .with_task("receiver", move |stop| receiver.run_receiver(stop))
+                .with_task("timer", move |stop| timer.run_timer(stop))
+                .with_task("fetcher", move |stop| fetcher.run_fetcher(stop))
+                .with_task("peers", move |stop| peers.run_server(stop)),
+        )
+        .with_branch(
+            Supervisor::new("platform")
+                .with_task("configuration", task(watcher::run_configuration))
+                .with_task("lists", task(watcher::run_lists))
+                .with_task("orders", task(orders::run)),
+        )
+        .with_branch(
+            Supervisor::new("grants")
+                .with_task("sync", task(grants::run_sync))
+                .with_task("requests", task(grants::run_requests))
+                .with_task("reports", task(grants::run_reports)),
+        )
+        .with_branch(
+            Supervisor::new("callers")
+                .with_task("http", move |stop| http::serve(&http_node, &server, stop)),
+        )
+}
+
 /// Serves until termination is requested, then finishes what is in progress.
-fn serve_until(node: &Node, terminate: &Stop) {
+fn serve_until_terminated(node: &Node) {
+    let terminate = &node.terminate;
     let starting = Lifecycle::new(node.phase.clone());
-    while node.active().generation == 0 {
+    while !can_serve(node) {
         if terminate.wait(STARTUP_POLL_MS) {
             let _leaving = starting.leave();
             return;
@@ -118,6 +160,7 @@
     info!("serving");
     while !terminate.wait(Millis(1_000)) {}
     let _leaving = serving.leave();
+    node.gossip().leave();
     info!(in_flight = node.in_flight(); "leaving, requests in progress finish");
     let finish = Stop::new();
     let earliest = node.now() + LEAVING_GRACE_MS;
@@ -126,6 +169,15 @@
     }
 }
 
+/// Returns whether a configuration and the targets are known and their slots can be granted.
+fn can_serve(node: &Node) -> bool {
+    let settings = node.slots.settings();
+    // An owner that has just started grants nothing before earlier grants have expired.
+    node.active().generation > 0
+        && node.directory().revision() > 0
+        && node.now() > settings.lifetime_ms + settings.margin_ms
+}
+
 fn watch_signals(mut signals: Signals, terminate: Stop) {
     std::thread::spawn(move || {
         if signals.forever().next().is_some() {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,7 +1,9 @@
 //! The state that the threads of an instance share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicU64;
@@ -10,11 +12,16 @@
 
 use arbutus_config::Deployment;
 use arbutus_config::Settings;
+use arbutus_config::deployment::ServiceKind;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
+use arbutus_coord::drain::Subject;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
 use arbutus_policy::quarantine::Quarantine;
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::quarantine::QuarantineSettings;
+use arbutus_wire::datagram::Body;
 use arbutus_wire::platform::InstanceList;
 use log::info;
 use rand::Rng;
@@ -23,11 +30,15 @@
 
 use crate::claims::Claims;
 use crate::directory::Directory;
+use crate::directory::TargetEntry;
+use crate::events::NodeEvents;
+use crate::gossip::GossipNode;
 use crate::lifecycle::PhaseCell;
 use crate::metrics::Metrics;
 use crate::owner::Owners;
 use crate::platform::Platform;
 use crate::slots::Slots;
+use crate::stop::Stop;
 use crate::target_client::TargetClient;
 
 /// The configuration in force.
@@ -64,6 +75,9 @@
     pub quarantine: Mutex<Quarantine>,
     /// The claims of non-idempotent requests.
     pub claims: Claims,
+    /// Raised when the instance has to shut down.
+    pub terminate: Stop,
+    gossip: OnceLock<Arc<GossipNode<NodeEvents>>>,
     active: RwLock<Arc<Active>>,
     directory: RwLock<Arc<Directory>>,
     in_flight: AtomicUsize,
@@ -94,6 +108,8 @@
             random: Mutex::new(ChaCha8Rng::seed_from_u64(boot_id)),
             claims: Claims::new(platform.clone()),
             platform,
+            terminate: Stop::new(),
+            gossip: OnceLock::new(),
             active: RwLock::default(),
             directory: RwLock::default(),
             in_flight: AtomicUsize::new(0),
@@ -117,9 +133,127 @@
             .next_u64()
     }
 
+    /// Connects the instance with the others.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it is called twice.
+    pub fn set_gossip(&self, gossip: Arc<GossipNode<NodeEvents>>) {
+        assert!(self.gossip.set(gossip).is_ok(), "gossip is connected once");
+    }
+
+    /// Returns the connection with other instances.
+    ///
+    /// # Panics
+    ///
+    /// Panics before [`Node::set_gossip`].
+    #[must_use]
+    pub fn gossip(&self) -> &GossipNode<NodeEvents> {
+        self.gossip
+            .get()
+            .expect("gossip is connected before requests are accepted")
+    }
+
+    /// Returns all members, this instance included.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        self.gossip()
+            .read(|gossip| gossip.members().members().cloned().collect())
+    }
+
+    /// Returns the names of the instances of this failure domain that can own targets.
+    ///
+    /// A suspect member owns nothing, so that ownership moves before the suspicion ends.
+    #[must_use]
+    pub fn live_instances(&self) -> BTreeSet<String> {
+        self.domain_members(|member| member.state == MemberState::Alive)
+    }
+
+    /// Returns the names of the instances of this failure domain that may use slots.
+    #[must_use]
+    pub fn known_instances(&self) -> BTreeSet<String> {
+        self.domain_members(|member| member.state != MemberState::Dead)
+    }
+
+    /// Returns whether this instance cannot know whether the others regard it as dead.
+    #[must_use]
+    pub fn is_self_suspect(&self) -> bool {
+        self.gossip().is_self_suspect()
+    }
+
+    /// Returns whether a target takes no new calls: it leaves, or it or its domain is drained.
+    #[must_use]
+    pub fn is_closed(&self, entry: &TargetEntry) -> bool {
+        entry.leaving
+            || self.is_drained(&Subject::FailureDomain(entry.failure_domain.clone()))
+            || self.is_drained(&Subject::Target(entry.name.clone()))
+    }
+
+    /// Returns whether an instance, or its failure domain, is drained.
+    #[must_use]
+    pub fn is_instance_drained(&self, member: &Member) -> bool {
+        self.is_drained(&Subject::FailureDomain(member.failure_domain.clone()))
+            || self.is_drained(&Subject::Instance(member.name.clone()))
+    }
+
+    /// Returns whether a subject is drained.
+    #[must_use]
+    pub fn is_drained(&self, subject: &Subject) -> bool {
+        self.gossip()
+            .read(|gossip| gossip.drains().is_drained(subject))
+    }
+
+    /// Returns whether this instance, or its failure domain, is drained.
+    #[must_use]
+    pub fn is_self_drained(&self) -> bool {
+        self.is_drained(&Subject::FailureDomain(
+            self.settings.failure_domain.clone(),
+        )) || self.is_drained(&Subject::Instance(self.settings.name.clone()))
+    }
+
+    /// Sends a datagram to an instance; a lost one is the protocol's concern.
+    pub fn send(&self, instance: &str, body: Body) {
+        let gossip = self.gossip();
+        let address = gossip.read(|gossip| {
+            gossip
+                .members()
+                .get(instance)
+                .map(|member| member.peer_address)
+        });
+        let Some(address) = address else { return };
+        if gossip.send(address, body).is_err() {
+            self.metrics.count("datagram_too_large");
+        }
+    }
+
+    /// Returns whether the targets of a service stream tokens.
+    #[must_use]
+    pub fn streams(&self, service: &str) -> bool {
+        let active = self.active();
+        let spec = active.deployment.services.get(service);
+        spec.is_some_and(|spec| spec.kind == ServiceKind::Engine)
+    }
+
     /// Tells other instances about a request that made targets fail.
-    pub fn share_quarantine(&self, _entry: QuarantineEntry) {
+    pub fn share_quarantine(&self, entry: &QuarantineEntry) {
         self.metrics.count("target_failed_during_request");
+        let body = Body::Quarantine(vec![entry.clone()]);
+        for member in self.members() {
+            if member.name != self.settings.name && member.state == MemberState::Alive {
+                self.send(&member.name, body.clone());
+            }
+        }
+    }
+
+    fn domain_members(&self, accepts: impl Fn(&Member) -> bool) -> BTreeSet<String> {
+        let domain = &self.settings.failure_domain;
+        self.gossip().read(|gossip| {
+            let members = gossip.members().members();
+            members
+                .filter(|member| member.failure_domain == *domain && accepts(member))
+                .map(|member| member.name.clone())
+                .collect()
+        })
     }
 
     /// Returns an identifier that no other request has, also after a restart.
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -79,7 +79,7 @@
         now: Millis,
         settings: GrantSettings,
         owned: &[OwnedTarget],
-        live: &BTreeSet<String>,
+        known: &BTreeSet<String>,
     ) -> Vec<OutgoingReply> {
         let mut table = self.lock();
         let current: BTreeSet<Target> = owned.iter().map(|owned| owned.target).collect();
@@ -99,7 +99,11 @@
             });
             owned.entry.clone_from(entry);
             let mut outputs = owned.grants.handle(now, OwnerInput::Closed(*closed));
-            for gone in table.instances.names().filter(|name| !live.contains(*name)) {
+            for gone in table
+                .instances
+                .names()
+                .filter(|name| !known.contains(*name))
+            {
                 let Some(instance) = table.instances.get(gone) else {
                     continue;
                 };
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -176,6 +176,7 @@
         fingerprint: request.fingerprint,
         prefix: prompt.map(prefix_key),
         input: input.clone(),
+        resume_at: 0,
         forwarded: false,
     }
 }
--- a/crates/daemon/src/stage.rs
+++ b/crates/daemon/src/stage.rs
@@ -56,6 +56,8 @@
     pub prefix: Option<u64>,
     /// The caller's JSON, or the previous stage's output.
     pub input: Value,
+    /// The offset of the first token to deliver.
+    pub resume_at: u32,
     /// Whether the call came from another failure domain; it is not forwarded again.
     pub forwarded: bool,
 }
--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -35,7 +35,8 @@
 
 const CONNECT_TIMEOUT_MS: Millis = Millis(500);
 const REPORT_TIMEOUT_MS: Millis = Millis(400);
-const ORDER_TIMEOUT_MS: Millis = Millis(2_000);
+/// The longest time that an order is on its way.
+pub const ORDER_TIMEOUT_MS: Millis = Millis(2_000);
 const MAX_ANSWER_BYTES: u64 = 4 * 1024 * 1024;
 const MAX_IDLE_CONNECTIONS: usize = 256;
 const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 32;
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -182,12 +182,13 @@
         self.state.at
     }
 
-    /// Takes the attempt back because the connection for it was not established.
+    /// Takes the attempt back because it provably reached no target.
     ///
-    /// Only a failure to establish a fresh connection is such a proof; a pooled connection that
-    /// breaks is not, because the target may have read the call from it.
+    /// There are two proofs: the connection for it was not established, or the instance to which
+    /// it was forwarded says so. A pooled connection that breaks proves nothing, because the
+    /// target may have read the call from it.
     #[must_use]
-    pub fn not_connected(self) -> Attempt<Unsent> {
+    pub fn take_back(self) -> Attempt<Unsent> {
         Attempt {
             ids: self.ids,
             state: Unsent {
--- a/crates/policy/tests/attempt.rs
+++ b/crates/policy/tests/attempt.rs
@@ -65,13 +65,13 @@
 
 #[test]
 fn a_failed_connection_proves_not_run_only_when_nothing_was_sent_before() {
-    let taken_back = Attempt::first(ids()).send(Millis(7)).not_connected();
+    let taken_back = Attempt::first(ids()).send(Millis(7)).take_back();
     assert_eq!(
         taken_back.not_run().map(|proof| proof.request().to_owned()),
         Ok("r1".to_owned())
     );
     let sent = Attempt::first(ids()).send(Millis(7));
     let retry = sent.follow("encode".to_owned(), "a2".to_owned());
-    let refused = retry.send(Millis(8)).not_connected().not_run();
+    let refused = retry.send(Millis(8)).take_back().not_run();
     assert_eq!(refused.expect_err("an attempt was sent").request, "r1");
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,12 +4,13 @@
 //! [`MAX_DATAGRAM_BYTES`], so it is not fragmented on an ordinary network. Malformed input and
 //! other versions give an error value.
 
-use arbutus_coord::Millis;
 use arbutus_coord::drain::DrainEntry;
+use arbutus_coord::grant;
 use arbutus_coord::membership::Digests;
 use arbutus_coord::membership::Member;
 use arbutus_coord::membership::Message;
 use arbutus_coord::membership::Packet;
+use arbutus_policy::quarantine::QuarantineEntry;
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -57,14 +58,8 @@
 pub struct GrantRequest {
     /// The name of the target.
     pub target: String,
-    /// The number of slots that the holder wants.
-    pub wanted: u32,
-    /// The number of calls that the holder runs at the target.
-    pub in_use: u32,
-    /// The number of slots that the holder was granted and that have not expired.
-    pub held: u32,
-    /// The number that the reply repeats.
-    pub sequence: u64,
+    /// The request.
+    pub request: grant::GrantRequest,
 }
 
 /// An answer to a [`GrantRequest`].
@@ -72,27 +67,8 @@
 pub struct GrantReply {
     /// The name of the target.
     pub target: String,
-    /// The number of the request.
-    pub sequence: u64,
-    /// The number of slots that the holder may use.
-    pub slots: u32,
-    /// How long the grant is valid after the request was sent.
-    pub valid_ms: Millis,
-    /// The boot identifier of the target.
-    pub boot_id: u64,
-    /// Whether the target has finished its cold start.
-    pub warm: bool,
-    /// The number of calls that run at the target.
-    pub in_flight: u32,
-}
-
-/// A request that crashed targets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineEntry {
-    /// The fingerprint of the request.
-    pub fingerprint: u64,
-    /// How long the entry remains.
-    pub remaining_ms: Millis,
+    /// The answer.
+    pub reply: grant::GrantReply,
 }
 
 /// A datagram that could not be encoded or decoded.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -99,10 +99,16 @@
     pub priority: u8,
     /// The idempotency key of a non-idempotent request.
     pub idempotency_key: Option<String>,
+    /// The hash of the caller's request, which a resend shares.
+    pub fingerprint: u64,
+    /// The key that determines the preferred engine of a prompt.
+    pub prefix: Option<u64>,
     /// The body for the target.
     pub body: Vec<u8>,
     /// The largest number of tokens that an engine generates.
     pub max_tokens: u32,
+    /// The longest silence within a stream.
+    pub stall_ms: Millis,
     /// The offset of the first token to send.
     pub resume_at: u32,
     /// How often the call was forwarded; a receiver of a forwarded call does not forward it.
