grant: divide the slots of a target among instances

The owner counts for each holder an upper bound of max(granted, in use), which falls only because of the holder's own report. A new owner re-confirms what holders report until earlier grants have expired. Slots that cannot be divided go around in turns. Hints ask holders to report when slots have to be moved, so the renewal interval bounds nothing but losses.

--- /dev/null
+++ b/crates/coord/src/grant/owner.rs
@@ -0,0 +1,396 @@
+//! The owner of one target, which divides its slots.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+
+use displaydoc::Display;
+
+use super::Demand;
+use super::GrantReply;
+use super::GrantRequest;
+use super::GrantSettings;
+use super::OwnerInput;
+use super::OwnerOutput;
+use super::SlowStart;
+use super::divide;
+use crate::Millis;
+use crate::entity::Instance;
+
+/// How many answers that a holder has not confirmed are remembered; it gets no further ones.
+const MAX_UNCONFIRMED: usize = 8;
+/// How many renewals a holder may miss before its demand no longer counts in the division.
+const MISSED_RENEWALS: u64 = 3;
+
+/// A state that contradicts the owner's invariants.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum OwnerError {
+    /// {counted} slots are counted, but only {bound} may be
+    TooMany {
+        /// The sum over all holders.
+        counted: u32,
+        /// The allowed slots, or the earlier sum if it was higher before the allowed number fell.
+        bound: u32,
+    },
+    /// holder {0:?} was granted more slots than are counted for it
+    Uncounted(Instance),
+}
+
+impl Error for OwnerError {}
+
+#[derive(Clone, Copy, Debug)]
+struct Unconfirmed {
+    sequence: u64,
+    slots: u32,
+    expires_at: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct HolderState {
+    boot_id: u64,
+    previous_boot_id: Option<u64>,
+    sequence: u64,
+    seen_at: Millis,
+    hinted_at: Option<Millis>,
+    in_use: u32,
+    needed: u32,
+    wanted: u32,
+    /// The upper bound of max(granted, in use), which falls only because of a report.
+    counted: u32,
+    unconfirmed: Vec<Unconfirmed>,
+    gone: bool,
+    turn: u64,
+    turn_until: Millis,
+}
+
+/// The owner's side of the slots of one target.
+#[derive(Clone, Debug)]
+pub struct GrantOwner {
+    settings: GrantSettings,
+    slow_start: SlowStart,
+    closed: bool,
+    settles_at: Millis,
+    handled_at: Millis,
+    holders: BTreeMap<Instance, HolderState>,
+    turns: u64,
+    /// The calls that the target reports beyond those of known holders.
+    external: u32,
+    /// The highest sums since the last report and in the interval before it.
+    recent_sums: [u32; 2],
+    /// The bound that the sum of counted slots must keep.
+    bound: u32,
+}
+
+impl GrantOwner {
+    /// Creates an owner that takes over now.
+    ///
+    /// `first` says that no other instance can have granted slots of the target before, because it
+    /// is new; then the owner does not wait for earlier grants to expire.
+    #[must_use]
+    pub fn new(now: Millis, settings: GrantSettings, first: bool) -> Self {
+        let settles_at = if first {
+            now
+        } else {
+            now + settings.lifetime_ms + settings.margin_ms
+        };
+        Self {
+            settings,
+            slow_start: SlowStart::new(settings),
+            closed: false,
+            settles_at,
+            handled_at: now,
+            holders: BTreeMap::new(),
+            turns: 0,
+            external: 0,
+            recent_sums: [0; 2],
+            bound: settings.unreported_slots,
+        }
+    }
+
+    /// Takes an input and returns the messages to send.
+    pub fn handle(&mut self, now: Millis, input: OwnerInput) -> Vec<OwnerOutput> {
+        self.detect_pause(now);
+        self.forget_silent(now);
+        let mut outputs = Vec::new();
+        match input {
+            OwnerInput::Report(report) => {
+                if self.slow_start.on_report(now, report) {
+                    self.update_external();
+                }
+            }
+            OwnerInput::SuspectCold => self.slow_start.suspect_cold(),
+            OwnerInput::Request { holder, request } => {
+                outputs.extend(self.on_request(now, holder, request));
+            }
+            OwnerInput::HolderGone(holder) => {
+                if let Some(state) = self.holders.get_mut(&holder) {
+                    state.gone = true;
+                }
+            }
+            OwnerInput::Closed(closed) => self.closed = closed,
+            OwnerInput::Tick => {}
+        }
+        let sum = self.counted();
+        self.recent_sums[0] = self.recent_sums[0].max(sum);
+        // The bound falls with the sum, and never below the allowed slots.
+        self.bound = self.allowed(now).max(sum.min(self.bound));
+        self.hint(now, &mut outputs);
+        outputs
+    }
+
+    /// Returns the number of calls that may run at the target.
+    #[must_use]
+    pub fn allowed(&self, now: Millis) -> u32 {
+        if self.closed {
+            return 0;
+        }
+        self.slow_start.allowed(now)
+    }
+
+    /// Returns the sum over all holders of max(granted, in use), as far as the owner knows.
+    #[must_use]
+    pub fn counted(&self) -> u32 {
+        self.holders
+            .values()
+            .fold(0, |sum, state| sum.saturating_add(state.counted))
+    }
+
+    /// Returns whether the owner waits for the grants of an earlier owner to expire.
+    #[must_use]
+    pub fn is_settling(&self, now: Millis) -> bool {
+        now < self.settles_at
+    }
+
+    /// Returns the number of holders that are remembered.
+    #[must_use]
+    pub fn holders(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Checks the owner's invariants after an input was handled.
+    ///
+    /// # Errors
+    ///
+    /// Returns the contradiction that was found.
+    pub fn verify(&self) -> Result<(), OwnerError> {
+        let counted = self.counted();
+        if counted > self.bound && !self.reported_beyond_bound() {
+            let bound = self.bound;
+            return Err(OwnerError::TooMany { counted, bound });
+        }
+        for (&holder, state) in &self.holders {
+            let granted = state.unconfirmed.iter().map(|reply| reply.slots).max();
+            if granted.unwrap_or(0) > state.counted {
+                return Err(OwnerError::Uncounted(holder));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether holders reported slots that this owner did not grant, which an earlier
+    /// owner, or another one that acts at the same time, granted.
+    fn reported_beyond_bound(&self) -> bool {
+        let granted = |state: &HolderState| {
+            let granted = state.unconfirmed.iter().map(|reply| reply.slots).max();
+            granted.unwrap_or(0)
+        };
+        let own: u32 = self.holders.values().map(granted).sum();
+        own <= self.bound
+    }
+
+    fn on_request(
+        &mut self,
+        now: Millis,
+        holder: Instance,
+        request: GrantRequest,
+    ) -> Option<OwnerOutput> {
+        if !self.observe(now, holder, request) {
+            return None;
+        }
+        let slots = self.slots_for(now, holder, request);
+        let lifetime_ms = self.settings.lifetime_ms;
+        let state = self.holders.get_mut(&holder)?;
+        if request.wanted > 0 {
+            if state.unconfirmed.len() >= MAX_UNCONFIRMED {
+                return None;
+            }
+            state.unconfirmed.push(Unconfirmed {
+                sequence: request.sequence,
+                slots,
+                expires_at: now + lifetime_ms,
+            });
+            state.counted = state.counted.max(slots);
+        }
+        if slots > 0 && now >= state.turn_until {
+            self.turns += 1;
+            state.turn = self.turns;
+            state.turn_until = now + self.settings.turn_ms;
+        }
+        let reply = GrantReply {
+            holder_boot_id: request.holder_boot_id,
+            sequence: request.sequence,
+            slots,
+            counted: state.counted,
+            lifetime_ms,
+            view: self.slow_start.view(now),
+        };
+        Some(OwnerOutput { holder, reply })
+    }
+
+    /// Updates what is known about a holder, and returns whether the request is news.
+    fn observe(&mut self, now: Millis, holder: Instance, request: GrantRequest) -> bool {
+        let fresh = HolderState {
+            boot_id: request.holder_boot_id,
+            previous_boot_id: None,
+            sequence: 0,
+            seen_at: now,
+            hinted_at: None,
+            in_use: 0,
+            needed: 0,
+            wanted: 0,
+            counted: 0,
+            unconfirmed: Vec::new(),
+            gone: false,
+            turn: self.turns,
+            turn_until: Millis::ZERO,
+        };
+        let state = self.holders.entry(holder).or_insert_with(|| fresh.clone());
+        if state.boot_id != request.holder_boot_id {
+            if state.previous_boot_id == Some(request.holder_boot_id) {
+                return false;
+            }
+            let previous_boot_id = Some(state.boot_id);
+            *state = HolderState {
+                previous_boot_id,
+                ..fresh
+            };
+        }
+        if request.sequence <= state.sequence {
+            return false;
+        }
+        state.sequence = request.sequence;
+        state.seen_at = now;
+        state.gone = false;
+        state.in_use = request.in_use;
+        state.needed = request.needed;
+        state.wanted = request.wanted;
+        // The holder ignores answers before `applied`; that one itself is part of `held`.
+        state
+            .unconfirmed
+            .retain(|reply| reply.sequence >= request.applied && reply.expires_at > now);
+        let granted = state.unconfirmed.iter().map(|reply| reply.slots).max();
+        state.counted = request.in_use.max(request.held).max(granted.unwrap_or(0));
+        true
+    }
+
+    fn slots_for(&self, now: Millis, holder: Instance, request: GrantRequest) -> u32 {
+        let others = self
+            .holders
+            .iter()
+            .filter(|&(&other, _)| other != holder)
+            .fold(0_u32, |sum, (_, state)| sum.saturating_add(state.counted));
+        let available = self.allowed(now).saturating_sub(others);
+        if self.is_settling(now) {
+            // The calls that seem to be external may be those of holders that report next.
+            return request.held.min(request.wanted).min(available);
+        }
+        let shares = self.shares(now);
+        let share = shares.get(&holder).copied().unwrap_or(0);
+        share.min(available.saturating_sub(self.external))
+    }
+
+    /// Divides the slots among the holders whose demand is recent.
+    fn shares(&self, now: Millis) -> BTreeMap<Instance, u32> {
+        let recent_ms = self.settings.renew_ms.times(MISSED_RENEWALS);
+        let demand = |state: &HolderState| {
+            let recent = !state.gone && now - state.seen_at <= recent_ms;
+            // A holder keeps the slots of its turn before others get theirs.
+            let turn = if now < state.turn_until {
+                0
+            } else {
+                state.turn
+            };
+            Demand {
+                needed: if recent { state.needed } else { state.in_use },
+                wanted: if recent { state.wanted } else { state.in_use },
+                turn,
+            }
+        };
+        let demands: Vec<Demand> = self.holders.values().map(demand).collect();
+        let slots = self.allowed(now).saturating_sub(self.external);
+        let shares = divide(slots, &demands);
+        self.holders.keys().copied().zip(shares).collect()
+    }
+
+    /// Asks holders to report: those that have more than their share while others need slots, and
+    /// those that wait while slots are available.
+    fn hint(&mut self, now: Millis, outputs: &mut Vec<OwnerOutput>) {
+        let allowed = self.allowed(now).saturating_sub(self.external);
+        let sum = self.counted();
+        let waiting = |state: &HolderState| !state.gone && state.needed > state.counted;
+        let excess = sum > allowed;
+        if !excess && !self.holders.values().any(waiting) {
+            return;
+        }
+        let shares = self.shares(now);
+        let mut available = allowed.saturating_sub(sum);
+        let settling = self.is_settling(now);
+        let answered: Vec<Instance> = outputs.iter().map(|output| output.holder).collect();
+        for (&holder, state) in &mut self.holders {
+            let share = shares.get(&holder).copied().unwrap_or(0);
+            let valid = |reply: &&Unconfirmed| reply.expires_at > now;
+            let granted = state.unconfirmed.iter().rfind(valid);
+            let granted = granted.map_or(0, |reply| reply.slots);
+            let idle = state.counted > state.in_use;
+            let gives_back = granted > share && (excess || idle);
+            let gets = !settling && available > 0 && waiting(state) && share > state.counted;
+            let hinted = state
+                .hinted_at
+                .is_some_and(|at| now < at + self.settings.min_interval_ms.times(2));
+            if !(gives_back || gets) || hinted || state.gone || answered.contains(&holder) {
+                continue;
+            }
+            if gets {
+                available = available.saturating_sub(share - state.counted);
+            }
+            state.hinted_at = Some(now);
+            let reply = GrantReply {
+                holder_boot_id: state.boot_id,
+                sequence: 0,
+                slots: 0,
+                counted: state.counted,
+                lifetime_ms: Millis::ZERO,
+                view: self.slow_start.view(now),
+            };
+            outputs.push(OwnerOutput { holder, reply });
+        }
+    }
+
+    /// Starts to settle again after a pause in which another owner may have acted.
+    fn detect_pause(&mut self, now: Millis) {
+        if now - self.handled_at > self.settings.lifetime_ms {
+            self.settles_at = now + self.settings.lifetime_ms + self.settings.margin_ms;
+        }
+        self.handled_at = now;
+    }
+
+    /// Forgets holders that are dead or have been silent for long, once their grants have expired.
+    fn forget_silent(&mut self, now: Millis) {
+        let settings = self.settings;
+        let grants_end = settings.lifetime_ms + settings.margin_ms;
+        self.holders.retain(|_, state| {
+            let silent = now - state.seen_at;
+            let forgotten = silent > settings.forget_ms || (state.gone && silent > grants_end);
+            !forgotten
+        });
+    }
+
+    /// Updates the calls of unknown holders from the target's report.
+    ///
+    /// The report lags behind, so it is compared with the highest recent sum.
+    fn update_external(&mut self) {
+        let sum = self.counted();
+        let highest = self.recent_sums[0].max(self.recent_sums[1]).max(sum);
+        self.external = self.slow_start.load().saturating_sub(highest);
+        self.recent_sums = [sum, self.recent_sums[0]];
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod drain;
 pub mod entity;
+pub mod grant;
 pub mod lease;
 pub mod membership;
 pub mod rendezvous;
