--- a/crates/coord/src/grant/owner.rs
+++ b/crates/coord/src/grant/owner.rs
@@ -340,8 +340,8 @@
             let valid = |reply: &&Unconfirmed| reply.expires_at > now;
             let granted = state.unconfirmed.iter().rfind(valid);
             let granted = granted.map_or(0, |reply| reply.slots);
-            let spare = state.counted > state.in_use;
-            let gives_back = granted > share && (excess || spare);
+            let idle = state.counted > state.in_use;
+            let gives_back = granted > share && (excess || idle);
             let gets = !settling && available > 0 && waiting(state) && share > state.counted;
             let hinted = state
                 .hinted_at
