--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -17,9 +17,9 @@
     Reported(Report),
 }
 
-/// A failure that also has a JSON form.
-#[derive(Debug, Display)]
+// The doc comment is the message, because the failure shows only its text.
 /// {text}
+#[derive(Debug, Display)]
 pub(crate) struct Report {
     /// The failure in words.
     pub(crate) text: String,
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -180,7 +180,8 @@
     ];
     let refused = with_instances(server.address(), &call);
     assert_eq!(refused.status, 1);
-    assert!(refused.errors.contains("executed: no"), "{refused:?}");
+    let expected = "arbutusctl: idempotency key required (status 400); executed: no\n";
+    assert_eq!(refused.errors, expected);
     let answered = with_instances(server.address(), &[&call[..], &["--key", "k-2"]].concat());
     assert_eq!(answered.json()["receipt"], "kamagama", "{answered:?}");
 }
