standins: serve connections without tiny_http

A load run did not start: the platform accepted a connection and never read it, and the client's call ended after 30 s. The pool of tiny_http 0.12 queues a connection when a thread is counted as idle, even if that thread has been promised to another one already; the queued connection waits until some connection is closed.

The stand-ins now accept connections themselves and parse requests with httparse, which was in the lock file already through ureq. Targets can now also close a connection without an answer, and notice clients that went away.

--- a/crates/standins/src/bin/arbutus-loadgen.rs
+++ b/crates/standins/src/bin/arbutus-loadgen.rs
@@ -8,8 +8,8 @@
 use std::str::FromStr;
 
 use arbutus_coord::Clock;
+use arbutus_standins::loadgen::deployment::Deployment;
 use arbutus_standins::loadgen::event::TimedEvent;
-use arbutus_standins::loadgen::run::DeploymentAddresses;
 use arbutus_standins::loadgen::run::run;
 use arbutus_standins::loadgen::scenario::Scenario;
 use arbutus_standins::report::plot;
@@ -18,8 +18,8 @@
 use getopts::Matches;
 use getopts::Options;
 
-const USAGE: &str = "Usage: arbutus-loadgen --scenario NAME|FILE --instances ADDRESS,.. \
-                     [--platform ADDRESS] [options]";
+const USAGE: &str = "Usage: arbutus-loadgen --scenario NAME|FILE \
+                     (--start DIRECTORY | --instances ADDRESS,.. [--platform ADDRESS]) [options]";
 const DEFAULT_SEED: u64 = 1;
 const EXIT_VIOLATIONS: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -41,6 +41,8 @@
     options.optopt("", "scenario", scenario, "NAME|FILE");
     options.optopt("", "instances", "HTTP addresses of the instances", "LIST");
     options.optopt("", "platform", "platform, to find the targets", "ADDRESS");
+    let start = "start the scenario's fleet with the configuration in DIRECTORY";
+    options.optopt("", "start", start, "DIRECTORY");
     options.optopt("", "label", "label of the deployment", "TEXT");
     options.optflag(
         "",
@@ -49,14 +51,15 @@
     );
     options.optopt("", "instances-b", "instances of the second one", "LIST");
     options.optopt("", "platform-b", "platform of the second one", "ADDRESS");
+    options.optopt("", "start-b", "start the second one", "DIRECTORY");
     options.optopt("", "label-b", "label of the second one", "TEXT");
     options.optflag("", "no-balancer", "use instances that are not ready, too");
     options.optopt("", "seed", "seed of the arrivals (1)", "N");
     options.optopt("", "rate", "arrivals for each second", "N");
     options.optopt("", "duration", "time of arrivals, in seconds", "S");
     options.optopt("", "warmup", "time left out at the start, in seconds", "S");
-    let event = "TIME:drain:DOMAIN, TIME:undrain:DOMAIN or TIME:KIND:NAME=JSON with the kinds \
-                 target, service, domain, platform and post";
+    let event = "TIME:ACTION:NAME with drain, undrain, kill, terminate, pause, resume or restart; \
+                 TIME:KIND:NAME=JSON with target, service, domain, platform or post";
     options.optmulti("", "event", event, "EVENT");
     options.optopt("", "json", "file for the summary", "FILE");
     options.optopt("", "svg", "file for the plot", "FILE");
@@ -90,18 +93,25 @@
 
 fn deployment(
     matches: &Matches,
+    scenario: &Scenario,
     suffix: &str,
     label: &str,
-) -> Result<DeploymentAddresses, Box<dyn Error>> {
+) -> Result<Deployment, Box<dyn Error>> {
     let option = |name: &str| format!("{name}{suffix}");
-    Ok(DeploymentAddresses {
-        label: matches
-            .opt_str(&option("label"))
-            .unwrap_or_else(|| label.to_owned()),
-        instances: addresses(matches, &option("instances"))?,
-        platform: optional(matches, &option("platform"))?,
-        balancer: !matches.opt_present("no-balancer"),
-    })
+    let label = matches
+        .opt_str(&option("label"))
+        .unwrap_or_else(|| label.to_owned());
+    let deployment = match matches.opt_str(&option("start")) {
+        Some(configuration) => {
+            Deployment::start(&label, &scenario.fleet, Path::new(&configuration))?
+        }
+        None => Deployment::new(
+            &label,
+            addresses(matches, &option("instances"))?,
+            optional(matches, &option("platform"))?,
+        ),
+    };
+    Ok(deployment.with_balancer(!matches.opt_present("no-balancer")))
 }
 
 fn scenario(matches: &Matches) -> Result<Scenario, Box<dyn Error>> {
@@ -128,9 +138,9 @@
     }
     let scenario = scenario(&matches)?;
     let seed = optional(&matches, "seed")?.unwrap_or(DEFAULT_SEED);
-    let mut deployments = vec![deployment(&matches, "", "a")?];
+    let mut deployments = vec![deployment(&matches, &scenario, "", "a")?];
     if matches.opt_present("compare") {
-        deployments.push(deployment(&matches, "-b", "b")?);
+        deployments.push(deployment(&matches, &scenario, "-b", "b")?);
     }
     // Markers of an earlier run at the same targets must not be taken for this run's.
     let run_id = format!("{:x}", Clock::wall().0);
--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -53,7 +53,7 @@
 }
 
 impl Handler for TargetHandler {
-    fn handle(&self, mut exchange: Exchange) -> io::Result<()> {
+    fn handle(&self, exchange: Exchange) -> io::Result<()> {
         let state = &self.state;
         if state.crashed.load(Ordering::SeqCst) {
             exchange.drop_connection();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -25,6 +25,8 @@
 const MAX_TOKENS: u32 = 65_536;
 /// A stalled stream is given up after this time.
 const MAX_STALL: Duration = Duration::from_secs(30);
+/// How often a stalled stream checks whether its client is still there.
+const STALL_SLICE: Duration = Duration::from_millis(50);
 /// The share of the time to the first token that remains when the prompt's prefix is cached.
 const CACHED_PREFIX_SHARE: f64 = 0.3;
 
@@ -90,7 +92,7 @@
             return Ok(Ending::Cut);
         }
         if faults.stall_after_tokens == Some(sent) {
-            context.sleep(MAX_STALL);
+            stall(context, events);
             return Ok(Ending::Cut);
         }
         if !context.sleep(due.saturating_duration_since(Instant::now())) {
@@ -111,6 +113,16 @@
     Ok(Ending::Whole)
 }
 
+/// Stays silent until the call is cancelled or the client gives up.
+fn stall(context: &CallContext, events: &EventWriter) {
+    let until = Instant::now() + MAX_STALL;
+    while Instant::now() < until && !events.is_client_gone() {
+        if !context.sleep(STALL_SLICE) {
+            return;
+        }
+    }
+}
+
 fn first_token_delay(state: &TargetState, body: &GenerateBody) -> Duration {
     let delay = state.duration(state.spec.service_ms);
     let is_cached = state.touch_prefix(text::prompt_prefix(&body.input));
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,34 +1,45 @@
-//! An HTTP server on `tiny_http` with a bounded pool of workers.
+//! An HTTP/1.1 server with a bounded number of connections, each served by a small thread.
 //!
-//! Workers have small stacks and are started on demand, so that a target can hold a few hundred
-//! streams at once without holding the threads while it is idle.
+//! `tiny_http` is not used here. In a burst of connections its pool hands two of them to the same
+//! idle thread, and the second one is not read until some connection is closed. Stand-ins also
+//! have to close connections without an answer, and to notice clients that went away.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tiny_http::Request;
-use tiny_http::Server;
 
-const WORKER_STACK_BYTES: usize = 256 * 1024;
-const MIN_WORKERS: usize = 2;
-const WORKER_IDLE: Duration = Duration::from_secs(2);
+const CONNECTION_STACK_BYTES: usize = 256 * 1024;
 const LISTEN_BACKLOG: i32 = 1_024;
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a stopped server keeps answering kept-alive connections with a closed one.
-const REJECT_AFTER_STOP: Duration = Duration::from_secs(5);
+/// An idle connection is closed after this time.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+const MAX_HEADERS: usize = 48;
+/// The largest body that is kept; a larger one is refused and its connection closed.
+const MAX_BODY_BYTES: usize = 1_100_000;
+const MAX_DISCARDED_BYTES: usize = 32 * 1024 * 1024;
+const READ_CHUNK_BYTES: usize = 4 * 1024;
+/// The pause after a failure to accept, for example when there are no file descriptors left.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+const BUSY: &[u8] = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What a server does with each request.
 pub trait Handler: Send + Sync + 'static {
@@ -44,53 +55,44 @@
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
-    pool: Arc<Pool>,
+    connections: Arc<Connections>,
 }
 
-struct Pool {
-    server: Server,
-    handler: Arc<dyn Handler>,
-    max_workers: usize,
-    workers: AtomicUsize,
-    idle: AtomicUsize,
+/// The open connections of a server.
+#[derive(Debug)]
+struct Connections {
+    open: Mutex<BTreeMap<u64, Arc<TcpStream>>>,
+    max_open: usize,
+    next_id: AtomicU64,
     stopped: AtomicBool,
 }
 
-impl fmt::Debug for Pool {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Pool")
-            .field("max_workers", &self.max_workers)
-            .field("workers", &self.workers)
-            .field("idle", &self.idle)
-            .finish_non_exhaustive()
-    }
-}
-
 impl HttpServer {
     /// Starts a server whose listener is already bound.
     ///
     /// # Errors
     ///
-    /// Returns an error when the server or its first worker cannot be started.
+    /// Returns an error when the thread that accepts connections cannot be started.
     pub fn start(
         listener: TcpListener,
-        max_workers: usize,
+        max_connections: usize,
         handler: Arc<dyn Handler>,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let pool = Arc::new(Pool {
-            server,
-            handler,
-            max_workers: max_workers.max(MIN_WORKERS),
-            workers: AtomicUsize::new(0),
-            idle: AtomicUsize::new(0),
+        let connections = Arc::new(Connections {
+            open: Mutex::new(BTreeMap::new()),
+            max_open: max_connections,
+            next_id: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         });
-        for _ in 0..MIN_WORKERS {
-            Pool::spawn(&pool)?;
-        }
-        Ok(Self { address, pool })
+        let accepting = Arc::clone(&connections);
+        thread::Builder::new()
+            .name("accept".to_owned())
+            .spawn(move || accept(&listener, &accepting, &handler))?;
+        Ok(Self {
+            address,
+            connections,
+        })
     }
 
     /// Returns the address that the server listens on.
@@ -99,11 +101,16 @@
         self.address
     }
 
-    /// Stops handling requests; later requests on open connections are dropped.
-    ///
-    /// A stopped server drops requests for a few seconds, then closes its listener.
+    /// Closes the listener and all connections at once, as a crash does.
     pub fn stop(&self) {
-        self.pool.stopped.store(true, Ordering::SeqCst);
+        if self.connections.stopped.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        for stream in self.connections.lock().values() {
+            close(stream);
+        }
+        // Wakes the thread that accepts; without a connection it ends with the next one.
+        drop(TcpStream::connect_timeout(&self.address, ACCEPT_RETRY));
     }
 }
 
@@ -113,70 +120,190 @@
     }
 }
 
-impl Pool {
-    fn spawn(pool: &Arc<Self>) -> io::Result<()> {
-        pool.workers.fetch_add(1, Ordering::SeqCst);
-        let worker = Arc::clone(pool);
-        let spawned = thread::Builder::new()
-            .name("http".to_owned())
-            .stack_size(WORKER_STACK_BYTES)
-            .spawn(move || Self::work(&worker));
-        if let Err(error) = spawned {
-            pool.workers.fetch_sub(1, Ordering::SeqCst);
-            return Err(error);
-        }
-        Ok(())
+impl Connections {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<TcpStream>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn work(pool: &Arc<Self>) {
-        while !pool.stopped.load(Ordering::SeqCst) {
-            pool.idle.fetch_add(1, Ordering::SeqCst);
-            let received = pool.server.recv_timeout(WORKER_IDLE);
-            let was_last_idle = pool.idle.fetch_sub(1, Ordering::SeqCst) == 1;
-            match received {
-                Ok(Some(request)) => pool.serve(pool, was_last_idle, request),
-                Ok(None) if pool.retire() => return,
-                Ok(None) => {}
-                Err(_) => break,
-            }
+    /// Adds a connection unless there are too many.
+    fn add(&self, stream: &Arc<TcpStream>) -> Option<u64> {
+        let mut open = self.lock();
+        if open.len() >= self.max_open || self.stopped.load(Ordering::SeqCst) {
+            return None;
         }
-        pool.reject();
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        open.insert(id, Arc::clone(stream));
+        Some(id)
     }
 
-    fn serve(&self, pool: &Arc<Self>, was_last_idle: bool, request: Request) {
-        let exchange = Exchange::new(request);
-        if self.stopped.load(Ordering::SeqCst) {
-            exchange.drop_connection();
-            return;
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+}
+
+fn accept(listener: &TcpListener, connections: &Arc<Connections>, handler: &Arc<dyn Handler>) {
+    while !connections.is_stopped() {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(ACCEPT_RETRY);
+            continue;
+        };
+        let stream = Arc::new(stream);
+        let Some(id) = connections.add(&stream) else {
+            // The client learns that there is no room, if it still listens.
+            drop((&*stream).write_all(BUSY));
+            continue;
+        };
+        let served = Arc::clone(connections);
+        let handler = Arc::clone(handler);
+        let spawned = thread::Builder::new()
+            .name("connection".to_owned())
+            .stack_size(CONNECTION_STACK_BYTES)
+            .spawn(move || {
+                // An error means that the client went away, which handlers count themselves.
+                drop(serve(&stream, &served, handler.as_ref()));
+                close(&stream);
+                served.lock().remove(&id);
+            });
+        if spawned.is_err() {
+            connections.lock().remove(&id);
         }
-        // A failure to start another worker leaves the request to the present ones.
-        let full = self.workers.load(Ordering::SeqCst) >= self.max_workers;
-        if was_last_idle && !full && Self::spawn(pool).is_err() {
-            eprintln!("cannot start another worker thread");
+    }
+}
+
+fn close(stream: &TcpStream) {
+    // A connection that the client has closed cannot be shut down, which is no fault.
+    drop(stream.shutdown(Shutdown::Both));
+}
+
+/// Serves the requests of one connection until it is closed.
+fn serve(
+    stream: &Arc<TcpStream>,
+    connections: &Connections,
+    handler: &dyn Handler,
+) -> io::Result<()> {
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    let mut received = Vec::new();
+    while !connections.is_stopped() {
+        let Some(head) = read_head(stream, &mut received)? else {
+            return Ok(());
+        };
+        let body = read_body(stream, &mut received, &head)?;
+        let is_whole = !matches!(body, Body::TooLarge);
+        let keep_alive = Arc::new(AtomicBool::new(false));
+        let closes = head
+            .header("Connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        let answer = Answer {
+            stream: Arc::clone(stream),
+            keep_alive: Arc::clone(&keep_alive),
+        };
+        handler.handle(Exchange { head, body, answer })?;
+        if closes || !is_whole || !keep_alive.load(Ordering::SeqCst) {
+            return Ok(());
         }
-        // An error here means that the client went away, which handlers count themselves.
-        drop(self.handler.handle(exchange));
     }
+    Ok(())
+}
 
-    fn retire(&self) -> bool {
-        self.workers
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |workers| {
-                (workers > MIN_WORKERS).then(|| workers - 1)
-            })
-            .is_ok()
+/// The head of a request.
+#[derive(Debug)]
+struct Head {
+    method: String,
+    path: String,
+    query: BTreeMap<String, String>,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    fn header(&self, name: &str) -> Option<&str> {
+        let (_, value) = self
+            .headers
+            .iter()
+            .find(|(header, _)| header.eq_ignore_ascii_case(name))?;
+        Some(value)
     }
 
-    fn reject(&self) {
-        let slices = 20;
-        for _ in 0..slices {
-            let wait = REJECT_AFTER_STOP / slices;
-            while let Ok(Some(request)) = self.server.recv_timeout(wait) {
-                Exchange::new(request).drop_connection();
+    /// Parses a head, and returns it with its length once it is complete.
+    fn parse(received: &[u8]) -> io::Result<Option<(Self, usize)>> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let length = match request.parse(received).map_err(io::Error::other)? {
+            httparse::Status::Complete(length) => length,
+            httparse::Status::Partial if received.len() > MAX_HEAD_BYTES => {
+                return Err(io::Error::other("the head of the request is too large"));
             }
+            httparse::Status::Partial => return Ok(None),
+        };
+        let url = request.path.unwrap_or("/");
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+        let head = Self {
+            method: request.method.unwrap_or_default().to_owned(),
+            path: percent_decoded(path),
+            query: query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .map(|(name, value)| (name.to_owned(), percent_decoded(value)))
+                .collect(),
+            headers: request
+                .headers
+                .iter()
+                .map(|header| (header.name.to_owned(), text(header.value)))
+                .collect(),
+        };
+        Ok(Some((head, length)))
+    }
+}
+
+/// The body of a request.
+#[derive(Debug)]
+enum Body {
+    Whole(Vec<u8>),
+    TooLarge,
+}
+
+/// Reads more bytes, and returns `false` at the end of the connection.
+fn read_more(mut stream: &TcpStream, received: &mut Vec<u8>) -> io::Result<bool> {
+    let mut chunk = [0; READ_CHUNK_BYTES];
+    let count = stream.read(&mut chunk)?;
+    received.extend_from_slice(&chunk[..count]);
+    Ok(count > 0)
+}
+
+fn read_head(stream: &TcpStream, received: &mut Vec<u8>) -> io::Result<Option<Head>> {
+    loop {
+        if let Some((head, length)) = Head::parse(received)? {
+            received.drain(..length);
+            return Ok(Some(head));
+        }
+        if !read_more(stream, received)? {
+            return Ok(None);
         }
     }
 }
 
+fn read_body(mut stream: &TcpStream, received: &mut Vec<u8>, head: &Head) -> io::Result<Body> {
+    if head.header("Transfer-Encoding").is_some() {
+        return Err(io::Error::other("a chunked request is not supported"));
+    }
+    let length = head.header("Content-Length").unwrap_or("0");
+    let length: usize = length.trim().parse().map_err(io::Error::other)?;
+    if length > MAX_BODY_BYTES {
+        discard(stream, length.saturating_sub(received.len()))?;
+        return Ok(Body::TooLarge);
+    }
+    if head.header("Expect").is_some() {
+        stream.write_all(CONTINUE)?;
+    }
+    while received.len() < length {
+        if !read_more(stream, received)? {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    let rest = received.split_off(length);
+    Ok(Body::Whole(std::mem::replace(received, rest)))
+}
+
 /// Binds a listener whose connections send small packets at once.
 ///
 /// # Errors
@@ -196,47 +323,78 @@
     Ok(socket.into())
 }
 
-/// A request together with the means to answer it.
+/// Reads a body that is too large, so that its client reads the answer and not a reset.
+fn discard(stream: &TcpStream, length: usize) -> io::Result<()> {
+    let length = length.min(MAX_DISCARDED_BYTES) as u64;
+    io::copy(&mut stream.take(length), &mut io::sink())?;
+    Ok(())
+}
+
+/// The means to answer a request.
 #[derive(Debug)]
-pub struct Exchange {
-    request: Request,
-    method: String,
-    path: String,
-    query: BTreeMap<String, String>,
+struct Answer {
+    stream: Arc<TcpStream>,
+    /// Set once a whole answer has been sent.
+    keep_alive: Arc<AtomicBool>,
 }
 
-impl Exchange {
-    fn new(request: Request) -> Self {
-        let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
-        let query = query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .map(|(name, value)| (name.to_owned(), percent_decoded(value)))
-            .collect();
-        Self {
-            method: request.method().to_string(),
-            path: percent_decoded(path),
-            query,
-            request,
+impl Answer {
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&*self.stream).write_all(bytes)
+    }
+
+    /// Returns whether the client has closed the connection.
+    fn is_client_gone(&self) -> bool {
+        let mut byte = [0];
+        let peeked = self.stream.set_nonblocking(true);
+        let peeked = peeked.and_then(|()| self.stream.peek(&mut byte));
+        if self.stream.set_nonblocking(false).is_err() {
+            return true;
+        }
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Sends the end of an answer, after which the next request may follow.
+    fn finish(&self, bytes: &[u8]) -> io::Result<()> {
+        if self.is_client_gone() {
+            return Err(io::ErrorKind::BrokenPipe.into());
         }
+        self.write(bytes)?;
+        self.keep_alive.store(true, Ordering::SeqCst);
+        Ok(())
     }
+}
 
+/// A request together with the means to answer it.
+///
+/// When it is dropped without an answer, the connection is closed.
+#[derive(Debug)]
+pub struct Exchange {
+    head: Head,
+    body: Body,
+    answer: Answer,
+}
+
+impl Exchange {
     /// Returns the method.
     #[must_use]
     pub fn method(&self) -> &str {
-        &self.method
+        &self.head.method
     }
 
     /// Returns the path without the query.
     #[must_use]
     pub fn path(&self) -> &str {
-        &self.path
+        &self.head.path
     }
 
     /// Returns a parameter of the query.
     #[must_use]
     pub fn query(&self, name: &str) -> Option<&str> {
-        self.query.get(name).map(String::as_str)
+        self.head.query.get(name).map(String::as_str)
     }
 
     /// Returns a number from the query.
@@ -248,106 +406,89 @@
     /// Returns a header of the request.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.request
-            .headers()
-            .iter()
-            .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
-            .map(|header| header.value.as_str())
+        self.head.header(name)
     }
 
-    /// Reads the body as JSON.
+    /// Parses the body as JSON.
     ///
     /// # Errors
     ///
-    /// Returns a description of what is wrong with the body.
-    pub fn json<T: DeserializeOwned>(&mut self, max_bytes: usize) -> Result<T, BodyError> {
-        let mut body = Vec::new();
-        let limit = max_bytes as u64 + 1;
-        self.request
-            .as_reader()
-            .take(limit)
-            .read_to_end(&mut body)
-            .map_err(|error| BodyError::Invalid(error.to_string()))?;
-        if body.len() > max_bytes {
-            return Err(BodyError::TooLarge);
+    /// Returns what is wrong with the body.
+    pub fn json<T: DeserializeOwned>(&self, max_bytes: usize) -> Result<T, BodyError> {
+        match &self.body {
+            Body::Whole(body) if body.len() <= max_bytes => {
+                serde_json::from_slice(body).map_err(|error| BodyError::Invalid(error.to_string()))
+            }
+            _ => Err(BodyError::TooLarge),
         }
-        serde_json::from_slice(&body).map_err(|error| BodyError::Invalid(error.to_string()))
     }
 
     /// Sends an answer with a JSON body.
     ///
-    /// The head is sent before the body, so that a client that went away is noticed.
-    ///
     /// # Errors
     ///
-    /// Returns the error of the socket when the client went away.
+    /// Returns an error when the client went away.
     pub fn respond(
         self,
         status: u16,
         headers: &[(&str, String)],
         body: &impl Serialize,
     ) -> io::Result<()> {
-        let body = serde_json::to_vec(body)?;
-        let mut writer = self.request.into_writer();
-        write_head(&mut writer, status, headers)?;
-        write!(writer, "Content-Type: application/json\r\n")?;
-        write!(writer, "Content-Length: {}\r\n\r\n", body.len())?;
-        writer.flush()?;
-        writer.write_all(&body)?;
-        writer.flush()
+        let body = serde_json::to_string(body)?;
+        let head = head_of_answer(status, headers);
+        let length = body.len();
+        let kind = "Content-Type: application/json";
+        let answer = format!(
+            "{head}{kind}
+Content-Length: {length}
+
+{body}"
+        );
+        self.answer.finish(answer.as_bytes())
     }
 
     /// Sends an answer without a body.
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket when the client went away.
+    /// Returns an error when the client went away.
     pub fn respond_empty(self, status: u16) -> io::Result<()> {
-        let mut writer = self.request.into_writer();
-        write_head(&mut writer, status, &[])?;
+        let mut answer = head_of_answer(status, &[]);
         // A 304 has no length; a client would otherwise take it for the length of the resource.
         if status != 304 {
-            write!(writer, "Content-Length: 0\r\n")?;
+            answer.push_str("Content-Length: 0\r\n");
         }
-        write!(writer, "\r\n")?;
-        writer.flush()
+        answer.push_str("\r\n");
+        self.answer.finish(answer.as_bytes())
     }
 
     /// Sends a problem with a plain description.
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket when the client went away.
+    /// Returns an error when the client went away.
     pub fn problem(self, status: u16, detail: &str) -> io::Result<()> {
         self.respond(status, &[], &serde_json::json!({ "detail": detail }))
     }
 
-    /// Ends the exchange without an answer.
-    ///
-    /// `tiny_http` closes a connection only if the client asked for that. For other clients
-    /// this writes a line that is not HTTP, which makes them give up the connection.
+    /// Closes the connection without an answer.
     pub fn drop_connection(self) {
-        let closes = self
-            .header("Connection")
-            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
-        let mut writer = self.request.into_writer();
-        if !closes && writer.write_all(b"connection lost\r\n\r\n").is_ok() {
-            drop(writer.flush());
-        }
+        close(&self.answer.stream);
     }
 
     /// Starts a stream of server-sent events.
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket when the client went away.
+    /// Returns an error when the client went away.
     pub fn into_events(self, headers: &[(&str, String)]) -> io::Result<EventWriter> {
-        let mut writer = self.request.into_writer();
-        write_head(&mut writer, 200, headers)?;
-        write!(writer, "Content-Type: text/event-stream\r\n")?;
-        write!(writer, "Transfer-Encoding: chunked\r\n\r\n")?;
-        writer.flush()?;
-        Ok(EventWriter { writer })
+        let mut head = head_of_answer(200, headers);
+        head.push_str("Content-Type: text/event-stream\r\n");
+        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        self.answer.write(head.as_bytes())?;
+        Ok(EventWriter {
+            answer: self.answer,
+        })
     }
 }
 
@@ -374,14 +515,11 @@
 }
 
 /// A stream of server-sent events in progress.
+///
+/// When it is dropped before its end, the connection is closed.
+#[derive(Debug)]
 pub struct EventWriter {
-    writer: Box<dyn Write + Send>,
-}
-
-impl fmt::Debug for EventWriter {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("EventWriter").finish_non_exhaustive()
-    }
+    answer: Answer,
 }
 
 impl EventWriter {
@@ -389,45 +527,50 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket when the client went away.
+    /// Returns an error when the client went away.
     pub fn send(&mut self, event: &str, data: &impl Serialize) -> io::Result<()> {
         let data = serde_json::to_string(data)?;
-        self.chunk(&format!("event: {event}\ndata: {data}\n\n"))
+        let text = format!("event: {event}\ndata: {data}\n\n");
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        self.answer.write(chunk.as_bytes())
     }
 
-    /// Sends a comment, which clients ignore; it fails when the client went away.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the socket when the client went away.
-    pub fn probe(&mut self) -> io::Result<()> {
-        self.chunk(":\n\n")
+    /// Returns whether the client has closed the connection.
+    #[must_use]
+    pub fn is_client_gone(&self) -> bool {
+        self.answer.is_client_gone()
     }
 
     /// Ends the body.
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket when the client went away.
-    pub fn finish(mut self) -> io::Result<()> {
-        self.writer.write_all(b"0\r\n\r\n")?;
-        self.writer.flush()
+    /// Returns an error when the client went away.
+    pub fn finish(self) -> io::Result<()> {
+        self.answer.finish(b"0\r\n\r\n")
     }
+}
 
-    fn chunk(&mut self, text: &str) -> io::Result<()> {
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-        self.writer.write_all(chunk.as_bytes())?;
-        self.writer.flush()
-    }
+fn head_of_answer(status: u16, headers: &[(&str, String)]) -> String {
+    let status_line = format!(
+        "HTTP/1.1 {status} {}
+",
+        reason(status)
+    );
+    let lines = headers.iter().map(|(name, value)| {
+        format!(
+            "{name}: {value}
+"
+        )
+    });
+    std::iter::once(status_line).chain(lines).collect()
 }
 
-fn write_head(writer: &mut impl Write, status: u16, headers: &[(&str, String)]) -> io::Result<()> {
-    let reason = tiny_http::StatusCode(status).default_reason_phrase();
-    write!(writer, "HTTP/1.1 {status} {reason}\r\n")?;
-    for (name, value) in headers {
-        write!(writer, "{name}: {value}\r\n")?;
-    }
-    Ok(())
+fn reason(status: u16) -> &'static str {
+    ureq::http::StatusCode::from_u16(status)
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Status")
 }
 
 fn percent_decoded(text: &str) -> String {
--- a/crates/standins/src/loadgen/event.rs
+++ b/crates/standins/src/loadgen/event.rs
@@ -1,6 +1,7 @@
 //! Events at set times of a run: faults, drains and returns.
 
 use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
@@ -13,6 +14,8 @@
 use serde_json::json;
 
 use crate::client::Client;
+use crate::fleet::Fleet;
+use crate::loadgen::deployment::Deployment;
 
 /// An action at a time of the run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -43,6 +46,16 @@
     Domain(Fault),
     /// A fault of the platform; the name is not used.
     Platform(Fault),
+    /// An instance of a started deployment is killed.
+    Kill(String),
+    /// An instance of a started deployment is asked to shut down.
+    Terminate(String),
+    /// An instance of a started deployment stops running until it is resumed.
+    Pause(String),
+    /// A paused instance runs on.
+    Resume(String),
+    /// An instance of a started deployment is started again.
+    Restart(String),
 }
 
 /// A body for the faults of what has a name.
@@ -59,12 +72,16 @@
 /// Why an event could not be parsed or done.
 #[derive(Debug, displaydoc::Display)]
 pub enum EventError {
-    /// event {0:?} is not TIME:drain:DOMAIN, TIME:undrain:DOMAIN or TIME:KIND:NAME=JSON
+    /// event {0:?} is not TIME:ACTION:NAME or TIME:KIND:NAME=JSON
     Syntax(String),
     /// no target matches {0}
     NoTarget(String),
     /// the deployment has no platform address
     NoPlatform,
+    /// the deployment was not started for this run
+    NotStarted,
+    /// there is no instance {0}
+    NoInstance(String),
     /// {0}
     Call(String),
 }
@@ -92,6 +109,11 @@
     let action = match kind {
         "drain" => Action::Drain(subject.to_owned()),
         "undrain" => Action::Undrain(subject.to_owned()),
+        "kill" => Action::Kill(subject.to_owned()),
+        "terminate" => Action::Terminate(subject.to_owned()),
+        "pause" => Action::Pause(subject.to_owned()),
+        "resume" => Action::Resume(subject.to_owned()),
+        "restart" => Action::Restart(subject.to_owned()),
         "post" => Action::Post(fault()?),
         "target" => Action::Target(fault()?),
         "service" => Action::Service(fault()?),
@@ -117,6 +139,11 @@
             Self::Service(fault) => format!("service {} {}", fault.name, fault.body),
             Self::Domain(fault) => format!("domain {} {}", fault.name, fault.body),
             Self::Platform(fault) => format!("platform {}", fault.body),
+            Self::Kill(name) => format!("kill {name}"),
+            Self::Terminate(name) => format!("terminate {name}"),
+            Self::Pause(name) => format!("pause {name}"),
+            Self::Resume(name) => format!("resume {name}"),
+            Self::Restart(name) => format!("restart {name}"),
         }
     }
 
@@ -125,14 +152,24 @@
     /// # Errors
     ///
     /// Returns an error when nothing could be changed.
-    pub fn run(
-        &self,
-        instances: &[SocketAddr],
-        platform: Option<SocketAddr>,
-    ) -> Result<(), EventError> {
+    pub fn run(&self, deployment: &Deployment) -> Result<(), EventError> {
+        let platform = deployment.platform;
         match self {
-            Self::Drain(domain) => drain(instances, domain, true),
-            Self::Undrain(domain) => drain(instances, domain, false),
+            Self::Drain(domain) => drain(&deployment.instances, domain, true),
+            Self::Undrain(domain) => drain(&deployment.instances, domain, false),
+            Self::Kill(name) => on_instance(deployment, name, |fleet, index| {
+                fleet.instances[index].process.kill()
+            }),
+            Self::Terminate(name) => on_instance(deployment, name, |fleet, index| {
+                fleet.instances[index].process.terminate()
+            }),
+            Self::Pause(name) => on_instance(deployment, name, |fleet, index| {
+                fleet.instances[index].process.pause()
+            }),
+            Self::Resume(name) => on_instance(deployment, name, |fleet, index| {
+                fleet.instances[index].process.resume()
+            }),
+            Self::Restart(name) => on_instance(deployment, name, Fleet::restart_instance),
             Self::Post(fault) => post_url(&fault.name, &fault.body),
             Self::Target(fault) => post_faults(platform, fault, |entry| entry.name == fault.name),
             Self::Service(fault) => {
@@ -149,6 +186,21 @@
     }
 }
 
+/// Does something to one instance of a started deployment.
+fn on_instance(
+    deployment: &Deployment,
+    name: &str,
+    change: impl FnOnce(&mut Fleet, usize) -> io::Result<()>,
+) -> Result<(), EventError> {
+    let mut fleet = deployment.fleet().ok_or(EventError::NotStarted)?;
+    let index = fleet
+        .instances
+        .iter()
+        .position(|instance| instance.settings.name == name)
+        .ok_or_else(|| EventError::NoInstance(name.to_owned()))?;
+    change(&mut fleet, index).map_err(|error| EventError::Call(error.to_string()))
+}
+
 fn post(address: SocketAddr, path: &str, body: &Value) -> Result<(), EventError> {
     let answer = Client::new().post(address, path, body);
     answer
--- a/crates/standins/src/loadgen/mod.rs
+++ b/crates/standins/src/loadgen/mod.rs
@@ -5,6 +5,7 @@
 pub mod bookings;
 pub mod caller;
 pub mod cost;
+pub mod deployment;
 pub mod event;
 pub mod run;
 pub mod scenario;
--- a/crates/standins/src/loadgen/run.rs
+++ b/crates/standins/src/loadgen/run.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -28,6 +27,7 @@
 use crate::loadgen::caller::agent;
 use crate::loadgen::cost::ServiceCost;
 use crate::loadgen::cost::Snapshot;
+use crate::loadgen::deployment::Deployment;
 use crate::loadgen::event::TimedEvent;
 use crate::loadgen::scenario::CallKind;
 use crate::loadgen::scenario::Scenario;
@@ -42,19 +42,6 @@
 /// How long targets get to finish calls whose callers have given up.
 const SETTLE: Duration = Duration::from_millis(500);
 
-/// The addresses of one deployment.
-#[derive(Clone, Debug)]
-pub struct DeploymentAddresses {
-    /// The label for reports.
-    pub label: String,
-    /// The instances' HTTP addresses.
-    pub instances: Vec<SocketAddr>,
-    /// The platform, from which the targets are read.
-    pub platform: Option<SocketAddr>,
-    /// Whether instances that are not ready are skipped.
-    pub balancer: bool,
-}
-
 /// One request of a deployment and what its caller saw.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -106,8 +93,9 @@
     pub generator_lag: Duration,
 }
 
-struct Deployment {
-    addresses: DeploymentAddresses,
+/// A deployment during a run.
+struct Loaded {
+    deployment: Deployment,
     balancer: Arc<Balancer>,
     before: Snapshot,
 }
@@ -127,12 +115,7 @@
 
 /// Runs a scenario.
 #[must_use]
-pub fn run(
-    scenario: &Scenario,
-    seed: u64,
-    run_id: &str,
-    deployments: &[DeploymentAddresses],
-) -> RunData {
+pub fn run(scenario: &Scenario, seed: u64, run_id: &str, deployments: &[Deployment]) -> RunData {
     let arrivals = Arc::new(arrivals(scenario, seed, run_id));
     let shared = Arc::new(Shared {
         scenario: scenario.clone(),
@@ -140,7 +123,7 @@
         agent: agent(),
         in_flight: AtomicUsize::new(0),
     });
-    let deployments: Vec<Deployment> = deployments.iter().map(Deployment::new).collect();
+    let deployments: Vec<Loaded> = deployments.iter().map(Loaded::new).collect();
     let start = Instant::now();
     let events: Vec<_> = deployments
         .iter()
@@ -172,7 +155,7 @@
 /// Sends all arrivals at their times, and returns the longest delay.
 fn send_all(
     shared: &Arc<Shared>,
-    deployments: &[Deployment],
+    deployments: &[Loaded],
     start: Instant,
     sender: &Sender<Reported>,
 ) -> Duration {
@@ -181,7 +164,7 @@
         let due = start + Duration::from_micros(arrival.at_us);
         thread::sleep(due.saturating_duration_since(Instant::now()));
         lag = lag.max(due.elapsed());
-        for (deployment, Deployment { balancer, .. }) in deployments.iter().enumerate() {
+        for (deployment, Loaded { balancer, .. }) in deployments.iter().enumerate() {
             let request = Request {
                 shared: Arc::clone(shared),
                 balancer: Arc::clone(balancer),
@@ -306,16 +289,16 @@
     records.sort_by_key(|record| record.arrival);
 }
 
-impl Deployment {
-    fn new(addresses: &DeploymentAddresses) -> Self {
-        let before = addresses.platform.map(Snapshot::take);
+impl Loaded {
+    fn new(deployment: &Deployment) -> Self {
+        let before = deployment.platform.map(Snapshot::take);
         if let Some(Err(error)) = &before {
-            eprintln!("{}: cannot read the targets: {error}", addresses.label);
+            eprintln!("{}: cannot read the targets: {error}", deployment.label);
         }
         Self {
-            balancer: Balancer::start(&addresses.instances, addresses.balancer),
+            balancer: Balancer::start(&deployment.instances, deployment.balancer),
             before: before.and_then(Result::ok).unwrap_or_default(),
-            addresses: addresses.clone(),
+            deployment: deployment.clone(),
         }
     }
 
@@ -324,15 +307,14 @@
         events: &[TimedEvent],
         start: Instant,
     ) -> thread::JoinHandle<Vec<DoneEvent>> {
-        let instances = self.addresses.instances.clone();
-        let platform = self.addresses.platform;
+        let deployment = self.deployment.clone();
         let mut events = events.to_vec();
         events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
         thread::spawn(move || {
             let run = |event: TimedEvent| {
                 let due = start + Duration::from_secs_f64(event.at_s.max(0.0));
                 thread::sleep(due.saturating_duration_since(Instant::now()));
-                let outcome = event.action.run(&instances, platform);
+                let outcome = event.action.run(&deployment);
                 DoneEvent {
                     event,
                     error: outcome.err().map(|error| error.to_string()),
@@ -357,11 +339,11 @@
                 bookings.add(&arrival.marker, seen.outcome, seen.answer.as_ref());
             }
         }
-        let platform = self.addresses.platform;
+        let platform = self.deployment.platform;
         let costs = platform.and_then(|platform| Snapshot::take(platform).ok());
         let executed = platform.and_then(|platform| Executed::read(platform).ok());
         DeploymentData {
-            label: self.addresses.label.clone(),
+            label: self.deployment.label.clone(),
             costs: costs.unwrap_or_default().since(&self.before),
             bookings: executed.map(|executed| bookings.compare(&executed)),
             records,
--- a/crates/standins/src/loadgen/scenario.rs
+++ b/crates/standins/src/loadgen/scenario.rs
@@ -10,13 +10,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::loadgen::deployment::FleetLoad;
 use crate::loadgen::event::TimedEvent;
 
 /// The largest number of requests of one run.
 pub const MAX_REQUESTS: f64 = 500_000.0;
 
-const KAMAGAMA: &str = include_str!("../../scenarios/kamagama.yaml");
-const RUSTWELL: &str = include_str!("../../scenarios/rustwell.yaml");
+const KAMAGAMA: &str = include_str!("../../scenarios/kamagama/scenario.yaml");
+const RUSTWELL: &str = include_str!("../../scenarios/rustwell/scenario.yaml");
 
 /// Why a scenario cannot be used.
 #[derive(Debug, displaydoc::Display)]
@@ -56,6 +57,9 @@
     /// What happens during the run.
     #[serde(default)]
     pub events: Vec<TimedEvent>,
+    /// The processes of a deployment that is started for the run.
+    #[serde(default)]
+    pub fleet: FleetLoad,
 }
 
 /// What callers of a class expect.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -146,7 +146,7 @@
 }
 
 impl Handler for PlatformHandler {
-    fn handle(&self, mut exchange: Exchange) -> io::Result<()> {
+    fn handle(&self, exchange: Exchange) -> io::Result<()> {
         match (exchange.method(), exchange.path()) {
             ("GET", "/stats") => {
                 let stats = self.stats();
@@ -274,7 +274,7 @@
         }
     }
 
-    fn put(&self, key: &str, mut exchange: Exchange) -> io::Result<()> {
+    fn put(&self, key: &str, exchange: Exchange) -> io::Result<()> {
         let value = match exchange.json(MAX_VALUE_BYTES) {
             Ok(value) => value,
             Err(error) => return self.bad_body(&error, exchange),
@@ -382,7 +382,7 @@
         exchange.respond(200, &[], &list)
     }
 
-    fn register(&self, name: &str, mut exchange: Exchange) -> io::Result<()> {
+    fn register(&self, name: &str, exchange: Exchange) -> io::Result<()> {
         let entry: ListEntry = match exchange.json(MAX_ADMIN_BODY_BYTES) {
             Ok(entry) => entry,
             Err(error) => return self.bad_body(&error, exchange),
