--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,124 @@
+//! Guards against lost updates and against faults of the platform that do not show.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutus_standins::client::Client;
+use arbutus_standins::client::ClientError;
+use arbutus_standins::platform::Platform;
+use serde_json::Value;
+use serde_json::json;
+
+const WRITERS: u64 = 6;
+const INCREMENTS: u64 = 25;
+const COUNTER: &str = "/v1/objects/tests/counter";
+
+fn platform() -> Platform {
+    Platform::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("the platform starts")
+}
+
+fn status(error: &ClientError) -> Option<u16> {
+    match error {
+        ClientError::Status(status, _) => Some(*status),
+        ClientError::Transport(_) => None,
+    }
+}
+
+/// Adds one to the counter with conditional updates, and returns the number of conflicts.
+fn increment(client: &Client, address: SocketAddr) -> u64 {
+    for conflicts in 0..10_000 {
+        let object = client.get(address, COUNTER).expect("the counter exists");
+        let version = object["version"].to_string();
+        let next = object["value"].as_u64().expect("the value is a number") + 1;
+        match client.put(address, COUNTER, &[("If-Match", &version)], &next) {
+            Ok(_) => return conflicts,
+            Err(error) => assert_eq!(status(&error), Some(412)),
+        }
+    }
+    panic!("no update succeeded");
+}
+
+/// Two writers that read the same version must not both succeed.
+#[test]
+fn concurrent_conditional_updates_lose_nothing() {
+    let platform = platform();
+    let address = platform.address();
+    let client = Client::new();
+    client
+        .put(address, COUNTER, &[("If-None-Match", "*")], &0)
+        .expect("the object is new");
+    let second = client.put(address, COUNTER, &[("If-None-Match", "*")], &0);
+    assert_eq!(second.err().and_then(|error| status(&error)), Some(412));
+    let writers: Vec<_> = (0..WRITERS)
+        .map(|_| {
+            let client = client.clone();
+            thread::spawn(move || -> u64 {
+                (0..INCREMENTS).map(|_| increment(&client, address)).sum()
+            })
+        })
+        .collect();
+    let conflicts: u64 = writers
+        .into_iter()
+        .map(|writer| writer.join().expect("the writer does not panic"))
+        .sum();
+    let object = client.get(address, COUNTER).expect("the counter exists");
+    assert_eq!(object["value"], json!(WRITERS * INCREMENTS));
+    assert!(conflicts > 0, "the writers never met");
+}
+
+/// A test of read-back after a lost answer is worthless if the write had no effect.
+#[test]
+fn a_lost_answer_belongs_to_a_write_that_took_effect() {
+    let platform = platform();
+    let address = platform.address();
+    let client = Client::new();
+    let faults = json!({ "lose_answers": 1.0 });
+    client.post(address, "/faults", &faults).expect("it is set");
+    let answer = client.put(address, COUNTER, &[], &7);
+    assert!(matches!(answer, Err(ClientError::Transport(_))));
+    let object = client.get(address, COUNTER).expect("the write took effect");
+    assert_eq!(object["value"], json!(7));
+    let stats = client.get(address, "/stats").expect("there are statistics");
+    assert_eq!(stats["calls"]["lost_answers"], json!(1));
+}
+
+/// A watcher that misses a change would serve an old configuration without a sign of it.
+#[test]
+fn a_watch_answers_as_soon_as_something_changed() {
+    let platform = platform();
+    let address = platform.address();
+    let client = Client::new();
+    let watch = thread::spawn(move || {
+        let watcher = Client::new();
+        watcher.get(address, "/v1/watch?prefix=tests/&after=0&timeout_ms=4000")
+    });
+    thread::sleep(Duration::from_millis(100));
+    let begun = Instant::now();
+    client
+        .put(address, COUNTER, &[], &1)
+        .expect("it is written");
+    let list = watch.join().expect("the watcher does not panic");
+    let list = list.expect("the watch is answered");
+    assert_eq!(list["objects"][0]["value"], json!(1));
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
+/// Blocked failure domains and outages must not let a single call through.
+#[test]
+fn blocked_domains_and_outages_refuse_calls() {
+    let platform = platform();
+    let address = platform.address();
+    let client = Client::new();
+    let set = |faults: Value| client.post(address, "/faults", &faults).map(drop);
+    let write = |domain: &str| client.put(address, COUNTER, &[("Failure-Domain", domain)], &1);
+    set(json!({ "block_from": ["gent-a"] })).expect("it is set");
+    assert!(matches!(write("gent-a"), Err(ClientError::Transport(_))));
+    write("gent-b").expect("another domain is not blocked");
+    set(json!({ "reset": true, "outage": "unavailable" })).expect("it is set");
+    let refused = write("gent-b").err().and_then(|error| status(&error));
+    assert_eq!(refused, Some(503));
+    set(json!({ "reset": true })).expect("it is set");
+    write("gent-a").expect("the faults are reset");
+}
--- /dev/null
+++ b/crates/standins/tests/target.rs
@@ -0,0 +1,143 @@
+//! Guards against streams that differ between engines and executions that are not counted.
+
+use std::io::BufReader;
+use std::net::SocketAddr;
+
+use arbutus_coord::Millis;
+use arbutus_standins::sse::Event;
+use arbutus_standins::sse::next_event;
+use arbutus_standins::target::CrashMode;
+use arbutus_standins::target::Target;
+use arbutus_standins::target::TargetKind;
+use arbutus_standins::target::TargetSpec;
+use arbutus_standins::text::Text;
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+
+const MAX_TOKENS: u32 = 24;
+
+fn start(kind: TargetKind, change: impl FnOnce(&mut TargetSpec)) -> Target {
+    let mut spec = TargetSpec::new("t", "service", "arita", kind);
+    spec.size.cold_ms = Millis::ZERO;
+    spec.service_ms = Millis(2);
+    spec.token_ms = Millis(1);
+    change(&mut spec);
+    Target::start(SocketAddr::from(([127, 0, 0, 1], 0)), spec).expect("the target starts")
+}
+
+fn agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into()
+}
+
+fn stream(target: &Target, input: &Value, resume_at: u32) -> Vec<Event> {
+    let body = json!({ "input": input, "max_tokens": MAX_TOKENS, "resume_at": resume_at });
+    let mut response = agent()
+        .post(format!("http://{}/v1/generate", target.address()))
+        .send_json(&body)
+        .expect("the stream starts");
+    assert_eq!(response.status(), 200);
+    let mut reader = BufReader::new(response.body_mut().as_reader());
+    std::iter::from_fn(|| next_event(&mut reader).expect("the stream is readable")).collect()
+}
+
+fn call(target: &Target, key: &str) -> Option<Value> {
+    let response = agent()
+        .post(format!("http://{}/v1/call", target.address()))
+        .header("Idempotency-Key", key)
+        .send_json(json!({ "input": { "marker": "m" } }));
+    let mut response = response.ok()?;
+    response.body_mut().read_json().ok()
+}
+
+fn fault(target: &Target, faults: &Value) {
+    let url = format!("http://{}/faults", target.address());
+    let answer = agent().post(url).send_json(faults).expect("it is answered");
+    assert_eq!(answer.status(), 200);
+}
+
+/// A caller cannot tell a wrong token from a right one unless every engine sends the same.
+#[test]
+fn every_engine_continues_a_stream_alike() {
+    let first = start(TargetKind::Engine, |spec| spec.seed = 1);
+    let second = start(TargetKind::Engine, |spec| spec.seed = 2);
+    let input = json!({ "marker": "m", "prompt": "how long to fire" });
+    // A later stage receives the caller's input inside of the previous stage's output.
+    let wrapped = json!({ "origin": input, "documents": ["d1"] });
+    let whole = stream(&first, &input, 0);
+    let text = Text::new(&input, MAX_TOKENS);
+    assert_eq!(whole.len(), text.len() as usize + 1);
+    for resume_at in 0..=text.len() {
+        let rest = stream(&second, &wrapped, resume_at);
+        assert_eq!(rest, whole[resume_at as usize..], "resumed at {resume_at}");
+    }
+}
+
+/// A double execution has to be visible, or no run could show that there was none.
+#[test]
+fn executions_are_counted_by_key() {
+    let plain = start(TargetKind::Plain, |_| {});
+    let answers = [call(&plain, "k1"), call(&plain, "k1"), call(&plain, "k2")];
+    assert!(answers.iter().all(Option::is_some));
+    assert_ne!(answers[0], answers[1]);
+    fault(&plain, &json!({ "drop_after_execution": true }));
+    assert_eq!(call(&plain, "k2"), None);
+    let counts: Vec<u32> = plain
+        .state()
+        .executions
+        .list()
+        .executions
+        .iter()
+        .map(|execution| execution.count)
+        .collect();
+    assert_eq!(counts, [2, 2]);
+}
+
+/// A target that deduplicates runs a key once, also when its first answer was lost.
+#[test]
+fn a_deduplicating_target_runs_a_key_once() {
+    let plain = start(TargetKind::Plain, |spec| spec.deduplicates = true);
+    fault(&plain, &json!({ "drop_after_execution": true }));
+    assert_eq!(call(&plain, "k"), None);
+    fault(&plain, &json!({ "reset": true }));
+    let second = call(&plain, "k");
+    assert_eq!(second, call(&plain, "k"));
+    assert!(second.is_some());
+    assert_eq!(plain.state().executions.list().executions[0].count, 1);
+}
+
+/// Each of these endings looks like a whole answer to a caller that only reads until the end.
+#[test]
+fn truncated_and_crashed_streams_have_no_done() {
+    let engine = start(TargetKind::Engine, |spec| {
+        spec.crash_mode = CrashMode::DropConnections;
+    });
+    let input = json!({ "marker": "fatal", "prompt": "p" });
+    fault(&engine, &json!({ "truncate_after_tokens": 3 }));
+    let events = stream(&engine, &input, 0);
+    assert_eq!(events.len(), 3);
+    assert!(events.iter().all(|event| event.name == "token"));
+    fault(&engine, &json!({ "reset": true, "crash_on": "fatal" }));
+    for _ in 0..2 {
+        let body = json!({ "input": input, "max_tokens": MAX_TOKENS });
+        let url = format!("http://{}/v1/generate", engine.address());
+        let answer = agent().post(url).send_json(&body);
+        answer.expect_err("a crashed target does not answer");
+    }
+}
+
+/// A cold target has to fail under more than it can handle, or slow start is not tested.
+#[test]
+fn a_cold_target_fails_above_its_cold_capacity() {
+    let plain = start(TargetKind::Plain, |spec| {
+        spec.size.cold_capacity = 0;
+        spec.size.cold_ms = Millis(60_000);
+    });
+    let answer = call(&plain, "k");
+    assert_eq!(answer, Some(json!({ "detail": "the target is cold" })));
+    let stats = plain.state().stats();
+    assert_eq!((stats.cold_failures, stats.executed), (1, 0));
+}
