--- a/crates/standins/src/report/summary.rs
+++ b/crates/standins/src/report/summary.rs
@@ -252,10 +252,11 @@
     }
 
     /// Returns the times from each leave to the end of the return.
+    ///
+    /// An event that failed in this deployment changes nothing.
     fn windows(&self) -> Vec<(String, f64, f64)> {
-        let scenario = &self.data.scenario;
-        let mut events: Vec<_> = scenario.events.iter().collect();
-        events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        let done = self.deployment.events.iter();
+        let events = done.filter(|done| done.error.is_none());
         let change = |action: &Action| match action {
             Action::Drain(domain) => Some((domain.clone(), true)),
             Action::Undrain(domain) => Some((domain.clone(), false)),
@@ -266,12 +267,12 @@
             _ => None,
         };
         let mut windows = Vec::<(String, f64, f64)>::new();
-        for event in events {
+        for DoneEvent { event, .. } in events {
             let Some((domain, leaves)) = change(&event.action) else {
                 continue;
             };
             if leaves {
-                windows.push((domain, event.at_s, scenario.duration_s));
+                windows.push((domain, event.at_s, self.data.scenario.duration_s));
             } else if let Some(window) = windows.iter_mut().rfind(|(name, _, _)| *name == domain) {
                 window.2 = event.at_s + RETURN_S;
             }
