--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod drain;
 pub mod entity;
 pub mod gossip;
-pub mod grant;
 pub mod lease;
 pub mod membership;
 pub mod rendezvous;
