--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod entity;
 pub mod gossip;
+pub mod grant;
 pub mod lease;
 pub mod membership;
 pub mod rendezvous;
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -254,7 +254,7 @@
         self.state.lock().expect("no handler panics")
     }
 
-    fn put(&self, key: &str, mut exchange: Exchange) -> io::Result<()> {
+    fn put(&self, key: &str, exchange: Exchange) -> io::Result<()> {
         let value: Value = exchange.json(MAX_BODY_BYTES).expect("the tool sends JSON");
         let mut state = self.lock();
         let held = state.objects.get(key).map(|object| object.0.to_string());
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -87,7 +87,7 @@
 }
 
 impl Handler for Instance {
-    fn handle(&self, mut exchange: Exchange) -> io::Result<()> {
+    fn handle(&self, exchange: Exchange) -> io::Result<()> {
         let body = match exchange.method() {
             "POST" => exchange.json(MAX_BODY_BYTES).expect("the tool sends JSON"),
             _ => Value::Null,
--- a/crates/daemon/tests/gossip.rs
+++ b/crates/daemon/tests/gossip.rs
@@ -1,6 +1,7 @@
 //! Guards against instances that do not find each other over real sockets, news that does not
 //! spread, and the partition switch that tests rely on.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,6 +18,7 @@
 use arbutus_coord::drain::Subject;
 use arbutus_coord::membership::Member;
 use arbutus_coord::membership::MemberState;
+use arbutus_policy::quarantine::Fingerprint;
 use arbutus_wire::datagram::Body;
 use arbutus_wire::datagram::QuarantineEntry;
 use arbutus_wire::frame::FrameError;
@@ -240,7 +242,8 @@
 
     let entries = vec![
         QuarantineEntry {
-            fingerprint: 9,
+            fingerprint: Fingerprint(9),
+            failures: BTreeSet::new(),
             remaining_ms: Millis(5),
         };
         2
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -10,7 +10,6 @@
 use arbutus_coord::membership::Member;
 use arbutus_coord::membership::Message;
 use arbutus_coord::membership::Packet;
-use arbutus_policy::quarantine::QuarantineEntry;
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,6 +17,8 @@
 use crate::PROTOCOL_VERSION;
 use crate::decode_exact;
 
+pub use arbutus_policy::quarantine::QuarantineEntry;
+
 /// The size that every datagram stays under.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
--- a/crates/wire/tests/encoding.rs
+++ b/crates/wire/tests/encoding.rs
@@ -1,12 +1,16 @@
 //! Guards against messages that do not survive encoding, and against malformed input that panics
 //! or makes a reader allocate without bound.
 
+use std::collections::BTreeSet;
 use std::env;
 use std::io::Cursor;
 
 use arbutus_coord::Millis;
+use arbutus_coord::grant;
 use arbutus_coord::membership::Digests;
 use arbutus_coord::membership::Message;
+use arbutus_policy::quarantine::AttemptHash;
+use arbutus_policy::quarantine::Fingerprint;
 use arbutus_wire::datagram::Body;
 use arbutus_wire::datagram::Datagram;
 use arbutus_wire::datagram::DatagramError;
@@ -65,10 +69,15 @@
     fn property(position: usize, value: u8, cut: usize) -> bool {
         let body = Body::GrantRequest(vec![GrantRequest {
             target: "engine-1".to_owned(),
-            wanted: 3,
-            in_use: 1,
-            held: 2,
-            sequence: 9,
+            request: grant::GrantRequest {
+                holder_boot_id: 7,
+                sequence: 9,
+                applied: 8,
+                held: 2,
+                in_use: 1,
+                needed: 2,
+                wanted: 3,
+            },
         }]);
         let mut bytes = datagram(body).encode().expect("the datagram is small");
         let position = position % bytes.len();
@@ -107,7 +116,8 @@
 fn messages_survive_encoding() {
     let entries = vec![
         QuarantineEntry {
-            fingerprint: 5,
+            fingerprint: Fingerprint(5),
+            failures: BTreeSet::from([AttemptHash(1), AttemptHash(2)]),
             remaining_ms: Millis(1_000),
         };
         4
@@ -141,7 +151,8 @@
 fn sizes_and_versions_are_checked() {
     let large = datagram(Body::Quarantine(vec![
         QuarantineEntry {
-            fingerprint: u64::MAX,
+            fingerprint: Fingerprint(u64::MAX),
+            failures: BTreeSet::new(),
             remaining_ms: Millis::MAX,
         };
         MAX_DATAGRAM_BYTES / 20
