--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -91,7 +91,7 @@
 fn the_scenarios_call_pipelines_of_the_examples() {
     let scenarios = root().join("crates/standins/scenarios");
     for name in ["kamagama", "rustwell"] {
-        let text = fs::read_to_string(scenarios.join(name).join("scenario.yaml"));
+        let text = fs::read_to_string(scenarios.join(name).with_extension("yaml"));
         let scenario: serde_norway::Value =
             serde_norway::from_str(&text.expect("the scenario exists")).expect("it is YAML");
         let deployment = example(name).deployment("").expect("it is valid");
