daemon: relieve connections that the HTTP library leaves waiting

Cause: the thread pool of tiny_http 0.12 queues a connection when a thread counts as idle although another connection has been promised that thread. Ruled out: the listen backlog and the number of request threads; the stuck connection was accepted and never read.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -29,6 +29,7 @@
 use crate::pipeline::Answer;
 use crate::problem::Problem;
 use crate::problem::Reason;
+use crate::relief::Relief;
 use crate::request::CallerRequest;
 use crate::response::EventStream;
 use crate::response::Responder;
@@ -71,12 +72,15 @@
 /// # Errors
 ///
 /// Returns why the listener cannot accept any more.
-pub fn serve(node: &Arc<Node>, server: &Server, stop: &Stop) -> ChildResult {
+pub fn serve(node: &Arc<Node>, server: &Server, relief: &Relief, stop: &Stop) -> ChildResult {
     while !stop.is_raised() {
         let received = server
             .recv_timeout(ACCEPT_POLL_MS.to_duration())
             .map_err(|error| format!("accepting a request: {error}"))?;
         let Some(request) = received else { continue };
+        if let Some(&peer) = request.remote_addr() {
+            relief.observe(peer);
+        }
         let node = Arc::clone(node);
         let spawned = thread::Builder::new()
             .name("request".to_owned())
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pipeline;
 pub mod platform;
 pub mod problem;
+pub mod relief;
 pub mod remote;
 pub mod request;
 pub mod response;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,6 +15,7 @@
 use arbutusd::lifecycle::Lifecycle;
 use arbutusd::node::Node;
 use arbutusd::orders;
+use arbutusd::relief::Relief;
 use arbutusd::stop::Stop;
 use arbutusd::supervisor::ChildResult;
 use arbutusd::supervisor::Supervisor;
@@ -114,6 +115,9 @@
         move |stop: &Stop| run(&node, stop)
     };
     let http_node = Arc::clone(node);
+    let listener = node.settings.http_address;
+    let relief = Arc::new(Relief::new(node.clock));
+    let observed = Arc::clone(&relief);
     let (receiver, timer, fetcher, peers) = (
         Arc::clone(gossip),
         Arc::clone(gossip),
@@ -142,7 +146,10 @@
         )
         .with_branch(
             Supervisor::new("callers")
-                .with_task("http", move |stop| http::serve(&http_node, &server, stop)),
+                .with_task("http", move |stop| {
+                    http::serve(&http_node, &server, &observed, stop)
+                })
+                .with_task("relief", move |stop| relief.run(listener, stop)),
         )
 }
 
