claim: test random interleavings of three instances

Guards against a request that runs twice, is lost without a record, or is refused as not run although it ran. The test found that a read answered commands that had arrived after it was started; the writer now replies from a read only to the commands that the read covers.

--- a/crates/coord/src/claim/command.rs
+++ b/crates/coord/src/claim/command.rs
@@ -163,7 +163,8 @@
     Decided(ClaimAnswer),
     /// The platform could not be reached in time.
     Unavailable {
-        /// Whether the command may have taken effect or may still do so.
+        /// Whether the command may have taken effect or may still do so. A writer knows only the
+        /// copy that it received: whoever sent several copies has to assume that one may land.
         may_have_landed: bool,
     },
 }
--- a/crates/coord/src/claim/holder.rs
+++ b/crates/coord/src/claim/holder.rs
@@ -94,8 +94,9 @@
     /// The request is not run by this attempt. When a claim is given, it may exist at the platform
     /// and has to be released in the background.
     NotRun(NotRunReason, Option<Claim<Closing>>),
-    /// Another attempt holds the claim; its outcome is to be awaited.
-    Running,
+    /// Another attempt holds the claim; its outcome is to be awaited. A later attempt needs a new
+    /// identifier. This one is abandoned where a copy of its proposal may still arrive.
+    Running(Claim<Proposed>),
     /// The outcome is recorded.
     Settled {
         /// The answer for the caller.
@@ -105,8 +106,8 @@
     },
     /// The request may have run and is not run again.
     Unknown,
-    /// The key is in use for another body.
-    Conflict,
+    /// The key is in use for another body. As for a running claim, this one may be abandoned.
+    Conflict(Claim<Proposed>),
 }
 
 impl<S: fmt::Debug> Claim<S> {
@@ -174,10 +175,10 @@
                     },
                 })
             }
-            ClaimAnswer::Running { .. } => ProposalResult::Running,
+            ClaimAnswer::Running { .. } => ProposalResult::Running(self),
             ClaimAnswer::Settled { answer, by } => ProposalResult::Settled { answer, by },
             ClaimAnswer::Unknown { .. } => ProposalResult::Unknown,
-            ClaimAnswer::Conflict => ProposalResult::Conflict,
+            ClaimAnswer::Conflict => ProposalResult::Conflict(self),
             ClaimAnswer::Full => ProposalResult::NotRun(NotRunReason::ShardFull, None),
             ClaimAnswer::Released => ProposalResult::NotRun(NotRunReason::Withdrawn, None),
             // The other answers do not belong to a proposal. They prove nothing.
--- a/crates/coord/src/claim/shard.rs
+++ b/crates/coord/src/claim/shard.rs
@@ -33,7 +33,11 @@
 /// Largest answer body that is kept.
 pub const MAX_BODY_BYTES: usize = 65_536;
 /// Number of withdrawn attempts that a record remembers.
-pub const MAX_WITHDRAWN: usize = 8;
+///
+/// A proposal that arrives after its release and after this many later releases of the same key
+/// claims the key for a holder that has given up. The key is then blocked until that holder stops,
+/// but the request does not run.
+pub const MAX_WITHDRAWN: usize = 32;
 
 const SHARD_OVERHEAD_BYTES: usize = 80;
 const RECORD_OVERHEAD_BYTES: usize = 360;
--- a/crates/coord/src/claim/writer.rs
+++ b/crates/coord/src/claim/writer.rs
@@ -13,6 +13,7 @@
 //!   commands are applied again, which changes nothing where they have taken effect.
 //! - A command is answered once, at the latest after the time limit of the settings.
 
+use std::collections::BTreeSet;
 use std::mem;
 
 use crate::claim::command::ClaimAnswer;
@@ -172,7 +173,10 @@
     ticket: Ticket,
     command: ClaimCommand,
     received: Millis,
+    /// Whether the command was part of a write.
     sent: bool,
+    /// Whether the last read was started after the command arrived.
+    covered_by_read: bool,
 }
 
 /// The last content that the platform returned.
@@ -302,6 +306,7 @@
             command,
             received: now,
             sent: false,
+            covered_by_read: false,
         });
         if matches!(self.phase, Phase::Idle) {
             self.collect(now);
@@ -396,7 +401,7 @@
             );
             self.write(now, expected, candidate, answers, outputs);
         } else if fresh {
-            self.reply_decided(answers, outputs);
+            self.reply_covered(answers, outputs);
             self.collect(now);
         } else {
             // The base may be out of date, and no write would show that.
@@ -433,6 +438,9 @@
     fn read(&mut self, now: Millis, outputs: &mut Vec<Output>) {
         let operation = self.take_operation();
         self.counters.reads += 1;
+        for pending in &mut self.pending {
+            pending.covered_by_read = true;
+        }
         outputs.push(Output::Read { operation });
         self.phase = Phase::Reading {
             operation,
@@ -534,6 +542,22 @@
         }
     }
 
+    /// Replies to the commands that the last read covers. The content may have changed before the
+    /// others arrived.
+    fn reply_covered(&mut self, answers: Vec<(Ticket, ClaimAnswer)>, outputs: &mut Vec<Output>) {
+        let covered: BTreeSet<Ticket> = self
+            .pending
+            .iter()
+            .filter(|pending| pending.covered_by_read)
+            .map(|pending| pending.ticket)
+            .collect();
+        let answers = answers
+            .into_iter()
+            .filter(|(ticket, _)| covered.contains(ticket))
+            .collect();
+        self.reply_decided(answers, outputs);
+    }
+
     fn reply_decided(&mut self, answers: Vec<(Ticket, ClaimAnswer)>, outputs: &mut Vec<Output>) {
         for (ticket, answer) in answers {
             let position = self
--- /dev/null
+++ b/crates/coord/tests/claim_world/mod.rs
@@ -0,0 +1,575 @@
+//! Three instances, one shard object and one target under a script of random choices.
+//!
+//! The script decides which message is delayed, lost or repeated, when an instance is paused or
+//! killed and when the platform is down. After the script everything is delivered and repaired.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use arbutus_coord::Millis;
+use arbutus_coord::claim::AttemptId;
+use arbutus_coord::claim::Backlog;
+use arbutus_coord::claim::Claim;
+use arbutus_coord::claim::ClaimCommand;
+use arbutus_coord::claim::ClaimKey;
+use arbutus_coord::claim::ClaimReply;
+use arbutus_coord::claim::ClaimState;
+use arbutus_coord::claim::DeadHolders;
+use arbutus_coord::claim::Fingerprint;
+use arbutus_coord::claim::Holder;
+use arbutus_coord::claim::Input;
+use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Shard;
+use arbutus_coord::claim::ShardWriter;
+use arbutus_coord::claim::StoredAnswer;
+use arbutus_coord::claim::command::Proposal;
+use arbutus_coord::claim::holder::Confirmed;
+use arbutus_coord::claim::holder::DISPATCH_WINDOW_MS;
+use arbutus_coord::claim::holder::Dispatched;
+use arbutus_coord::claim::holder::NotSent;
+use arbutus_coord::claim::holder::ProposalResult;
+use arbutus_coord::claim::holder::Proposed;
+use arbutus_coord::claim::record::UnknownReason;
+use arbutus_coord::claim::writer::Operation;
+use arbutus_coord::claim::writer::ReadResult;
+use arbutus_coord::claim::writer::Ticket;
+use arbutus_coord::claim::writer::WriteResult;
+use arbutus_coord::claim::writer::WriterSettings;
+
+const INSTANCES: usize = 3;
+const KEYS: usize = 3;
+const PROPOSAL_TIMEOUT_MS: u64 = 700;
+const DETECTION_MS: u64 = 3_000;
+const SETTLING_MS: u64 = 90_000;
+
+/// How a call ended for its caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ending {
+    NotRun,
+    Answer(Option<String>),
+    Unknown,
+    Conflict,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// Something for an instance, void when the instance has been restarted.
+    Instance(usize, u64, Message),
+    ReadArrives(usize, u64, Operation),
+    WriteArrives(usize, u64, Operation, Option<u64>, Shard),
+    CallArrives(usize, u64, ClaimKey, AttemptId),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Writer(Input),
+    Command(usize, u64, ClaimCommand),
+    Reply(ClaimCommand, ClaimReply),
+    ProposalTimeout(AttemptId),
+    Dispatch(AttemptId),
+    TargetAnswer(AttemptId, Option<String>),
+}
+
+enum Call {
+    Proposed(Claim<Proposed>),
+    Confirmed(Claim<Confirmed>),
+    Dispatched(Claim<Dispatched>),
+}
+
+struct Node {
+    boot_id: u64,
+    paused_until: u64,
+    writer: ShardWriter,
+    tickets: BTreeMap<Ticket, (usize, u64, ClaimCommand)>,
+    calls: BTreeMap<AttemptId, Call>,
+    backlog: Backlog,
+    dead_holders: DeadHolders,
+}
+
+impl Node {
+    fn new(boot_id: u64) -> Self {
+        Self {
+            boot_id,
+            paused_until: 0,
+            writer: ShardWriter::new(0, 1, WriterSettings::default()),
+            tickets: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            backlog: Backlog::new(),
+            dead_holders: DeadHolders::new(),
+        }
+    }
+}
+
+pub struct World {
+    script: Vec<u16>,
+    position: usize,
+    now: u64,
+    sequence: u64,
+    events: Vec<(u64, Event)>,
+    nodes: Vec<Node>,
+    object: Option<(u64, Shard)>,
+    platform_down_until: u64,
+    pub accepted: BTreeMap<AttemptId, (ClaimKey, u64)>,
+    pub endings: BTreeMap<AttemptId, Ending>,
+    pub runs: BTreeMap<ClaimKey, Vec<AttemptId>>,
+    marked: BTreeSet<AttemptId>,
+    pub faults: Vec<String>,
+}
+
+impl World {
+    pub fn new(script: Vec<u16>) -> Self {
+        Self {
+            script,
+            position: 0,
+            now: 0,
+            sequence: 0,
+            events: Vec::new(),
+            nodes: (0..INSTANCES)
+                .map(|index| Node::new(index as u64))
+                .collect(),
+            object: None,
+            platform_down_until: 0,
+            accepted: BTreeMap::new(),
+            endings: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            marked: BTreeSet::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Plays the script, then lets every instance finish, and returns the content of the shard.
+    pub fn run(&mut self) -> Shard {
+        while self.position < self.script.len() {
+            self.act();
+            let step = [0, 1, 5, 20, 100, 700][self.choose(6)];
+            self.advance(self.now + step);
+        }
+        self.platform_down_until = 0;
+        let end = self.now + SETTLING_MS;
+        while self.now < end && !self.is_settled() {
+            self.advance(self.now + DETECTION_MS);
+        }
+        self.object
+            .as_ref()
+            .map_or_else(|| Shard::new(0, 1), |(_, shard)| shard.clone())
+    }
+
+    /// Returns a number below `limit`, which is 0 once the script has ended.
+    fn choose(&mut self, limit: usize) -> usize {
+        let value = self.script.get(self.position).copied().unwrap_or(0);
+        self.position += 1;
+        usize::from(value) % limit
+    }
+
+    fn is_settled(&self) -> bool {
+        let is_running = |shard: &Shard| {
+            let mut states = shard.claims().map(|(_, record)| &record.state);
+            states.any(|state| *state == ClaimState::Claimed)
+        };
+        let claimed = self
+            .object
+            .as_ref()
+            .is_some_and(|(_, shard)| is_running(shard));
+        let calling = self.nodes.iter().any(|node| !node.calls.is_empty());
+        !claimed && !calling && self.undecided() == 0
+    }
+
+    fn act(&mut self) {
+        let index = self.choose(INSTANCES);
+        match self.choose(16) {
+            0 => self.kill(index),
+            1 | 2 => {
+                let pause = [300, 1_500, 2_500, 9_000][self.choose(4)];
+                self.nodes[index].paused_until = self.now + pause;
+            }
+            3 => {
+                let outage = [50, 400, 3_000][self.choose(3)];
+                self.platform_down_until = self.now + outage;
+            }
+            4..=11 => self.start_call(index),
+            _ => {}
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.sequence += 1;
+        self.nodes[index] = Node::new(1_000 + self.sequence);
+    }
+
+    fn start_call(&mut self, index: usize) {
+        self.sequence += 1;
+        let holder = self.holder(index);
+        let key = ClaimKey::new("kiln", "order-desk", &self.choose(KEYS).to_string());
+        let body = u64::from(self.choose(16) == 1);
+        let attempt = AttemptId::new(&holder, self.sequence);
+        let proposal = Proposal {
+            key: key.clone(),
+            fingerprint: Fingerprint(body),
+            attempt: attempt.clone(),
+            holder,
+            wall_ms: Millis(self.now),
+        };
+        let claim = Claim::<Proposed>::new(Millis(self.now), proposal, DISPATCH_WINDOW_MS);
+        self.accepted
+            .insert(attempt.clone(), (key, self.nodes[index].boot_id));
+        self.submit(index, &claim.command());
+        self.nodes[index]
+            .calls
+            .insert(attempt.clone(), Call::Proposed(claim));
+        let due = self.now + PROPOSAL_TIMEOUT_MS;
+        self.schedule(due, index, Message::ProposalTimeout(attempt));
+    }
+
+    fn holder(&self, index: usize) -> Holder {
+        Holder {
+            instance: format!("i{index}"),
+            boot_id: self.nodes[index].boot_id,
+        }
+    }
+
+    /// Sends a command to one writer, or to two as after a time limit.
+    fn submit(&mut self, index: usize, command: &ClaimCommand) {
+        let boot_id = self.nodes[index].boot_id;
+        for _ in 0..=usize::from(self.choose(4) == 1) {
+            let writer = self.choose(INSTANCES);
+            let writer_boot = self.nodes[writer].boot_id;
+            let message = Message::Command(index, boot_id, command.clone());
+            self.send(&Event::Instance(writer, writer_boot, message));
+        }
+    }
+
+    /// Sends over a network that delays, loses and repeats.
+    fn send(&mut self, event: &Event) {
+        let copies = match self.choose(16) {
+            1 => 0,
+            2 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let delay = [1, 1, 1, 2, 2, 5, 10, 60, 650, 2_400][self.choose(10)];
+            self.events.push((self.now + delay, event.clone()));
+        }
+    }
+
+    fn schedule(&mut self, due: u64, index: usize, message: Message) {
+        let boot_id = self.nodes[index].boot_id;
+        self.events
+            .push((due, Event::Instance(index, boot_id, message)));
+    }
+
+    fn advance(&mut self, until: u64) {
+        loop {
+            let wake = (0..INSTANCES).filter_map(|index| self.wake_at(index)).min();
+            let event = self.events.iter().map(|(due, _)| *due).min();
+            let patrol = (self.now / 500 + 1) * 500;
+            let next = wake.into_iter().chain(event).chain([patrol]).min();
+            let next = next.unwrap_or(until).max(self.now);
+            if next > until {
+                break;
+            }
+            self.now = next;
+            self.deliver_due();
+            for index in 0..INSTANCES {
+                self.tick(index, next == patrol);
+            }
+        }
+        self.now = until;
+    }
+
+    fn wake_at(&self, index: usize) -> Option<u64> {
+        let node = &self.nodes[index];
+        let wake = node
+            .writer
+            .wake_at()
+            .into_iter()
+            .chain(node.backlog.wake_at())
+            .min()?;
+        Some(wake.0.max(node.paused_until))
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(position) = self.events.iter().position(|(due, _)| *due <= self.now) {
+            let (_, event) = self.events.remove(position);
+            self.deliver(event);
+        }
+    }
+
+    fn deliver(&mut self, event: Event) {
+        match event {
+            Event::Instance(index, boot_id, message) => {
+                let node = &self.nodes[index];
+                if node.boot_id != boot_id {
+                    return;
+                }
+                if self.now < node.paused_until {
+                    let due = node.paused_until;
+                    self.schedule(due, index, message);
+                    return;
+                }
+                self.receive(index, message);
+            }
+            Event::ReadArrives(index, boot_id, operation) => {
+                if self.now < self.platform_down_until {
+                    return;
+                }
+                let result = match &self.object {
+                    None => ReadResult::Absent,
+                    Some((version, shard)) => ReadResult::Found {
+                        version: *version,
+                        shard: shard.clone(),
+                    },
+                };
+                let input = Input::Read { operation, result };
+                self.send(&Event::Instance(index, boot_id, Message::Writer(input)));
+            }
+            Event::WriteArrives(index, boot_id, operation, expected, shard) => {
+                if self.now < self.platform_down_until {
+                    return;
+                }
+                let result = self.store(expected, shard);
+                let input = Input::Write { operation, result };
+                self.send(&Event::Instance(index, boot_id, Message::Writer(input)));
+            }
+            Event::CallArrives(index, boot_id, key, attempt) => {
+                self.runs.entry(key).or_default().push(attempt.clone());
+                let broken = self.choose(6) == 1;
+                let answer = (!broken).then(|| format!("ran as {attempt}"));
+                let delay = [5, 100, 900, 6_000][self.choose(4)];
+                let message = Message::TargetAnswer(attempt, answer);
+                self.events
+                    .push((self.now + delay, Event::Instance(index, boot_id, message)));
+            }
+        }
+    }
+
+    fn store(&mut self, expected: Option<u64>, shard: Shard) -> WriteResult {
+        let current = self.object.as_ref().map(|(version, _)| *version);
+        if current != expected {
+            return WriteResult::Conflict;
+        }
+        let version = current.unwrap_or(0) + 1;
+        for (_, record) in shard.claims() {
+            let reason = UnknownReason::HolderGone;
+            if record.state == (ClaimState::Unknown { reason }) {
+                self.marked.insert(record.attempt.clone());
+            }
+        }
+        self.object = Some((version, shard));
+        WriteResult::Written { version }
+    }
+
+    fn tick(&mut self, index: usize, patrol: bool) {
+        if self.now < self.nodes[index].paused_until {
+            return;
+        }
+        let now = Millis(self.now);
+        self.drive(index, Input::Tick);
+        for command in self.nodes[index].backlog.due(now) {
+            self.submit(index, &command);
+        }
+        if patrol && self.now.is_multiple_of(2_000) {
+            self.drive(index, Input::Refresh);
+        }
+        if patrol {
+            self.mark_dead_holders(index);
+        }
+    }
+
+    fn mark_dead_holders(&mut self, index: usize) {
+        let now = self.now;
+        // A long pause is taken for death, wrongly.
+        let live: Vec<Holder> = (0..INSTANCES)
+            .filter(|&other| self.nodes[other].paused_until < now + DETECTION_MS)
+            .map(|other| self.holder(other))
+            .collect();
+        let node = &mut self.nodes[index];
+        let Some(shard) = node.writer.content().cloned() else {
+            return;
+        };
+        let is_live = |holder: &Holder| live.contains(holder);
+        let commands = node
+            .dead_holders
+            .observe(Millis(now), Millis(now), &shard, is_live);
+        for command in commands {
+            self.submit(index, &command);
+        }
+    }
+
+    fn drive(&mut self, index: usize, input: Input) {
+        let boot_id = self.nodes[index].boot_id;
+        let now = Millis(self.now);
+        for output in self.nodes[index].writer.handle(now, input) {
+            match output {
+                Output::Read { operation } => {
+                    self.send(&Event::ReadArrives(index, boot_id, operation));
+                }
+                Output::Write {
+                    operation,
+                    expected,
+                    shard,
+                } => {
+                    self.send(&Event::WriteArrives(
+                        index, boot_id, operation, expected, shard,
+                    ));
+                }
+                Output::Reply { ticket, reply } => {
+                    let origin = self.nodes[index].tickets.remove(&ticket);
+                    if let Some((from, from_boot, command)) = origin {
+                        let message = Message::Reply(command, reply);
+                        self.send(&Event::Instance(from, from_boot, message));
+                    }
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, index: usize, message: Message) {
+        match message {
+            Message::Writer(input) => self.drive(index, input),
+            Message::Command(from, boot_id, command) => {
+                self.sequence += 1;
+                let ticket = Ticket(self.sequence);
+                let origin = (from, boot_id, command.clone());
+                self.nodes[index].tickets.insert(ticket, origin);
+                let wall_ms = Millis(self.now);
+                self.drive(
+                    index,
+                    Input::Command {
+                        ticket,
+                        command,
+                        wall_ms,
+                    },
+                );
+            }
+            Message::Reply(command, reply) => self.receive_reply(index, &command, reply),
+            Message::ProposalTimeout(attempt) => {
+                if let Some(Call::Proposed(_)) = self.nodes[index].calls.get(&attempt)
+                    && let Some(Call::Proposed(claim)) = self.nodes[index].calls.remove(&attempt)
+                {
+                    self.nodes[index]
+                        .backlog
+                        .push(Millis(self.now), claim.abandon());
+                    self.end(attempt, Ending::NotRun);
+                }
+            }
+            Message::Dispatch(attempt) => self.dispatch(index, attempt),
+            Message::TargetAnswer(attempt, answer) => self.finish(index, attempt, answer),
+        }
+    }
+
+    fn receive_reply(&mut self, index: usize, command: &ClaimCommand, reply: ClaimReply) {
+        let Some(attempt) = command.attempt().cloned() else {
+            return;
+        };
+        if !matches!(command, ClaimCommand::Propose(_)) {
+            self.nodes[index].backlog.resolve(&attempt, &reply);
+            return;
+        }
+        let Some(Call::Proposed(_)) = self.nodes[index].calls.get(&attempt) else {
+            return;
+        };
+        let Some(Call::Proposed(claim)) = self.nodes[index].calls.remove(&attempt) else {
+            return;
+        };
+        // The network repeats commands, so that another copy may land later.
+        let reply = match reply {
+            ClaimReply::Unavailable { .. } => ClaimReply::Unavailable {
+                may_have_landed: true,
+            },
+            decided @ ClaimReply::Decided(_) => decided,
+        };
+        let now = Millis(self.now);
+        let mut abandoned = None;
+        let ending = match claim.resolve(now, reply) {
+            ProposalResult::Confirmed(claim) => {
+                self.nodes[index]
+                    .calls
+                    .insert(attempt.clone(), Call::Confirmed(claim));
+                let delay = [0, 10, 800][self.choose(3)];
+                self.schedule(self.now + delay, index, Message::Dispatch(attempt));
+                return;
+            }
+            ProposalResult::NotRun(_, closing) => {
+                abandoned = closing;
+                Ending::NotRun
+            }
+            ProposalResult::Running(claim) => {
+                abandoned = Some(claim.abandon());
+                Ending::Unknown
+            }
+            ProposalResult::Conflict(claim) => {
+                abandoned = Some(claim.abandon());
+                Ending::Conflict
+            }
+            ProposalResult::Settled { answer, .. } => Ending::Answer(answer.body),
+            ProposalResult::Unknown => Ending::Unknown,
+        };
+        if let Some(claim) = abandoned {
+            self.nodes[index].backlog.push(now, claim);
+        }
+        self.end(attempt, ending);
+    }
+
+    fn dispatch(&mut self, index: usize, attempt: AttemptId) {
+        let Some(Call::Confirmed(claim)) = self.nodes[index].calls.remove(&attempt) else {
+            return;
+        };
+        let now = Millis(self.now);
+        let claim = match claim.dispatch(now) {
+            Ok(claim) if self.choose(8) == 1 => claim
+                .not_sent(NotSent::connection_not_established())
+                .withdraw(),
+            Ok(claim) => {
+                if self.marked.contains(&attempt) {
+                    self.faults
+                        .push(format!("{attempt} dispatched after it was marked unknown"));
+                }
+                let key = claim.proposal().key.clone();
+                let boot_id = self.nodes[index].boot_id;
+                let arrival = Event::CallArrives(index, boot_id, key, attempt.clone());
+                self.events.push((self.now + 1, arrival));
+                self.nodes[index]
+                    .calls
+                    .insert(attempt, Call::Dispatched(claim));
+                return;
+            }
+            Err(claim) => claim,
+        };
+        self.nodes[index].backlog.push(now, claim);
+        self.end(attempt, Ending::NotRun);
+    }
+
+    fn finish(&mut self, index: usize, attempt: AttemptId, answer: Option<String>) {
+        let Some(Call::Dispatched(claim)) = self.nodes[index].calls.remove(&attempt) else {
+            return;
+        };
+        let now = Millis(self.now);
+        let (claim, ending) = match answer {
+            Some(body) => {
+                let stored = StoredAnswer {
+                    status: 200,
+                    content_type: "text/plain".to_owned(),
+                    body: Some(body.clone()),
+                };
+                (claim.settle(stored, now), Ending::Answer(Some(body)))
+            }
+            None => (claim.lose(now), Ending::Unknown),
+        };
+        self.nodes[index].backlog.push(now, claim);
+        self.end(attempt, ending);
+    }
+
+    fn end(&mut self, attempt: AttemptId, ending: Ending) {
+        self.endings.insert(attempt, ending);
+    }
+
+    /// Returns whether the instance that accepted a call still runs.
+    pub fn is_running(&self, boot_id: u64) -> bool {
+        self.nodes.iter().any(|node| node.boot_id == boot_id)
+    }
+
+    /// Returns the number of closing commands that are undecided.
+    pub fn undecided(&self) -> usize {
+        self.nodes.iter().map(|node| node.backlog.len()).sum()
+    }
+}
