policy: add hierarchical limits and their division among instances

Limits on requests in progress hold for the deployment, from the whole down to a pipeline of a class of an organisation, and may change while requests are in progress.

A request is checked from the leaf to the root and counted only when every level allows it. Requests are counted at levels without a limit, too, so a limit that is set later is right at once. One instance per limit divides it by reported demand; unused shares may be used elsewhere.

The stated bound is one even part, or one request, for each instance that has not reported.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,11 +3,15 @@
 //! Every part is deterministic and without I/O. Time and random numbers are passed in. Targets,
 //! organisations and classes are the typed indices of [`arbutus_coord::entity`].
 
+pub mod admission;
 pub mod attempt;
 pub mod balance;
 pub mod health;
 pub mod hedge;
 pub mod latency;
+pub mod limit_share;
+pub mod limits;
 pub mod quarantine;
 pub mod retry;
+pub mod stage_budget;
 pub mod stream;
