standins: take the expected answers from the configuration

Scenario and configuration had to agree on deadlines, classes and max_tokens, and a difference made right answers appear wrong.

--- a/crates/standins/src/bin/arbutus-loadgen.rs
+++ b/crates/standins/src/bin/arbutus-loadgen.rs
@@ -43,6 +43,8 @@
     options.optopt("", "platform", "platform, to find the targets", "ADDRESS");
     let start = "start the scenario's fleet with the configuration in DIRECTORY";
     options.optopt("", "start", start, "DIRECTORY");
+    let configuration = "take deadlines and classes from here (as --start does)";
+    options.optopt("", "configuration", configuration, "DIRECTORY");
     options.optopt("", "label", "label of the deployment", "TEXT");
     options.optflag(
         "",
@@ -122,6 +124,10 @@
     scenario.rate_per_s = optional(matches, "rate")?.unwrap_or(scenario.rate_per_s);
     scenario.duration_s = optional(matches, "duration")?.unwrap_or(scenario.duration_s);
     scenario.warmup_s = optional(matches, "warmup")?.unwrap_or(scenario.warmup_s);
+    let configuration = matches.opt_str("configuration");
+    if let Some(directory) = configuration.or_else(|| matches.opt_str("start")) {
+        scenario.adopt(Path::new(&directory))?;
+    }
     for event in matches.opt_strs("event") {
         scenario.events.push(event.parse::<TimedEvent>()?);
     }
--- a/crates/standins/src/loadgen/scenario.rs
+++ b/crates/standins/src/loadgen/scenario.rs
@@ -6,6 +6,9 @@
 use std::io;
 use std::path::Path;
 
+use arbutus_config::Deployment;
+use arbutus_config::committed::read_texts;
+use arbutus_config::deployment::ClassSpec;
 use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,8 +19,8 @@
 /// The largest number of requests of one run.
 pub const MAX_REQUESTS: f64 = 500_000.0;
 
-const KAMAGAMA: &str = include_str!("../../scenarios/kamagama/scenario.yaml");
-const RUSTWELL: &str = include_str!("../../scenarios/rustwell/scenario.yaml");
+const KAMAGAMA: &str = include_str!("../../scenarios/kamagama.yaml");
+const RUSTWELL: &str = include_str!("../../scenarios/rustwell.yaml");
 
 /// Why a scenario cannot be used.
 #[derive(Debug, displaydoc::Display)]
@@ -63,7 +66,7 @@
 }
 
 /// What callers of a class expect.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassLoad {
     /// The longest silence within a stream that is not counted as a stall.
@@ -106,9 +109,9 @@
     pub kind: CallKind,
     /// The deadline.
     pub deadline_ms: Millis,
-    /// The `max_tokens` of the generating stage, which tells the expected text.
+    /// The `max_tokens` of the generating stage at any site, which tell the expected text.
     #[serde(default)]
-    pub max_tokens: u32,
+    pub max_tokens: Vec<u32>,
     /// The number of different prompt prefixes for each organisation.
     #[serde(default = "default_prefixes")]
     pub prefixes: u32,
@@ -143,6 +146,25 @@
     Millis(30)
 }
 
+impl PipelineLoad {
+    /// Takes the values of one site, and returns the class.
+    fn adopt<'a>(&mut self, deployment: &'a Deployment) -> Result<&'a ClassSpec, String> {
+        let Some(spec) = deployment.pipelines.get(&self.name) else {
+            return Err(format!("no pipeline {}", self.name));
+        };
+        let class = deployment.classes.get(&spec.class);
+        let class = class.ok_or_else(|| format!("no class {}", spec.class))?;
+        self.class.clone_from(&spec.class);
+        self.deadline_ms = spec.deadline_ms;
+        if let Some(last) = spec.stages.last()
+            && !self.max_tokens.contains(&last.max_tokens)
+        {
+            self.max_tokens.push(last.max_tokens);
+        }
+        Ok(class)
+    }
+}
+
 impl Scenario {
     /// Loads a built-in scenario by name, or else a file of YAML or JSON.
     ///
@@ -173,6 +195,42 @@
         Ok(scenario)
     }
 
+    /// Replaces classes, deadlines and `max_tokens` by those of a configuration.
+    ///
+    /// The same pipeline may have other values at each site, and a request may be run at any of
+    /// them, so the longest silence and all values of `max_tokens` are expected.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a site's configuration is not valid or lacks a pipeline or an
+    /// organisation of the scenario.
+    pub fn adopt(&mut self, directory: &Path) -> Result<(), ScenarioError> {
+        let name = directory.display().to_string();
+        let invalid = |detail: String| ScenarioError::Invalid(name.clone(), detail);
+        let texts = read_texts(directory).map_err(|error| invalid(error.to_string()))?;
+        for pipeline in &mut self.pipelines {
+            pipeline.max_tokens.clear();
+        }
+        self.classes.clear();
+        // The last one adopted provides the deadlines, and the first site is the usual one.
+        for site in self.fleet.failure_domains.iter().rev() {
+            let deployment = texts
+                .deployment(site)
+                .map_err(|faults| invalid(faults.to_string()))?;
+            for organisation in &self.organisations {
+                if !deployment.organisations.contains_key(&organisation.name) {
+                    return Err(invalid(format!("no organisation {}", organisation.name)));
+                }
+            }
+            for pipeline in &mut self.pipelines {
+                let class = pipeline.adopt(&deployment).map_err(&invalid)?;
+                let longest = self.classes.entry(pipeline.class.clone()).or_default();
+                longest.stall_ms = longest.stall_ms.max(class.stall_ms);
+            }
+        }
+        Ok(())
+    }
+
     /// Checks that the scenario is complete and bounded.
     ///
     /// # Errors
