--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -239,6 +239,7 @@
 
 #[test]
 fn one_divider_never_assigns_more_than_the_limit() {
-    let property: fn(u8, Vec<(u8, u8, u8)>) -> bool = assigned_shares_keep_the_limit;
+    type Property = fn(u8, Vec<(u8, u8, u8)>) -> bool;
+    let property: Property = assigned_shares_keep_the_limit;
     common::checker(1_000).quickcheck(property);
 }
