daemon: report the generation of each member

An instance that is asked for its status asks each member through the peer protocol, 16 at a time, so that an operator can wait until a generation is in force everywhere. Tests may cut an instance off when its settings allow fault injection.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -26,6 +26,9 @@
     /// Peer addresses of instances to contact before the platform's list is known.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether tests may cut the instance off from others through the operators' interface.
+    #[serde(default)]
+    pub fault_injection: bool,
     /// The largest accepted request body, in bytes.
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: usize,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -3,16 +3,11 @@
 use std::io;
 
 use arbutus_coord::drain::Subject;
-use arbutus_coord::membership::MemberState;
-use arbutus_wire::admin;
 use arbutus_wire::admin::DrainAnswer;
 use arbutus_wire::admin::DrainKind;
 use arbutus_wire::admin::DrainOrder;
-use arbutus_wire::admin::DrainStatus;
-use arbutus_wire::admin::MemberStatus;
-use arbutus_wire::admin::Status;
-use arbutus_wire::admin::TargetState;
-use arbutus_wire::admin::TargetStatus;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 use tiny_http::Method;
 use tiny_http::Request;
@@ -22,7 +17,7 @@
 use crate::problem::Reason;
 use crate::request::read_body;
 use crate::response::Responder;
-use crate::slots::TargetUse;
+use crate::status;
 
 const MAX_ORDER_BYTES: usize = 64 * 1024;
 
@@ -34,14 +29,44 @@
 pub fn handle(node: &Node, request: Request, path: &str) -> io::Result<()> {
     match (request.method(), path) {
         (Method::Get, "/admin/status") => {
-            let status = json!(status(node));
+            let status = json!(status::whole_status(node));
             Responder::new(request, &node.new_request_id(), false).send_json(200, &status)
         }
         (Method::Post, "/admin/drain") => drain(node, request),
+        (Method::Post, "/admin/faults") if node.settings.fault_injection => {
+            inject_faults(node, request)
+        }
         _ => refuse_request(node, request, Reason::NotFound, "there is no such path"),
     }
 }
 
+/// Faults that tests switch on.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Faults {
+    /// The failure domains whose instances are cut off.
+    block_failure_domains: Vec<String>,
+}
+
+/// Cuts this instance off from the instances of other failure domains.
+fn inject_faults(node: &Node, mut request: Request) -> io::Result<()> {
+    let faults: Faults = match read_json(&mut request) {
+        Ok(faults) => faults,
+        Err(detail) => return refuse_request(node, request, Reason::BadRequest, &detail),
+    };
+    let blocked = node
+        .members()
+        .into_iter()
+        .filter(|member| {
+            faults
+                .block_failure_domains
+                .contains(&member.failure_domain)
+        })
+        .map(|member| member.peer_address);
+    node.gossip().set_blocked(blocked);
+    Responder::new(request, &node.new_request_id(), false).send_json(200, &json!({}))
+}
+
 fn drain(node: &Node, mut request: Request) -> io::Result<()> {
     let order: DrainOrder = match read_json(&mut request) {
         Ok(order) => order,
@@ -69,91 +94,7 @@
 /// # Errors
 ///
 /// Returns what is wrong with the body.
-fn read_json<T: serde::de::DeserializeOwned>(request: &mut Request) -> Result<T, String> {
+fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, String> {
     let bytes = read_body(request, MAX_ORDER_BYTES).map_err(|invalid| invalid.detail)?;
     serde_json::from_slice(&bytes).map_err(|error| format!("the body is not valid: {error}"))
 }
-
-fn status(node: &Node) -> Status {
-    let own_generation = node.active().generation;
-    Status {
-        instance: node.settings.name.clone(),
-        failure_domain: node.settings.failure_domain.clone(),
-        generation: own_generation,
-        members: members(node, own_generation),
-        drains: drains(node),
-        targets: node
-            .slots
-            .targets()
-            .iter()
-            .map(|used| target(node, used))
-            .collect(),
-        requests_in_progress: node.in_flight() as u64,
-        limits: Vec::new(),
-    }
-}
-
-fn members(node: &Node, own_generation: u64) -> Vec<MemberStatus> {
-    let status = |member: arbutus_coord::membership::Member| {
-        let state = match member.state {
-            MemberState::Alive => admin::MemberState::Live,
-            MemberState::Leaving => admin::MemberState::Leaving,
-            MemberState::Suspect => admin::MemberState::Suspect,
-            MemberState::Dead => admin::MemberState::Dead,
-        };
-        let generation = if member.name == node.settings.name {
-            own_generation
-        } else {
-            0
-        };
-        MemberStatus {
-            name: member.name,
-            failure_domain: member.failure_domain,
-            state,
-            generation,
-        }
-    };
-    node.members().into_iter().map(status).collect()
-}
-
-fn drains(node: &Node) -> Vec<DrainStatus> {
-    let entries: Vec<_> = node
-        .gossip()
-        .read(|gossip| gossip.drains().entries().collect());
-    let status = |entry: arbutus_coord::drain::DrainEntry| {
-        let (kind, name) = match entry.subject {
-            Subject::FailureDomain(name) => (DrainKind::FailureDomain, name),
-            Subject::Instance(name) => (DrainKind::Instance, name),
-            Subject::Target(name) => (DrainKind::Target, name),
-        };
-        DrainStatus {
-            kind,
-            name,
-            drained: entry.drained,
-            revision: entry.revision,
-        }
-    };
-    entries.into_iter().map(status).collect()
-}
-
-fn target(node: &Node, used: &TargetUse) -> TargetStatus {
-    let state = match used {
-        TargetUse { entry, .. } if entry.leaving => TargetState::Leaving,
-        TargetUse { closed: true, .. } => TargetState::Drained,
-        TargetUse { view, .. } if view.boot_id == 0 => TargetState::Unreachable,
-        TargetUse { view, .. } if view.warm => TargetState::Warm,
-        _ => TargetState::Cold,
-    };
-    let owned = node
-        .directory()
-        .find(&used.entry.name)
-        .and_then(|target| node.owners.allowed(node.now(), target));
-    TargetStatus {
-        name: used.entry.name.clone(),
-        service: used.entry.service.clone(),
-        failure_domain: used.entry.failure_domain.clone(),
-        state,
-        slots: u64::from(owned.unwrap_or(used.view.allowed)),
-        in_flight: u64::from(used.in_use),
-    }
-}
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::peer::Replies;
 use crate::remote;
+use crate::status;
 
 /// Hands news from other instances to the state of the instance.
 pub struct NodeEvents {
@@ -118,6 +119,7 @@
             PeerRequest::StageCall(stage_call) => {
                 remote::serve_stage(&self.node, &call.sender, &stage_call, replies)
             }
+            PeerRequest::Status => replies.send(&PeerReply::Status(status::own_status(&self.node))),
             _ => replies.send(&PeerReply::Refused {
                 reason: "the call is not supported".to_owned(),
             }),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod services;
 pub mod slots;
 pub mod stage;
+pub mod status;
 pub mod stop;
 pub mod supervisor;
 pub mod target_client;
--- /dev/null
+++ b/crates/daemon/src/status.rs
@@ -0,0 +1,172 @@
+//! What an instance tells operators and other instances about its state.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+
+use arbutus_coord::Millis;
+use arbutus_coord::drain::DrainEntry;
+use arbutus_coord::drain::Subject;
+use arbutus_coord::membership::Digests;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
+use arbutus_wire::admin;
+use arbutus_wire::admin::DrainKind;
+use arbutus_wire::admin::DrainStatus;
+use arbutus_wire::admin::MemberStatus;
+use arbutus_wire::admin::Status;
+use arbutus_wire::admin::TargetState;
+use arbutus_wire::admin::TargetStatus;
+use arbutus_wire::peer::InstanceStatus;
+use arbutus_wire::peer::PeerReply;
+use arbutus_wire::peer::PeerRequest;
+
+use crate::node::Node;
+use crate::slots::TargetUse;
+
+/// The members that are asked for their generation at once.
+const MAX_PARALLEL_CALLS: usize = 16;
+const CALL_TIMEOUT_MS: Millis = Millis(500);
+
+/// Returns what this instance tells other instances.
+#[must_use]
+pub fn own_status(node: &Node) -> InstanceStatus {
+    let members = node.members();
+    let alive = members
+        .iter()
+        .filter(|member| member.state == MemberState::Alive)
+        .count();
+    let (member, documents, drains) = node.gossip().read(|gossip| {
+        (
+            gossip.members().me().clone(),
+            gossip.documents().digest(),
+            gossip.drains().digest(),
+        )
+    });
+    InstanceStatus {
+        member,
+        digests: Digests {
+            documents,
+            drains,
+            members: 0,
+        },
+        self_suspect: node.is_self_suspect(),
+        alive_members: u32::try_from(alive).unwrap_or(u32::MAX),
+        in_flight: u32::try_from(node.in_flight()).unwrap_or(u32::MAX),
+        generation: node.active().generation,
+    }
+}
+
+/// Returns what this instance tells operators; it asks each member for its generation.
+#[must_use]
+pub fn whole_status(node: &Node) -> Status {
+    let members = node.members();
+    let generations = generations(node, &members);
+    Status {
+        instance: node.settings.name.clone(),
+        failure_domain: node.settings.failure_domain.clone(),
+        generation: node.active().generation,
+        members: members
+            .iter()
+            .map(|member| member_status(member, &generations))
+            .collect(),
+        drains: drains(node),
+        targets: node
+            .slots
+            .targets()
+            .iter()
+            .map(|used| target(node, used))
+            .collect(),
+        requests_in_progress: node.in_flight() as u64,
+        limits: Vec::new(),
+    }
+}
+
+/// Returns the generation that each member has in force; a member that does not answer has none.
+fn generations(node: &Node, members: &[Member]) -> BTreeMap<String, u64> {
+    let own = (node.settings.name.clone(), node.active().generation);
+    let found = Mutex::new(BTreeMap::from([own]));
+    let waiting = Mutex::new(
+        members
+            .iter()
+            .filter(|member| member.state != MemberState::Dead)
+            .filter(|member| member.name != node.settings.name),
+    );
+    let ask = || loop {
+        let next = waiting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .next();
+        let Some(member) = next else { return };
+        let client = node.gossip().client();
+        let reply = client.call(member.peer_address, PeerRequest::Status, CALL_TIMEOUT_MS);
+        if let Ok(PeerReply::Status(status)) = reply {
+            let mut found = found.lock().unwrap_or_else(PoisonError::into_inner);
+            found.insert(member.name.clone(), status.generation);
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..MAX_PARALLEL_CALLS.min(members.len()) {
+            scope.spawn(ask);
+        }
+    });
+    found.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn member_status(member: &Member, generations: &BTreeMap<String, u64>) -> MemberStatus {
+    let state = match member.state {
+        MemberState::Alive => admin::MemberState::Live,
+        MemberState::Leaving => admin::MemberState::Leaving,
+        MemberState::Suspect => admin::MemberState::Suspect,
+        MemberState::Dead => admin::MemberState::Dead,
+    };
+    MemberStatus {
+        name: member.name.clone(),
+        failure_domain: member.failure_domain.clone(),
+        state,
+        generation: generations.get(&member.name).copied().unwrap_or(0),
+    }
+}
+
+fn drains(node: &Node) -> Vec<DrainStatus> {
+    let entries: Vec<DrainEntry> = node
+        .gossip()
+        .read(|gossip| gossip.drains().entries().collect());
+    let status = |entry: DrainEntry| {
+        let (kind, name) = match entry.subject {
+            Subject::FailureDomain(name) => (DrainKind::FailureDomain, name),
+            Subject::Instance(name) => (DrainKind::Instance, name),
+            Subject::Target(name) => (DrainKind::Target, name),
+        };
+        DrainStatus {
+            kind,
+            name,
+            drained: entry.drained,
+            revision: entry.revision,
+        }
+    };
+    entries.into_iter().map(status).collect()
+}
+
+fn target(node: &Node, used: &TargetUse) -> TargetStatus {
+    let state = match used {
+        TargetUse { entry, .. } if entry.leaving => TargetState::Leaving,
+        TargetUse { closed: true, .. } => TargetState::Drained,
+        TargetUse { view, .. } if view.boot_id == 0 => TargetState::Unreachable,
+        TargetUse { view, .. } if view.warm => TargetState::Warm,
+        _ => TargetState::Cold,
+    };
+    let owned = node
+        .directory()
+        .find(&used.entry.name)
+        .and_then(|target| node.owners.allowed(node.now(), target));
+    TargetStatus {
+        name: used.entry.name.clone(),
+        service: used.entry.service.clone(),
+        failure_domain: used.entry.failure_domain.clone(),
+        state,
+        slots: u64::from(owned.unwrap_or(used.view.allowed)),
+        in_flight: u64::from(used.in_use),
+    }
+}
--- a/crates/daemon/tests/gossip.rs
+++ b/crates/daemon/tests/gossip.rs
@@ -82,6 +82,7 @@
     fn start(name: &str, failure_domain: &str, seeds: &[SocketAddr]) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
+            fault_injection: false,
             name: name.to_owned(),
             cluster: "test".to_owned(),
             site: "test".to_owned(),
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -298,6 +298,7 @@
                     "http_address": free_address()?,
                     "peer_address": free_address()?,
                     "platform_address": self.platform,
+                    "fault_injection": true,
                 });
                 all.push(serde_json::from_value::<Settings>(text)?);
             }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -203,4 +203,6 @@
     pub alive_members: u32,
     /// The number of requests in progress.
     pub in_flight: u32,
+    /// The generation of the configuration in force.
+    pub generation: u64,
 }
