ctl: commit above a generation that instances have seen

Instances never apply a lower generation. After the platform has lost a write, or holds a damaged record, `apply` would have committed a generation that never takes effect, or could not commit at all.

--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -23,8 +23,10 @@
 use crate::platform::Current;
 use crate::platform::Platform;
 use arbutus_config::Committed;
+use arbutus_config::ConfigError;
 use arbutus_config::Stamp;
 use arbutus_config::Texts;
+use arbutus_config::committed::CONFIG_KEY;
 use arbutus_config::committed::read_texts;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
@@ -69,6 +71,10 @@
             "wait until every live instance reports the generation",
             "SECONDS",
         )
+        .with_flag(
+            "replace-damaged",
+            "replace a committed configuration that cannot be read; needs --parent",
+        )
         .with_json();
     let Some(arguments) = command_line.parse(arguments)? else {
         return Ok(());
@@ -80,7 +86,7 @@
         return Err(Failure::usage("--wait needs the option --instance"));
     }
     let platform = Platform::new(arguments.platform()?);
-    let generation = commit_files(&arguments, &platform, Path::new(directory))?;
+    let generation = commit_files(&arguments, &platform, &instances, Path::new(directory))?;
     match wait_ms {
         Some(wait_ms) => wait_for(&instances, generation, wait_ms, arguments.json()),
         None => Ok(()),
@@ -91,29 +97,38 @@
 fn commit_files(
     arguments: &Arguments,
     platform: &Platform,
+    instances: &Instances,
     directory: &Path,
 ) -> Result<u64, Failure> {
     let texts = read_texts(directory)?;
-    texts
-        .validate()
-        .map_err(arbutus_config::ConfigError::from)?;
+    texts.validate().map_err(ConfigError::from)?;
+    if arguments.flag("replace-damaged") {
+        return replace_damaged(arguments, platform, &texts);
+    }
     let current = platform.current()?;
     let parent = current
         .as_ref()
         .map_or(0, |current| current.committed.generation);
     check_parent(arguments.number("parent")?, parent, current.as_ref())?;
-    if let Some(current) = &current
+    let reported = highest_generation(instances);
+    if reported > parent {
+        eprintln!(
+            "arbutusctl: instances report generation {reported}, the platform has {parent}: it \
+             has lost a write, and a lower generation would never take effect"
+        );
+    } else if let Some(current) = &current
         && same_texts(&current.committed, &texts)
     {
-        report(
-            arguments,
-            "unchanged",
-            parent,
-            "these texts are committed already",
-        )?;
+        let detail = "these texts are committed already";
+        report(arguments, "unchanged", parent, detail)?;
         return Ok(parent);
     }
-    let record = Committed::new(&texts, stamp(arguments, parent))?;
+    let stamp = Stamp {
+        generation: parent.max(reported) + 1,
+        parent,
+        ..stamp(arguments)
+    };
+    let record = Committed::new(&texts, stamp)?;
     if let Some(current) = &current {
         record.check_successor_of(&current.committed)?;
         archive::store(platform, &current.committed).map_err(|error| {
@@ -123,12 +138,50 @@
         })?;
     }
     let version = current.map(|current| current.version);
+    commit_record(arguments, platform, version, &record)
+}
+
+/// Commits over an object that is no valid record, so that it has no generation to go by.
+fn replace_damaged(
+    arguments: &Arguments,
+    platform: &Platform,
+    texts: &Texts,
+) -> Result<u64, Failure> {
+    let parent = arguments.number("parent")?.ok_or_else(|| {
+        Failure::usage("--replace-damaged needs --parent with the generation of the instances")
+    })?;
+    let object = platform
+        .get(CONFIG_KEY)
+        .map_err(|error| Failure::refused(format!("nothing was changed: {error}")))?;
+    let Some(object) = object.filter(|object| Committed::from_value(&object.value).is_err()) else {
+        return Err(Failure::refused(
+            "nothing was changed: the committed configuration is not damaged",
+        ));
+    };
+    let stamp = Stamp {
+        generation: parent + 1,
+        parent,
+        ..stamp(arguments)
+    };
+    let record = Committed::new(texts, stamp)?;
+    commit_record(arguments, platform, Some(object.version), &record)
+}
+
+fn commit_record(
+    arguments: &Arguments,
+    platform: &Platform,
+    version: Option<u64>,
+    record: &Committed,
+) -> Result<u64, Failure> {
     let timeout_ms = arguments.seconds("timeout")?.unwrap_or(DEFAULT_TIMEOUT_MS);
-    finish(
-        arguments,
-        &record,
-        commit(platform, version, &record, timeout_ms),
-    )
+    let outcome = commit(platform, version, record, timeout_ms);
+    finish(arguments, record, outcome)
+}
+
+/// Returns the highest generation that an instance reports, or 0 when none answers.
+fn highest_generation(instances: &Instances) -> u64 {
+    let live = live_generations(&instances.all_statuses());
+    live.into_values().max().unwrap_or(0)
 }
 
 fn check_parent(
@@ -156,15 +209,15 @@
     committed.base == texts.base.text() && committed_overlays == overlays
 }
 
-fn stamp(arguments: &Arguments, parent: u64) -> Stamp {
+/// Returns the stamp of a new attempt, without its place in the history.
+fn stamp(arguments: &Arguments) -> Stamp {
     let user = || env::var("USER").unwrap_or_else(|_error| "unknown".to_owned());
     Stamp {
-        generation: parent + 1,
-        parent,
         author: arguments.value("author").unwrap_or_else(user),
         token: format!("{:032x}", rand::random::<u128>()),
         wall_ms: Clock::wall(),
         comment: arguments.value("comment").unwrap_or_default(),
+        ..Stamp::default()
     }
 }
 
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -126,6 +126,34 @@
     assert_eq!(generations(&history(platform.address())), [1]);
 }
 
+#[test]
+fn a_damaged_configuration_is_replaced_only_on_request() {
+    let platform = Platform::start(loopback()).expect("a port is free");
+    let address = platform.address();
+    let files = Scratch::with_weight(1);
+    assert_eq!(apply(address, &files, &[]).status, 0);
+    let replace = ["--replace-damaged", "--parent", "4"];
+    let sound = apply(address, &files, &replace);
+    assert!(sound.errors.contains("not damaged"), "{sound:?}");
+    let version = Client::new()
+        .get(address, "/v1/objects/config")
+        .expect("the platform answers")["version"]
+        .to_string();
+    let headers = [("If-Match", version.as_str())];
+    Client::new()
+        .put(
+            address,
+            "/v1/objects/config",
+            &headers,
+            &json!({"generation": 4}),
+        )
+        .expect("the platform answers");
+    let refused = apply(address, &files, &[]);
+    assert_eq!(refused.status, 1, "{refused:?}");
+    let replaced = apply(address, &files, &replace);
+    assert_eq!(replaced.json()["generation"], 5, "{replaced:?}");
+}
+
 /// Every answer to a write is lost after it took effect, those for the history included.
 #[test]
 fn a_lost_answer_is_settled_by_reading_back() {
