standins: refuse a burst of an organisation that does not exist

A test named an organisation that had been renamed, and its burst had no effect. The scenario is now refused, and the test takes the name from the scenario.

--- a/crates/standins/src/loadgen/scenario.rs
+++ b/crates/standins/src/loadgen/scenario.rs
@@ -262,7 +262,22 @@
         if self.organisations.is_empty() || self.pipelines.is_empty() {
             return Err("there are no organisations or no pipelines".to_owned());
         }
+        let named = self
+            .bursts
+            .iter()
+            .filter_map(|burst| burst.organisation.as_ref());
+        for name in named {
+            if !self.organisations.iter().any(|each| each.name == *name) {
+                return Err(format!("bursts: there is no organisation {name}"));
+            }
+        }
         for pipeline in &self.pipelines {
+            if !(0.0..=1.0).contains(&pipeline.resend_share) {
+                let name = &pipeline.name;
+                return Err(format!(
+                    "pipeline {name}: resend_share is not between 0 and 1"
+                ));
+            }
             if !self.classes.contains_key(&pipeline.class) {
                 let (name, class) = (&pipeline.name, &pipeline.class);
                 return Err(format!("pipeline {name}: there is no class {class}"));
--- a/crates/standins/tests/arrivals.rs
+++ b/crates/standins/tests/arrivals.rs
@@ -79,7 +79,7 @@
     scenario.bursts.push(Burst {
         from_s: 100.0,
         to_s: 200.0,
-        organisation: Some("kama-honten".to_owned()),
+        organisation: Some(scenario.organisations[0].name.clone()),
         factor: 3.0,
     });
     let all = arrivals(&scenario, seed(), "r");
