--- a/crates/coord/tests/gossip.rs
+++ b/crates/coord/tests/gossip.rs
@@ -63,6 +63,7 @@
                 duplicate_percent: number % 30,
                 max_delay_ms: number % 600,
                 partitioned: bool::arbitrary(g),
+                cut_pair: None,
             }),
             4 => Self::Generation(index, number % 20 + 1),
             5 => Self::Drain(index, bool::arbitrary(g)),
@@ -251,6 +252,29 @@
     check(40, property as fn(usize, u64, u64) -> TestResult);
 }
 
+/// Guards against a member that is declared dead, or suspected without end, because a single
+/// path to it has failed.
+#[test]
+fn a_member_that_others_reach_stays_alive() {
+    fn property(seed: u64) -> TestResult {
+        let mut network = Network::new(INSTANCES, DOMAINS, seed);
+        network.faults.cut_pair = Some((0, 3));
+        network.run(Millis(60_000));
+        let incarnations = [0, 3].map(|index: usize| {
+            let me = network.nodes[&index].gossip.members().me();
+            me.incarnation
+        });
+        if incarnations != [0, 0] {
+            return TestResult::error(format!("suspicions were refuted: {incarnations:?}"));
+        }
+        match network.wrong_view() {
+            Some(wrong) => TestResult::error(wrong),
+            None => TestResult::passed(),
+        }
+    }
+    check(20, property as fn(u64) -> TestResult);
+}
+
 /// Guards against an instance without peers that waits for an acknowledgement in vain.
 #[test]
 fn an_instance_alone_is_not_suspect_after_a_pause() {
--- a/crates/coord/tests/network/mod.rs
+++ b/crates/coord/tests/network/mod.rs
@@ -23,6 +23,8 @@
     pub max_delay_ms: u64,
     /// Whether failure domains cannot reach each other.
     pub partitioned: bool,
+    /// Two instances that cannot reach each other.
+    pub cut_pair: Option<(usize, usize)>,
 }
 
 pub struct Node {
@@ -118,6 +120,13 @@
         !self.faults.partitioned || from.domain == to.domain
     }
 
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let pair = self.faults.cut_pair;
+        pair == Some((from, to))
+            || pair == Some((to, from))
+            || (self.faults.partitioned && from % self.domains != to % self.domains)
+    }
+
     /// Hands an input to an instance and carries out its outputs.
     pub fn input(&mut self, index: usize, input: Input<'_>) {
         let now = self.now;
@@ -231,9 +240,8 @@
             return;
         };
         // A packet of a process that has crashed since is still delivered.
-        let partitioned =
-            self.faults.partitioned && delivery.from % self.domains != to % self.domains;
-        let Some(node) = self.nodes.get(&to).filter(|_| !partitioned) else {
+        let cut = self.is_cut(delivery.from, to);
+        let Some(node) = self.nodes.get(&to).filter(|_| !cut) else {
             return;
         };
         if node.paused_until > self.now {
