document: transfer differences in several parts

A difference now consists of copied and new parts; the record of the new test takes less than 400 bytes.

membership: pull only the parts of the member table that differ

A request for members carries 256 partial digests, and the answer the members whose part differs.

--- a/crates/coord/examples/membership.rs
+++ b/crates/coord/examples/membership.rs
@@ -78,8 +78,9 @@
                     self.handle(to, Input::Received { from: at, packet });
                 }
                 Output::FetchMembers { from } => {
+                    let buckets = self.instances[&at].members().buckets();
                     if let Some(peer) = self.instances.get(&from) {
-                        let members: Vec<Member> = peer.members().members().cloned().collect();
+                        let members = peer.members().differing(buckets);
                         self.handle(at, Input::Members(&members));
                     }
                 }
--- a/crates/coord/examples/scale.rs
+++ b/crates/coord/examples/scale.rs
@@ -42,6 +42,9 @@
 /// The bytes that a datagram adds to a packet: version, name of the deployment and kind of body.
 const ENVELOPE_BYTES: usize = 12;
 
+/// The encoded size of one part of the digest of the members.
+const BUCKET_BYTES: usize = 10;
+
 /// The bytes that a call and its answer add to their content.
 const CALL_BYTES: usize = 60;
 
@@ -184,8 +187,9 @@
                 }
             }
             Output::FetchMembers { from } => {
-                let members = self.instances[index_of(from)].members().members();
-                let members: Vec<Member> = members.cloned().collect();
+                let buckets = self.instances[index].members().buckets();
+                let members = self.instances[index_of(from)].members().differing(buckets);
+                self.bytes_sent[index] += buckets.len() * BUCKET_BYTES;
                 self.count_call(index, index_of(from), &members);
                 self.input(index, Input::Members(&members));
             }
@@ -295,9 +299,14 @@
 
 fn document(number: u64) -> Document {
     let mut content = vec![b'x'; DOCUMENT_BYTES];
-    let change = format!("organisations: weight: {number}");
-    let at = DOCUMENT_BYTES / 2;
-    content[at..at + change.len()].copy_from_slice(change.as_bytes());
+    for (index, byte) in content.iter_mut().enumerate() {
+        *byte = index.wrapping_mul(index / 7) as u8;
+    }
+    // A record changes at its author, its settings, and its time.
+    for at in [0, DOCUMENT_BYTES / 2, DOCUMENT_BYTES - 100] {
+        let change = format!("organisations: weight: {number}");
+        content[at..at + change.len()].copy_from_slice(change.as_bytes());
+    }
     Document {
         kind: DocumentKind::Configuration,
         number,
--- a/crates/coord/src/document.rs
+++ b/crates/coord/src/document/mod.rs
@@ -5,18 +5,26 @@
 //! restored from a backup). They are counted, and the content with the smaller digest wins: every
 //! instance then ends up with the same content, and exchanges between instances come to rest.
 
+mod difference;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::rendezvous::stable_hash;
 
+pub use difference::Difference;
+pub use difference::Part;
+pub use difference::TransferError;
+
 /// The number of older contents from which a document's holder can compute a difference.
 const HISTORY_LEN: usize = 4;
 
+/// The largest content that results from a difference; the platform stores values of up to 1 MB.
+const MAX_CONTENT_BYTES: usize = 4 * 1024 * 1024;
+
 /// The kind of a document.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum DocumentKind {
@@ -78,21 +86,6 @@
     pub target_list: Version,
 }
 
-/// The difference between two contents that have a common start and a common end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Difference {
-    /// The version to which the difference applies.
-    pub base: Version,
-    /// The version that results.
-    pub result: Version,
-    /// The length of the common start, in bytes.
-    pub start_bytes: u32,
-    /// The length of the common end, in bytes.
-    pub end_bytes: u32,
-    /// The bytes between the common start and the common end.
-    pub middle: Vec<u8>,
-}
-
 /// An answer to an instance that is behind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Transfer {
@@ -117,17 +110,6 @@
     Conflict,
 }
 
-/// A transfer that could not be applied.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-pub enum TransferError {
-    /// the difference applies to another version of the document
-    OtherBase,
-    /// the difference does not fit the document
-    Malformed,
-}
-
-impl std::error::Error for TransferError {}
-
 #[derive(Clone, Debug)]
 struct Held {
     document: Document,
@@ -238,11 +220,12 @@
             return Transfer::NotNewer;
         }
         let base = held.history.iter().find(|(old, _)| *old == held_by_peer);
-        match base {
-            Some((version, content)) => {
-                let difference = Difference::between(*version, content, &held.document);
-                Transfer::Difference(kind.clone(), difference)
-            }
+        let difference = match base {
+            Some((version, content)) => Difference::between(*version, content, &held.document),
+            None => None,
+        };
+        match difference {
+            Some(difference) => Transfer::Difference(kind.clone(), difference),
             None => Transfer::Whole(held.document.clone()),
         }
     }
@@ -265,46 +248,3 @@
         }
     }
 }
-
-impl Difference {
-    fn between(base: Version, old: &[u8], new: &Document) -> Self {
-        let pairs = old.iter().zip(&new.content);
-        let start = pairs.take_while(|(a, b)| a == b).count();
-        let pairs = old[start..]
-            .iter()
-            .rev()
-            .zip(new.content[start..].iter().rev());
-        let end = pairs.take_while(|(a, b)| a == b).count();
-        Self {
-            base,
-            result: new.version(),
-            start_bytes: start as u32,
-            end_bytes: end as u32,
-            middle: new.content[start..new.content.len() - end].to_vec(),
-        }
-    }
-
-    fn apply(&self, old: &Document, version: Version) -> Result<Document, TransferError> {
-        if version != self.base {
-            return Err(TransferError::OtherBase);
-        }
-        let start = self.start_bytes as usize;
-        let end = self.end_bytes as usize;
-        if start.saturating_add(end) > old.content.len() {
-            return Err(TransferError::Malformed);
-        }
-        let mut content = old.content[..start].to_vec();
-        content.extend_from_slice(&self.middle);
-        content.extend_from_slice(&old.content[old.content.len() - end..]);
-        let document = Document {
-            kind: old.kind.clone(),
-            number: self.result.number,
-            content,
-        };
-        if document.version() == self.result {
-            Ok(document)
-        } else {
-            Err(TransferError::Malformed)
-        }
-    }
-}
--- a/crates/coord/src/gossip.rs
+++ b/crates/coord/src/gossip.rs
@@ -87,7 +87,8 @@
         /// The packet.
         packet: Packet,
     },
-    /// All members have to be requested from a peer.
+    /// Members have to be requested from a peer; [`Membership::buckets`] goes with the request,
+    /// and [`Membership::differing`] answers it.
     FetchMembers {
         /// The address of the peer.
         from: SocketAddr,
--- a/crates/coord/src/membership/detector.rs
+++ b/crates/coord/src/membership/detector.rs
@@ -76,7 +76,7 @@
     pub(super) introductions: u32,
     pub(super) joined: bool,
     pub(super) differs: Option<(Millis, Millis)>,
-    pub(super) last_fetch: Option<Millis>,
+    pub(super) next_fetch: Millis,
     pub(super) self_suspect: bool,
     pub(super) resumed_at_sequence: u64,
     pub(super) superseded_by: u64,
@@ -120,7 +120,7 @@
             introductions: 0,
             joined: false,
             differs: None,
-            last_fetch: None,
+            next_fetch: Millis::ZERO,
             self_suspect: false,
             resumed_at_sequence: 0,
             superseded_by: 0,
@@ -197,6 +197,18 @@
         self.table.digest()
     }
 
+    /// Returns the parts of the digest, which go with a request for members.
+    #[must_use]
+    pub fn buckets(&self) -> &[u64] {
+        self.table.buckets()
+    }
+
+    /// Returns the members that a peer with other parts of the digest may lack.
+    #[must_use]
+    pub fn differing(&self, buckets: &[u64]) -> Vec<Member> {
+        self.table.differing(buckets)
+    }
+
     /// Returns whether this instance was paused and no peer has acknowledged it since.
     ///
     /// A pause counts from the moment the instance goes on, even before its next input.
--- a/crates/coord/src/membership/mod.rs
+++ b/crates/coord/src/membership/mod.rs
@@ -90,7 +90,7 @@
     /// Addresses of other instances from the settings and the platform's list; they replace
     /// those of an earlier call.
     Seeds(&'a [SocketAddr]),
-    /// A peer answered a request for all members.
+    /// A peer answered a request for members.
     Members(&'a [Member]),
     /// This instance takes no new work any more.
     Leave,
@@ -106,7 +106,8 @@
         /// The packet, without the digests of documents and drains.
         packet: Packet,
     },
-    /// All members have to be requested from a peer.
+    /// Members have to be requested from a peer; [`Membership::buckets`] goes with the request,
+    /// and [`Membership::differing`] answers it.
     FetchMembers {
         /// The address of the peer.
         from: SocketAddr,
--- a/crates/coord/src/membership/receive.rs
+++ b/crates/coord/src/membership/receive.rs
@@ -19,20 +19,20 @@
 /// The number of indirect probes that an instance carries out at once.
 const MAX_RELAYS: usize = 256;
 
-/// How long digests have to differ before all members are requested.
+/// How long digests have to differ before members are requested.
 const MISMATCH_MS: Millis = Millis(10_000);
 
 /// The time without differing digests after which an earlier difference is settled.
 const MISMATCH_RESET_MS: Millis = Millis(15_000);
 
-/// The time between two requests for all members while joining.
+/// The time between two requests for members while joining.
 const JOIN_RETRY_MS: Millis = Millis(1_000);
 
-/// The time per member between two requests for all members. It bounds their traffic to about
-/// 1.4 KB per second whatever the number of members, at 50 bytes for each.
+/// The time until the next request for members, for each one that the last answer contained. It
+/// bounds their traffic to about 1.4 KB per second at 50 bytes for each.
 const FETCH_INTERVAL_PER_MEMBER_MS: Millis = Millis(35);
 
-/// The shortest time between two requests for all members.
+/// The shortest time between two requests for members.
 const MIN_FETCH_INTERVAL_MS: Millis = Millis(5_000);
 
 /// How a statement is passed on.
@@ -173,24 +173,23 @@
             _ => now,
         };
         self.differs = Some((since, now));
-        let (patience, interval) = if self.joined {
-            let interval = FETCH_INTERVAL_PER_MEMBER_MS.times(self.table.peers() as u64);
-            (MISMATCH_MS, interval.max(MIN_FETCH_INTERVAL_MS))
+        let (patience, retry) = if self.joined {
+            (MISMATCH_MS, MIN_FETCH_INTERVAL_MS)
         } else {
             (Millis::ZERO, JOIN_RETRY_MS)
         };
-        let waited = self.last_fetch.is_none_or(|last| now - last >= interval);
-        if waited && now - since >= patience {
-            self.last_fetch = Some(now);
+        if now >= self.next_fetch && now - since >= patience {
+            self.next_fetch = now + retry;
             outputs.push(Output::FetchMembers { from });
         }
     }
 
-    /// Merges all members of a peer. Suspicions and deaths are left to the failure detector: a
+    /// Merges members of a peer. Suspicions and deaths are left to the failure detector: a
     /// peer from the other side of a healed partition regards live members as dead.
     pub(super) fn merge_all(&mut self, now: Millis, members: &[Member], outputs: &mut Vec<Output>) {
         self.joined = true;
-        self.differs = None;
+        let cost = FETCH_INTERVAL_PER_MEMBER_MS.times(members.len() as u64);
+        self.next_fetch = now + cost.max(MIN_FETCH_INTERVAL_MS);
         for member in members {
             if member.state < MemberState::Suspect || member.name == self.me().name {
                 self.apply(now, member, PassOn::No, outputs);
--- a/crates/coord/src/membership/table.rs
+++ b/crates/coord/src/membership/table.rs
@@ -15,6 +15,9 @@
 /// The slot of the instance itself.
 pub(super) const SELF_SLOT: usize = 0;
 
+/// The number of parts into which the digest of the members is split.
+const BUCKETS: usize = 256;
+
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
@@ -39,11 +42,14 @@
     own: Ring,
     other: Ring,
     dead: Ring,
+    buckets: Vec<u64>,
     digest: u64,
 }
 
 impl Table {
     pub(super) fn new(me: Member, now: Millis) -> Self {
+        let mut buckets = vec![0; BUCKETS];
+        buckets[bucket_of(&me.name)] = member_hash(&me);
         let mut table = Self {
             slots: Vec::new(),
             free: Vec::new(),
@@ -53,6 +59,7 @@
             own: Ring::default(),
             other: Ring::default(),
             dead: Ring::default(),
+            buckets,
             digest: member_hash(&me),
         };
         table.slots.push(Some(Entry {
@@ -68,7 +75,8 @@
 
     /// Replaces the own entry; the name stays.
     pub(super) fn set_me(&mut self, me: Member, now: Millis) {
-        self.digest ^= member_hash(self.me()) ^ member_hash(&me);
+        let change = member_hash(self.me()) ^ member_hash(&me);
+        self.change_digest(&me.name, change);
         self.slots[SELF_SLOT] = Some(Entry {
             member: me,
             changed_at: now,
@@ -130,6 +138,27 @@
         self.digest
     }
 
+    pub(super) fn buckets(&self) -> &[u64] {
+        &self.buckets
+    }
+
+    /// Returns the members that are not dead and whose bucket differs from that of a peer.
+    pub(super) fn differing(&self, theirs: &[u64]) -> Vec<Member> {
+        let differs = |member: &&Member| {
+            let bucket = bucket_of(&member.name);
+            theirs.get(bucket) != self.buckets.get(bucket)
+        };
+        let live = self
+            .iter()
+            .filter(|member| member.state != MemberState::Dead);
+        live.filter(differs).cloned().collect()
+    }
+
+    fn change_digest(&mut self, name: &str, change: u64) {
+        self.buckets[bucket_of(name)] ^= change;
+        self.digest ^= change;
+    }
+
     /// Stores another member's entry and returns its slot.
     pub(super) fn put(&mut self, member: Member, now: Millis, random: &mut Random) -> usize {
         let slot = self
@@ -139,11 +168,11 @@
         let old_place = old.as_ref().map(|old| self.place(old));
         let new_place = self.place(&member);
         if let Some(old) = &old {
-            self.digest ^= live_hash(old);
+            self.change_digest(&old.name, live_hash(old));
             self.keys.remove(&old.key());
             self.release_address(old.peer_address, slot);
         }
-        self.digest ^= live_hash(&member);
+        self.change_digest(&member.name, live_hash(&member));
         self.keys.insert(member.key(), slot);
         self.addresses.insert(member.peer_address, slot);
         if old_place != Some(new_place) {
@@ -217,6 +246,10 @@
     }
 }
 
+fn bucket_of(name: &str) -> usize {
+    (stable_hash(name.as_bytes()) % BUCKETS as u64) as usize
+}
+
 fn live_hash(member: &Member) -> u64 {
     if member.state == MemberState::Dead {
         0
--- a/crates/coord/tests/network/mod.rs
+++ b/crates/coord/tests/network/mod.rs
@@ -154,8 +154,8 @@
             Output::Send { to, packet } => self.send(index, to, &packet),
             Output::FetchMembers { from } => {
                 if let Some(peer) = self.peer(index, from) {
-                    let members = peer.gossip.members().members().cloned();
-                    let members: Vec<Member> = members.collect();
+                    let buckets = self.nodes[&index].gossip.members().buckets();
+                    let members = peer.gossip.members().differing(buckets);
                     self.input(index, Input::Members(&members));
                 }
             }
--- a/crates/coord/tests/versions.rs
+++ b/crates/coord/tests/versions.rs
@@ -118,6 +118,35 @@
     check(property as fn(Vec<Vec<u8>>, usize, bool) -> bool);
 }
 
+/// Guards against a record that is transferred almost whole because it changes at both ends.
+#[test]
+fn a_record_that_changes_in_three_places_is_transferred_in_parts() {
+    let kind = DocumentKind::Configuration;
+    let mut holder = DocumentStore::new("a");
+    let mut behind = DocumentStore::new("a");
+    for number in 1..3_u32 {
+        let lines =
+            (0..2_000_u32).map(|line| format!("line {line}: {}\n", line.wrapping_mul(line)));
+        let lines: String = lines.collect();
+        let (first, second) = lines.split_at(lines.len() / 2);
+        let text = format!("author {number}\n{first}changed {number}\n{second}time {number}\n");
+        let document = Document {
+            kind: kind.clone(),
+            number: u64::from(number),
+            content: text.into_bytes(),
+        };
+        holder.offer(&document);
+        if number == 1 {
+            behind.offer(&document);
+        }
+    }
+    let transfer = holder.transfer(&kind, behind.version(&kind));
+    let bytes = postcard::to_extend(&transfer, Vec::new()).expect("it is encodable");
+    assert!(bytes.len() < 400, "{} bytes are transferred", bytes.len());
+    assert_eq!(behind.apply(&transfer), Ok(Offer::Applied));
+    assert_eq!(behind.get(&kind), holder.get(&kind));
+}
+
 #[test]
 fn two_contents_of_a_version_are_counted() {
     let mut store = DocumentStore::new("a");
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -408,7 +408,8 @@
         // A failure is counted by the client, and a later digest asks again.
         match fetch {
             Fetch::Members(from) => {
-                let reply = self.call(from, PeerRequest::FetchMembers);
+                let buckets = self.read(|gossip| gossip.members().buckets().to_vec());
+                let reply = self.call(from, PeerRequest::FetchMembers { buckets });
                 if let Ok(PeerReply::Members(members)) = reply {
                     self.input(Input::Members(&members));
                 }
@@ -455,8 +456,8 @@
                 let transfer = self.read(|gossip| gossip.documents().transfer(&kind, held));
                 replies.send(&PeerReply::Document(transfer))
             }
-            PeerRequest::FetchMembers => {
-                let members = self.read(|gossip| gossip.members().members().cloned().collect());
+            PeerRequest::FetchMembers { buckets } => {
+                let members = self.read(|gossip| gossip.members().differing(&buckets));
                 replies.send(&PeerReply::Members(members))
             }
             PeerRequest::ExchangeDrains { entries } => {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -36,8 +36,12 @@
         /// The version that the caller holds.
         held: Version,
     },
-    /// Asks for all members; used when joining and when digests keep differing.
-    FetchMembers,
+    /// Asks for the members that the caller may lack; used when joining and when digests keep
+    /// differing.
+    FetchMembers {
+        /// The parts of the caller's digest.
+        buckets: Vec<u64>,
+    },
     /// Offers the caller's drains and asks for the receiver's.
     ExchangeDrains {
         /// The entries of the caller.
