daemon: admit requests by predicted completion and within limits

Cause: at twice the capacity, requests waited for slots without order and began streams that could not end before their deadline. The end of the time then looked like a crash of the target, opened breakers and quarantined requests.

Waiting requests now form a queue for each service, ordered by admission. A request is checked at the queues of all its stages when it arrives. The time of a stream is estimated from its first 8 tokens while nothing was measured. A stream that the deadline cuts off counts neither against the target nor against the request. A forwarded call that could also wait at home waits 50 ms. Requests in progress are counted against the hierarchical limits.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -29,6 +29,9 @@
 use crate::target_client::CallContext;
 use crate::target_client::CallError;
 
+/// The number of tokens after which the time of the whole stream is estimated.
+const ESTIMATE_TOKENS: u32 = 8;
+
 /// The tokens of a stream over all its attempts.
 #[derive(Debug)]
 pub struct TokenStream {
@@ -190,11 +193,12 @@
     call: &StageCall,
     ids: &AttemptIds,
     slot: &Slot,
+    timeout_ms: Millis,
 ) -> Result<Value, CallError> {
     let begun = node.now();
     let result = node
         .targets
-        .call(slot.address, ids, context(call, begun), &call.input);
+        .call(slot.address, ids, context(call, timeout_ms), &call.input);
     let outcome = match &result {
         Ok(_) => CallOutcome::Success {
             latency_ms: node.now() - begun,
@@ -232,12 +236,17 @@
     let mut attempt = stream.attempt(&now, sink);
     let receive = |frame: Frame| {
         first_token.get_or_insert_with(|| node.now() - begun);
+        if let Frame::Token { offset, .. } = frame
+            && offset == body.resume_at + ESTIMATE_TOKENS
+        {
+            estimate(node, call, node.now() - begun);
+        }
         attempt.receive(frame)
     };
     let started = node.targets.generate(
         slot.address,
         ids,
-        context(call, begun),
+        context(call, call.deadline - begun),
         call.stall_ms,
         &body,
         receive,
@@ -247,16 +256,21 @@
         Ok(StreamEnd::Done { .. } | StreamEnd::CallerGone) => CallOutcome::Success {
             latency_ms: first_token.unwrap_or(Millis::ZERO),
         },
+        Ok(StreamEnd::Broken { .. }) if node.now() >= call.deadline => CallOutcome::Success {
+            latency_ms: first_token.unwrap_or(node.now() - begun),
+        },
         Ok(StreamEnd::Broken { .. }) | Err(_) => CallOutcome::Failure,
     };
     record(node, call, slot, outcome, end.as_ref().err());
-    let crashed = matches!(
-        end,
-        Ok(StreamEnd::Broken {
-            fault: Fault::Truncated,
-            ..
-        }) | Err(CallError::Failed(_))
-    );
+    // The connection also ends when the time is over, which is no failure of the target.
+    let crashed = node.now() < call.deadline
+        && matches!(
+            end,
+            Ok(StreamEnd::Broken {
+                fault: Fault::Truncated,
+                ..
+            }) | Err(CallError::Failed(_))
+        );
     if crashed {
         suspect_request(node, call, ids);
     }
@@ -266,12 +280,24 @@
     end
 }
 
-fn context(call: &StageCall, now: Millis) -> CallContext<'_> {
+/// Estimates the time of a whole stream from its first tokens.
+///
+/// Without an estimate, everything that arrives before the first stream has ended is admitted.
+fn estimate(node: &Node, call: &StageCall, elapsed_ms: Millis) {
+    let whole_ms = Millis(elapsed_ms.0 * u64::from(call.max_tokens) / u64::from(ESTIMATE_TOKENS));
+    node.stage_times
+        .estimate(node.now(), &call.pipeline, call.stage_index, whole_ms);
+    node.slots.with_service(node.now(), &call.service, |state| {
+        state.estimate_slot(whole_ms);
+    });
+}
+
+fn context(call: &StageCall, timeout_ms: Millis) -> CallContext<'_> {
     CallContext {
         organisation: &call.organisation,
         priority: call.priority,
         idempotency_key: call.idempotency_key.as_deref(),
-        timeout_ms: call.deadline - now,
+        timeout_ms,
     }
 }
 
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -42,12 +42,14 @@
 
 /// How long a stage waits for a local slot before it is offered to another failure domain.
 const LOCAL_PATIENCE_MS: Millis = Millis(200);
+/// How long a stage that could also wait here waits for a slot in another failure domain.
+const REMOTE_PATIENCE_MS: Millis = Millis(50);
 const BUSY_RETRY_MS: Millis = Millis(500);
 
 /// Where an attempt runs.
 enum Place {
     Local(Slot),
-    Remote(Member),
+    Remote(Member, Millis),
 }
 
 enum Outcome {
@@ -88,12 +90,18 @@
         };
         let outcome = match place {
             Place::Local(slot) => stage.run_local(attempt, slot, sink),
-            Place::Remote(peer) => stage.run_remote(attempt, &peer, sink),
+            Place::Remote(peer, wait_ms) => stage.run_remote(attempt, &peer, wait_ms, sink),
         };
         match outcome {
             Outcome::Done(output, attempt) => {
                 forgive(node, call);
-                return Ok(StageDone { output, attempt });
+                let begun = stage.begun.unwrap_or_else(|| node.now());
+                let took_ms = node.now() - begun;
+                return Ok(StageDone {
+                    output,
+                    attempt,
+                    took_ms,
+                });
             }
             Outcome::NotSent(unsent, failure) => {
                 stage.last_failure = Some(failure);
@@ -133,13 +141,32 @@
     until: Millis,
 ) -> Result<Slot, NoSlot> {
     let request = SlotRequest {
-        service: &call.service,
         excluded,
-        prefix: call.prefix,
         until,
+        ..slot_request(call)
     };
-    node.slots
-        .acquire(request, &|| node.now(), &|| node.random())
+    node.slots.acquire(request, &|| node.random())
+}
+
+/// Checks whether a stage would be answered before its deadline if it had to wait for a slot.
+///
+/// # Errors
+///
+/// Returns that the request is refused.
+pub fn check_admission(node: &Node, call: &StageCall) -> Result<(), NoSlot> {
+    node.slots.check(slot_request(call), node.now())
+}
+
+fn slot_request(call: &StageCall) -> SlotRequest<'_> {
+    SlotRequest {
+        prefix: call.prefix,
+        organisation: &call.organisation,
+        weight: call.weight,
+        priority: call.priority,
+        deadline: call.deadline,
+        expected_ms: call.expected_ms,
+        ..SlotRequest::for_service(&call.service)
+    }
 }
 
 /// Returns an identifier with the next number at its end.
@@ -165,6 +192,8 @@
     fruitless: u32,
     last_failure: Option<String>,
     stream: TokenStream,
+    /// When the first attempt began.
+    begun: Option<Millis>,
 }
 
 impl<'a> Stage<'a> {
@@ -178,6 +207,7 @@
             remote_tried: false,
             fruitless: 0,
             last_failure: None,
+            begun: None,
             stream: TokenStream::resuming(node.now(), call.stall_ms, call.resume_at),
         }
     }
@@ -189,12 +219,13 @@
     /// Returns where the next attempt runs: at a target of this failure domain, or through an
     /// instance of another one when this one has no target or all of its targets stay busy.
     fn choose_place(&mut self) -> Result<Place, NoSlot> {
-        let deadline = self.call.deadline;
+        let now = self.node.now();
+        let deadline = self.call.deadline.min(now + self.call.wait_ms);
         let patient = self.call.forwarded || self.remote_tried;
         let until = if patient {
             deadline
         } else {
-            deadline.min(self.node.now() + LOCAL_PATIENCE_MS)
+            deadline.min(now + LOCAL_PATIENCE_MS)
         };
         let no_slot = match acquire(self.node, self.call, &self.excluded(), until) {
             Ok(slot) => return Ok(Place::Local(slot)),
@@ -203,7 +234,13 @@
         if !self.call.forwarded
             && let Some(peer) = choose_peer(self.node, &self.call.service, &self.peers)
         {
-            return Ok(Place::Remote(peer));
+            // A call that can also wait here does not wait there.
+            let wait_ms = if no_slot == NoSlot::NoTarget {
+                Millis::MAX
+            } else {
+                REMOTE_PATIENCE_MS
+            };
+            return Ok(Place::Remote(peer, wait_ms));
         }
         self.remote_tried = true;
         if no_slot == NoSlot::NoTarget && !self.failed.is_empty() {
@@ -219,13 +256,14 @@
         &mut self,
         attempt: Attempt<Unsent>,
         peer: &Member,
+        wait_ms: Millis,
         sink: &mut dyn TokenSink,
     ) -> Outcome {
         self.peers.insert(peer.name.clone());
         let attempt = attempt.send(self.node.now());
         let ids = attempt.ids();
         let stream = &mut self.stream;
-        match run_remote(self.node, self.call, ids, peer, stream, sink) {
+        match run_remote(self.node, self.call, ids, (peer, wait_ms), stream, sink) {
             RemoteEnd::Answered(output) => Outcome::Done(output, attempt),
             RemoteEnd::Streamed { tokens } => {
                 Outcome::Done(json!({ "text": stream.text(), "tokens": tokens }), attempt)
@@ -250,6 +288,7 @@
         sink: &mut dyn TokenSink,
     ) -> Outcome {
         let target = slot.target;
+        self.begun.get_or_insert_with(|| self.node.now());
         let outcome = self.run_attempt(attempt, slot, sink);
         match &outcome {
             Outcome::NotSent(..) => {
@@ -278,10 +317,11 @@
             return self.run_stream(attempt, &slot, sink);
         }
         let delay_ms = self.hedge_delay(now);
+        let timeout_ms = self.timeout(now);
         let (attempt, result) = if let Some(delay_ms) = delay_ms {
-            call_hedged(self.node, self.call, attempt, slot, delay_ms)
+            call_hedged(self.node, self.call, attempt, slot, delay_ms, timeout_ms)
         } else {
-            let result = call_once(self.node, self.call, attempt.ids(), &slot);
+            let result = call_once(self.node, self.call, attempt.ids(), &slot, timeout_ms);
             (attempt, result)
         };
         match result {
@@ -303,6 +343,15 @@
                 Outcome::Done(output, attempt)
             }
             Ok(StreamEnd::CallerGone) => Outcome::CallerGone,
+            Ok(StreamEnd::Broken { .. }) if self.node.now() >= self.call.deadline => {
+                self.node.metrics.count("stream_past_deadline");
+                let failure = "the deadline passed in the middle of the stream".to_owned();
+                Outcome::Failed {
+                    attempt,
+                    failure,
+                    progressed: true,
+                }
+            }
             Ok(StreamEnd::Broken { fault, progressed }) => {
                 self.node.metrics.count(&format!("stream_{fault}"));
                 let failure = format!("stream {fault} at token {}", stream.resume_at());
@@ -316,6 +365,15 @@
         }
     }
 
+    /// Returns how long an attempt may take. A first attempt leaves time for another one.
+    fn timeout(&self, now: Millis) -> Millis {
+        let remaining_ms = self.call.deadline - now;
+        if !self.call.is_idempotent() || self.fruitless > 0 {
+            return remaining_ms;
+        }
+        remaining_ms.min(self.call.patience_ms)
+    }
+
     fn hedge_delay(&self, now: Millis) -> Option<Millis> {
         if !self.call.hedge || !self.call.is_idempotent() {
             return None;
@@ -379,6 +437,7 @@
                     .unwrap_or_else(|| format!("no target of service {service} takes calls"));
                 refuse(attempt, Reason::NoTarget, detail).with_retry_after(BUSY_RETRY_MS)
             }
+            NoSlot::Refused { retry_ms } => refuse_overloaded(attempt, service, retry_ms),
             NoSlot::Busy => {
                 let detail = format!("all targets of service {service} stayed busy");
                 refuse(attempt, Reason::Deadline, detail)
@@ -387,6 +446,13 @@
     }
 }
 
+/// Refuses a request that would not be answered before its deadline.
+#[must_use]
+pub fn refuse_overloaded(attempt: Attempt<Unsent>, service: &str, retry_ms: Millis) -> Problem {
+    let detail = format!("the queue of service {service} is too long for the deadline");
+    refuse(attempt, Reason::Overloaded, detail).with_retry_after(retry_ms)
+}
+
 fn failed(attempt: Attempt<Sent>, error: &CallError) -> Outcome {
     let failure = error.to_string();
     match error {
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -55,7 +55,7 @@
 /// Never returns an error.
 pub fn run_requests(node: &Arc<Node>, stop: &Stop) -> ChildResult {
     while !stop.is_raised() {
-        let due = node.slots.poll(&|| node.now(), REQUEST_PERIOD_MS);
+        let due = node.slots.poll(REQUEST_PERIOD_MS);
         send_requests(node, due);
         send_replies(node, node.owners.tick(node.now()));
     }
@@ -118,6 +118,7 @@
     let owned = owned_targets(node, &directory, &live);
     node.slots.sync(used);
     let known = node.known_instances();
+    node.limits.set_live_instances(node.count_live_instances());
     let replies = node
         .owners
         .sync(node.now(), node.slots.settings(), &owned, &known);
--- a/crates/daemon/src/hedge.rs
+++ b/crates/daemon/src/hedge.rs
@@ -36,12 +36,20 @@
     attempt: Attempt<Sent>,
     slot: Slot,
     delay_ms: Millis,
+    timeout_ms: Millis,
 ) -> (Attempt<Sent>, Result<Value, CallError>) {
     let (sender, receiver) = mpsc::channel();
     let mut excluded = BTreeSet::from([slot.target]);
     let mut addresses = vec![slot.address];
     let mut attempts = vec![attempt];
-    spawn(node, call, attempts[0].ids(), slot, 0, &sender);
+    spawn(
+        node,
+        call,
+        attempts[0].ids(),
+        slot,
+        (0, timeout_ms),
+        &sender,
+    );
     let mut running = 1;
     let mut wait_ms = delay_ms;
     loop {
@@ -79,7 +87,7 @@
         let id = next_attempt_id(first.ids());
         let second = first.follow(first.ids().stage.clone(), id).send(now);
         node.metrics.count("hedged");
-        spawn(node, call, second.ids(), slot, 1, &sender);
+        spawn(node, call, second.ids(), slot, (1, timeout_ms), &sender);
         attempts.push(second);
         running += 1;
     }
@@ -90,7 +98,7 @@
     call: &StageCall,
     ids: &AttemptIds,
     slot: Slot,
-    index: usize,
+    (index, timeout_ms): (usize, Millis),
     sender: &Sender<Answer>,
 ) {
     let node = Arc::clone(node);
@@ -101,7 +109,7 @@
         .name("attempt".to_owned())
         .stack_size(ATTEMPT_STACK_BYTES)
         .spawn(move || {
-            let result = call_once(&node, &call, &ids, &slot);
+            let result = call_once(&node, &call, &ids, &slot, timeout_ms);
             // The receiver is gone when the other attempt was faster.
             drop(sender.send((index, result)));
         });
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -145,11 +145,28 @@
     let limit = node.settings.max_body_bytes;
     let read = CallerRequest::read(&mut request, pipeline, &id, &active, node.now(), limit);
     match read {
-        Ok(caller_request) => run(node, request, &caller_request),
+        Ok(caller_request) => run_within_limits(node, request, &caller_request),
         Err(invalid) => refuse_request(node, request, invalid.reason, &invalid.detail),
     }
 }
 
+fn run_within_limits(
+    node: &Arc<Node>,
+    request: Request,
+    caller_request: &CallerRequest,
+) -> io::Result<()> {
+    let class = &caller_request.spec().class;
+    let CallerRequest {
+        organisation,
+        pipeline,
+        ..
+    } = caller_request;
+    match node.limits.enter(node.now(), organisation, class, pipeline) {
+        Ok(_counted) => run(node, request, caller_request),
+        Err(denied) => refuse_request(node, request, Reason::Overloaded, &denied.to_string()),
+    }
+}
+
 fn run(node: &Arc<Node>, request: Request, caller_request: &CallerRequest) -> io::Result<()> {
     let responder = Responder::new(request, &caller_request.id, closes(node));
     let mut sink = CallerSink::new(node, caller_request, responder);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -34,10 +34,12 @@
 use crate::events::NodeEvents;
 use crate::gossip::GossipNode;
 use crate::lifecycle::PhaseCell;
+use crate::limits::LimitGate;
 use crate::metrics::Metrics;
 use crate::owner::Owners;
 use crate::platform::Platform;
 use crate::slots::Slots;
+use crate::stage_times::StageTimes;
 use crate::stop::Stop;
 use crate::target_client::TargetClient;
 
@@ -71,6 +73,10 @@
     pub slots: Arc<Slots>,
     /// The targets whose slots this instance grants.
     pub owners: Owners,
+    /// The limits on requests in progress.
+    pub limits: LimitGate,
+    /// The measured time of the stages of each pipeline.
+    pub stage_times: StageTimes,
     /// The requests that made targets fail.
     pub quarantine: Mutex<Quarantine>,
     /// The claims of non-idempotent requests.
@@ -95,15 +101,18 @@
     /// Creates the state of an instance that has just started.
     #[must_use]
     pub fn new(settings: Settings, boot_id: u64) -> Self {
+        let clock = Clock::new();
         let platform = Platform::new(settings.platform_address, &settings.failure_domain);
         Self {
-            clock: Clock::new(),
+            clock,
             boot_id,
             phase: PhaseCell::default(),
             metrics: Metrics::new(),
             targets: TargetClient::new(),
-            slots: Arc::new(Slots::new(boot_id)),
+            slots: Arc::new(Slots::new(clock, boot_id)),
             owners: Owners::new(),
+            limits: LimitGate::new(),
+            stage_times: StageTimes::new(),
             quarantine: Mutex::new(Quarantine::new(QuarantineSettings::default())),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(boot_id)),
             claims: Claims::new(platform.clone()),
@@ -175,6 +184,17 @@
         self.domain_members(|member| member.state != MemberState::Dead)
     }
 
+    /// Returns the number of live instances in all failure domains.
+    #[must_use]
+    pub fn count_live_instances(&self) -> usize {
+        self.gossip().read(|gossip| {
+            let members = gossip.members().members();
+            members
+                .filter(|member| member.state == MemberState::Alive)
+                .count()
+        })
+    }
+
     /// Returns whether this instance cannot know whether the others regard it as dead.
     #[must_use]
     pub fn is_self_suspect(&self) -> bool {
@@ -226,6 +246,17 @@
         }
     }
 
+    /// Returns the share of an organisation relative to others.
+    #[must_use]
+    pub fn weight(&self, organisation: &str) -> u32 {
+        let active = self.active();
+        active
+            .deployment
+            .organisations
+            .get(organisation)
+            .map_or(1, |spec| spec.weight)
+    }
+
     /// Returns whether the targets of a service stream tokens.
     #[must_use]
     pub fn streams(&self, service: &str) -> bool {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -7,7 +7,7 @@
 
 use arbutus_config::deployment::ClassSpec;
 use arbutus_config::deployment::ServiceKind;
-use arbutus_config::deployment::StageSpec;
+use arbutus_coord::Millis;
 use arbutus_policy::attempt::Attempt;
 use arbutus_policy::attempt::AttemptIds;
 use arbutus_policy::attempt::Unsent;
@@ -17,13 +17,16 @@
 use crate::claims::ClaimKey;
 use crate::claims::HeldClaim;
 use crate::claims::Proposal;
+use crate::dispatch::check_admission;
 use crate::dispatch::refuse;
+use crate::dispatch::refuse_overloaded;
 use crate::dispatch::run_stage;
 use crate::node::Node;
 use crate::problem::Executed;
 use crate::problem::Problem;
 use crate::problem::Reason;
 use crate::request::CallerRequest;
+use crate::slots::NoSlot;
 use crate::stage::NoSink;
 use crate::stage::StageCall;
 use crate::stage::TokenSink;
@@ -55,22 +58,23 @@
     sink: &mut dyn TokenSink,
 ) -> Result<Answer, Problem> {
     let stages = &request.spec().stages;
-    let (last, earlier) = stages
-        .split_last()
-        .expect("a validated pipeline has stages");
+    let last = stages.len() - 1;
+    let mut attempt = admit(node, request)?;
     let mut input = request.body.clone();
-    let first_stage = earlier.first().unwrap_or(last);
-    let mut attempt = first_attempt(request, &first_stage.name);
-    for (index, stage) in earlier.iter().enumerate() {
-        let call = stage_call(request, stage, &input, None);
+    for index in 0..last {
+        let call = stage_call(node, request, index, &input, None);
         let done = run_stage(node, &call, attempt, &mut NoSink)?;
+        node.stage_times
+            .record(node.now(), &request.pipeline, index, done.took_ms);
         let next = &stages[index + 1].name;
         attempt = done.attempt.follow(next.clone(), attempt_id(request, next));
         input = done.output;
     }
     if request.spec().idempotent {
-        let call = stage_call(request, last, &input, None);
+        let call = stage_call(node, request, last, &input, None);
         let done = run_stage(node, &call, attempt, sink)?;
+        node.stage_times
+            .record(node.now(), &request.pipeline, last, done.took_ms);
         return Ok(Answer {
             output: done.output,
             replayed: false,
@@ -80,9 +84,8 @@
     run_claimed(
         node,
         request,
-        last,
         &input,
-        first_attempt(request, &last.name),
+        first_attempt(request, &stages[last].name),
         sink,
     )
 }
@@ -90,7 +93,6 @@
 fn run_claimed(
     node: &Arc<Node>,
     request: &CallerRequest,
-    stage: &StageSpec,
     input: &Value,
     attempt: Attempt<Unsent>,
     sink: &mut dyn TokenSink,
@@ -109,7 +111,8 @@
         .propose(key, request.fingerprint, &attempt.ids().attempt)
     {
         Proposal::Confirmed(claim) => {
-            let call = stage_call(request, stage, input, Some(idempotency_key));
+            let last = request.spec().stages.len() - 1;
+            let call = stage_call(node, request, last, input, Some(idempotency_key));
             let result = run_stage(node, &call, attempt, sink);
             record(node, claim, result.map(|done| done.output))
         }
@@ -154,21 +157,43 @@
     }
 }
 
+/// Refuses a request that would not be answered in time because of the queues of its stages.
+///
+/// All queues are checked when the request arrives, so that no earlier stage runs in vain.
+fn admit(node: &Node, request: &CallerRequest) -> Result<Attempt<Unsent>, Problem> {
+    let stages = &request.spec().stages;
+    let attempt = first_attempt(request, &stages[0].name);
+    for (index, stage) in stages.iter().enumerate() {
+        let call = stage_call(node, request, index, &Value::Null, None);
+        if let Err(NoSlot::Refused { retry_ms }) = check_admission(node, &call) {
+            return Err(refuse_overloaded(attempt, &stage.service, retry_ms));
+        }
+    }
+    Ok(attempt)
+}
+
 fn stage_call(
+    node: &Node,
     request: &CallerRequest,
-    stage: &StageSpec,
+    index: usize,
     input: &Value,
     idempotency_key: Option<&str>,
 ) -> StageCall {
+    let stage = &request.spec().stages[index];
     let deployment = &request.active.deployment;
     let class: &ClassSpec = &deployment.classes[&request.spec().class];
     let prompt = request.body.get(PROMPT_FIELD).and_then(Value::as_str);
     StageCall {
+        pipeline: request.pipeline.clone(),
+        stage_index: index,
         service: stage.service.clone(),
         streams: deployment.services[&stage.service].kind == ServiceKind::Engine,
         organisation: request.organisation.clone(),
+        weight: deployment.organisations[&request.organisation].weight,
         priority: class.priority,
         deadline: request.deadline,
+        expected_ms: node.stage_times.expected(&request.pipeline, index),
+        patience_ms: patience(node, request, index),
         stall_ms: class.stall_ms,
         max_tokens: stage.max_tokens,
         hedge: class.hedge,
@@ -177,10 +202,25 @@
         prefix: prompt.map(prefix_key),
         input: input.clone(),
         resume_at: 0,
+        wait_ms: Millis::MAX,
         forwarded: false,
     }
 }
 
+/// Returns how long an attempt of a stage may take before it is tried elsewhere.
+fn patience(node: &Node, request: &CallerRequest, index: usize) -> Millis {
+    let remaining_ms = request.deadline - node.now();
+    if !request.active.deployment.policy.stage_budgets {
+        return remaining_ms;
+    }
+    // The last stage has all of the remaining time as its budget, which would leave none for a
+    // second attempt.
+    let share = Millis(remaining_ms.0 / 2);
+    node.stage_times
+        .budget(&request.pipeline, index, remaining_ms)
+        .min(share)
+}
+
 fn first_attempt(request: &CallerRequest, stage: &str) -> Attempt<Unsent> {
     Attempt::first(AttemptIds {
         request: request.id.clone(),
--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -98,7 +98,7 @@
     node: &Node,
     call: &StageCall,
     ids: &AttemptIds,
-    peer: &Member,
+    (peer, wait_ms): (&Member, Millis),
     stream: &mut TokenStream,
     sink: &mut dyn TokenSink,
 ) -> RemoteEnd {
@@ -117,6 +117,7 @@
         max_tokens: call.max_tokens,
         stall_ms: call.stall_ms,
         resume_at: stream.resume_at(),
+        wait_ms,
         hops: 1,
     });
     let end = match node.gossip().client().stream(peer.peer_address, request) {
@@ -276,11 +277,16 @@
         };
     };
     let local = StageCall {
+        pipeline: String::new(),
+        stage_index: 0,
         streams: node.streams(&call.service),
         service: call.service.clone(),
         organisation: call.organisation.clone(),
+        weight: node.weight(&call.organisation),
         priority: call.priority,
         deadline: node.now() + call.remaining_ms,
+        expected_ms: Millis::ZERO,
+        patience_ms: call.remaining_ms,
         stall_ms: call.stall_ms,
         max_tokens: call.max_tokens,
         hedge: false,
@@ -289,6 +295,7 @@
         prefix: call.prefix,
         input,
         resume_at: call.resume_at,
+        wait_ms: call.wait_ms,
         forwarded: true,
     };
     let attempt = Attempt::first(AttemptIds {
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -32,6 +32,7 @@
     balance: Balance,
     hedge: Hedge,
     latency_ms: f64,
+    slot_ms: f64,
 }
 
 /// The routing state of all services.
@@ -81,6 +82,7 @@
             balance: Balance::new(balance),
             hedge: Hedge::new(HedgeSettings::default()),
             latency_ms: 0.0,
+            slot_ms: 0.0,
         }
     }
 
@@ -121,6 +123,24 @@
         self.health.record(now, target, outcome)
     }
 
+    /// Records how long a call occupied its slot.
+    pub fn record_slot(&mut self, occupied_ms: Millis) {
+        self.slot_ms += (occupied_ms.0 as f64 - self.slot_ms) * LATENCY_WEIGHT;
+    }
+
+    /// Takes over an estimate while nothing has been measured.
+    pub fn estimate_slot(&mut self, occupied_ms: Millis) {
+        if self.slot_ms == 0.0 {
+            self.slot_ms = occupied_ms.0 as f64;
+        }
+    }
+
+    /// Returns how long a call occupies a slot, on average.
+    #[must_use]
+    pub fn slot_ms(&self) -> Millis {
+        Millis(self.slot_ms.round() as u64)
+    }
+
     /// Returns the delay before a retry and takes the retry from the budget.
     ///
     /// # Errors
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -14,7 +14,10 @@
 use std::sync::PoisonError;
 
 use arbutus_config::deployment::PolicySpec;
+use arbutus_coord::Clock;
 use arbutus_coord::Millis;
+use arbutus_coord::entity::NameTable;
+use arbutus_coord::entity::Organisation;
 use arbutus_coord::entity::Target;
 use arbutus_coord::grant::GrantHolder;
 use arbutus_coord::grant::GrantReply;
@@ -22,9 +25,15 @@
 use arbutus_coord::grant::GrantSettings;
 use arbutus_coord::grant::Slot as Permission;
 use arbutus_coord::grant::TargetView;
+use arbutus_policy::admission::Arrival;
+use arbutus_policy::admission::Refusal;
+use arbutus_policy::admission::Ticket;
 use arbutus_policy::balance::Candidate;
 
 use crate::directory::TargetEntry;
+use crate::queue::Granted;
+use crate::queue::Queue;
+use crate::queue::Waiter;
 use crate::services::ServiceState;
 use crate::services::Services;
 
@@ -42,6 +51,36 @@
     pub prefix: Option<u64>,
     /// How long to wait for a free slot.
     pub until: Millis,
+    /// The organisation on whose behalf the call is made.
+    pub organisation: &'a str,
+    /// The share of the organisation relative to others.
+    pub weight: u32,
+    /// The urgency of the class, 0 being the most urgent.
+    pub priority: u8,
+    /// When the answer to the caller is due.
+    pub deadline: Millis,
+    /// How long this stage and the later ones take.
+    pub expected_ms: Millis,
+}
+
+static NO_TARGETS: BTreeSet<Target> = BTreeSet::new();
+
+impl<'a> SlotRequest<'a> {
+    /// Creates a request that excludes no target and does not wait.
+    #[must_use]
+    pub fn for_service(service: &'a str) -> Self {
+        Self {
+            service,
+            excluded: &NO_TARGETS,
+            prefix: None,
+            until: Millis::ZERO,
+            organisation: "",
+            weight: 1,
+            priority: 0,
+            deadline: Millis::MAX,
+            expected_ms: Millis::ZERO,
+        }
+    }
 }
 
 /// Why no slot was taken.
@@ -51,6 +90,11 @@
     NoTarget,
     /// All targets stayed busy.
     Busy,
+    /// The request would not be answered before its deadline.
+    Refused {
+        /// The delay after which a retry is likely to be admitted.
+        retry_ms: Millis,
+    },
 }
 
 /// A target as the owner of its slots is asked for them.
@@ -93,6 +137,7 @@
 /// The slots of this instance at all targets that it uses.
 #[derive(Debug)]
 pub struct Slots {
+    clock: Clock,
     boot_id: u64,
     table: Mutex<Table>,
     freed: Condvar,
@@ -104,6 +149,9 @@
     settings: GrantSettings,
     holders: BTreeMap<Target, Holder>,
     services: Services,
+    organisations: NameTable<Organisation>,
+    admission: bool,
+    queues: BTreeMap<String, Queue>,
     kicked: bool,
 }
 
@@ -121,6 +169,7 @@
 pub struct Slot {
     slots: Arc<Slots>,
     permission: Option<Permission>,
+    since: Millis,
     /// The target.
     pub target: Target,
     /// The target's address.
@@ -130,13 +179,17 @@
 impl Slots {
     /// Creates a table without targets.
     #[must_use]
-    pub fn new(boot_id: u64) -> Self {
+    pub fn new(clock: Clock, boot_id: u64) -> Self {
         Self {
+            clock,
             boot_id,
             table: Mutex::new(Table {
                 settings: GrantSettings::default(),
                 holders: BTreeMap::new(),
                 services: Services::default(),
+                organisations: NameTable::new(),
+                admission: true,
+                queues: BTreeMap::new(),
                 kicked: false,
             }),
             freed: Condvar::new(),
@@ -149,6 +202,7 @@
         let mut table = self.lock();
         table.settings.slow_start = policy.slow_start;
         table.services.set_policy(policy);
+        table.admission = policy.admission;
     }
 
     /// Returns the settings of grants.
@@ -186,50 +240,105 @@
         self.freed.notify_all();
     }
 
+    /// Checks whether a request that waits for a slot would be answered before its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the request is refused.
+    pub fn check(&self, request: SlotRequest<'_>, now: Millis) -> Result<(), NoSlot> {
+        let mut table = self.lock();
+        if !table.admission {
+            return Ok(());
+        }
+        let arrival = table.arrival(request, now);
+        table
+            .queue(request.service, now)
+            .check(now, arrival)
+            .map_err(refused)
+    }
+
     /// Takes a slot, and waits for one when all targets are busy.
     ///
     /// # Errors
     ///
-    /// Returns whether there is no target or no free slot.
+    /// Returns whether there is no target, no free slot, or too little time.
     pub fn acquire(
         self: &Arc<Self>,
         request: SlotRequest<'_>,
-        now: &dyn Fn() -> Millis,
         random: &dyn Fn() -> u64,
     ) -> Result<Slot, NoSlot> {
         let mut table = self.lock();
+        let time = self.clock.now();
+        if table.queue(request.service, time).is_empty()
+            && let Some(granted) = table.take(request, time, random())
+        {
+            return Ok(self.slot(&table, granted, time));
+        }
+        let awaited = table.least_awaited(request).ok_or(NoSlot::NoTarget)?;
+        if time >= request.until {
+            return Err(NoSlot::Busy);
+        }
+        let waiter = Waiter {
+            excluded: request.excluded.clone(),
+            prefix: request.prefix,
+            arrival: table.arrival(request, time),
+        };
+        let ticket = table
+            .queue(request.service, time)
+            .join(time, waiter)
+            .map_err(refused)?;
+        table.add_waiting(awaited);
+        let (mut table, result) = self.wait(table, request, ticket, random);
+        table.remove_waiting(awaited);
+        let granted = result?;
+        Ok(self.slot(&table, granted, self.clock.now()))
+    }
+
+    fn wait<'a>(
+        &'a self,
+        mut table: MutexGuard<'a, Table>,
+        request: SlotRequest<'_>,
+        ticket: Ticket,
+        random: &dyn Fn() -> u64,
+    ) -> (MutexGuard<'a, Table>, Result<Granted, NoSlot>) {
         loop {
-            let time = now();
-            if let Some(target) = table.choose(request, time, random()) {
-                return Ok(self.take(&mut table, target, time));
+            let time = self.clock.now();
+            table.serve(request.service, time, random);
+            let queue = table.queue(request.service, time);
+            if let Some(granted) = queue.claim_granted(ticket) {
+                return (table, Ok(granted));
+            }
+            if !queue.is_waiting(ticket) {
+                return (table, Err(NoSlot::Busy));
             }
-            let awaited = table.least_awaited(request).ok_or(NoSlot::NoTarget)?;
             if time >= request.until {
-                return Err(NoSlot::Busy);
+                queue.leave(ticket);
+                return (table, Err(NoSlot::Busy));
+            }
+            if table.least_awaited(request).is_none() {
+                table.queue(request.service, time).leave(ticket);
+                return (table, Err(NoSlot::NoTarget));
             }
-            table.add_waiting(awaited);
             table.kicked = true;
             self.due.notify_all();
             let slice = WAIT_SLICE_MS.min(request.until - time).max(Millis(1));
-            let (woken, _) = self
+            (table, _) = self
                 .freed
                 .wait_timeout(table, slice.to_duration())
                 .unwrap_or_else(PoisonError::into_inner);
-            table = woken;
-            table.remove_waiting(awaited);
         }
     }
 
     /// Returns the requests to owners that are due, after waiting for one at most for a span.
     #[must_use]
-    pub fn poll(&self, now: &dyn Fn() -> Millis, span: Millis) -> Vec<DueRequest> {
+    pub fn poll(&self, span: Millis) -> Vec<DueRequest> {
         let table = self.lock();
         let (mut table, _) = self
             .due
             .wait_timeout_while(table, span.to_duration(), |table| !table.kicked)
             .unwrap_or_else(PoisonError::into_inner);
         table.kicked = false;
-        let time = now();
+        let time = self.clock.now();
         let mut due = Vec::new();
         for holder in table.holders.values_mut() {
             if let Some(request) = holder.grants.poll(time) {
@@ -281,29 +390,28 @@
         table.holders.values().map(use_of).collect()
     }
 
-    fn take(self: &Arc<Self>, table: &mut Table, target: Target, now: Millis) -> Slot {
-        let holder = table
-            .holders
-            .get_mut(&target)
-            .expect("a chosen target has a holder");
-        let permission = holder.grants.try_acquire(now);
-        let address = holder.used.entry.address;
-        let service = holder.used.entry.service.clone();
-        table.services.state(now, &service).start(now, target);
+    fn slot(self: &Arc<Self>, table: &Table, granted: Granted, now: Millis) -> Slot {
+        let holder = &table.holders[&granted.target];
         Slot {
             slots: Arc::clone(self),
-            permission,
-            target,
-            address,
+            permission: Some(granted.permission),
+            since: now,
+            target: granted.target,
+            address: holder.used.entry.address,
         }
     }
 
-    fn release(&self, target: Target, permission: Permission) {
+    fn release(&self, target: Target, permission: Permission, occupied_ms: Millis) {
         let mut table = self.lock();
+        let table = &mut *table;
         if let Some(holder) = table.holders.get_mut(&target) {
             holder.grants.release(permission);
+            let service = &holder.used.entry.service;
+            table
+                .services
+                .state(self.clock.now(), service)
+                .record_slot(occupied_ms);
         }
-        drop(table);
         self.freed.notify_all();
     }
 
@@ -325,6 +433,68 @@
         Some(candidates[index].target)
     }
 
+    /// Takes a slot if one is free.
+    fn take(&mut self, request: SlotRequest<'_>, now: Millis, random: u64) -> Option<Granted> {
+        let target = self.choose(request, now, random)?;
+        let holder = self.holders.get_mut(&target)?;
+        let permission = holder.grants.try_acquire(now)?;
+        self.services.state(now, request.service).start(now, target);
+        Some(Granted { target, permission })
+    }
+
+    /// Hands free slots to the waiting requests of a service, in the order of admission.
+    fn serve(&mut self, service: &str, now: Millis, random: &dyn Fn() -> u64) {
+        self.queue(service, now).expire(now);
+        let mut passed_over = Vec::new();
+        while self.has_free_slot(service, now) {
+            let Some((ticket, waiter)) = self.queue(service, now).next(now) else {
+                break;
+            };
+            let request = SlotRequest {
+                service,
+                excluded: &waiter.excluded,
+                prefix: waiter.prefix,
+                ..SlotRequest::for_service(service)
+            };
+            match self.take(request, now, random()) {
+                Some(granted) => self.queue(service, now).grant(ticket, granted),
+                // Its targets are among those that have failed it.
+                None => passed_over.push((ticket, waiter)),
+            }
+        }
+        for (ticket, waiter) in passed_over {
+            self.queue(service, now).rejoin(ticket, waiter);
+        }
+    }
+
+    fn has_free_slot(&mut self, service: &str, now: Millis) -> bool {
+        let state = self.services.state(now, service);
+        self.holders.iter().any(|(&target, holder)| {
+            !holder.retired
+                && !holder.used.closed
+                && holder.used.entry.service == service
+                && holder.grants.free(now) > 0
+                && state.is_healthy(now, target)
+        })
+    }
+
+    fn queue(&mut self, service: &str, now: Millis) -> &mut Queue {
+        let admission = self.admission;
+        let queue = self.queues.entry(service.to_owned());
+        queue.or_insert_with(|| Queue::new(now, admission))
+    }
+
+    fn arrival(&mut self, request: SlotRequest<'_>, now: Millis) -> Arrival {
+        Arrival {
+            organisation: self.organisations.intern(request.organisation),
+            weight: request.weight,
+            priority: request.priority,
+            deadline: request.deadline,
+            expected_ms: request.expected_ms,
+            slot_ms: self.services.state(now, request.service).slot_ms(),
+        }
+    }
+
     /// Returns the open target for which the fewest requests wait, relative to its capacity.
     fn least_awaited(&self, request: SlotRequest<'_>) -> Option<Target> {
         let open = self
@@ -354,6 +524,12 @@
     }
 }
 
+fn refused(refusal: Refusal) -> NoSlot {
+    NoSlot::Refused {
+        retry_ms: refusal.retry_ms(),
+    }
+}
+
 impl Holder {
     fn takes(&self, request: SlotRequest<'_>) -> bool {
         !self.retired
@@ -389,7 +565,8 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if let Some(permission) = self.permission.take() {
-            self.slots.release(self.target, permission);
+            let occupied_ms = self.slots.clock.now() - self.since;
+            self.slots.release(self.target, permission, occupied_ms);
         }
     }
 }
--- a/crates/daemon/src/stage.rs
+++ b/crates/daemon/src/stage.rs
@@ -32,16 +32,26 @@
 /// What a stage needs to run.
 #[derive(Clone, Debug)]
 pub struct StageCall {
+    /// The pipeline, empty for a call of another instance.
+    pub pipeline: String,
+    /// The place of the stage in the pipeline.
+    pub stage_index: usize,
     /// The service that runs the stage.
     pub service: String,
     /// Whether the service streams tokens.
     pub streams: bool,
     /// The organisation on whose behalf the stage runs.
     pub organisation: String,
+    /// The share of the organisation relative to others.
+    pub weight: u32,
     /// The urgency, 0 being the most urgent.
     pub priority: u8,
     /// When the answer is due.
     pub deadline: Millis,
+    /// How long this stage and the later ones are expected to take.
+    pub expected_ms: Millis,
+    /// How long an idempotent call may take before it is tried elsewhere.
+    pub patience_ms: Millis,
     /// The longest silence within a stream.
     pub stall_ms: Millis,
     /// The largest number of tokens.
@@ -58,6 +68,8 @@
     pub input: Value,
     /// The offset of the first token to deliver.
     pub resume_at: u32,
+    /// How long the call may wait for a slot.
+    pub wait_ms: Millis,
     /// Whether the call came from another failure domain; it is not forwarded again.
     pub forwarded: bool,
 }
@@ -77,4 +89,6 @@
     pub output: Value,
     /// The attempt that ran the stage.
     pub attempt: Attempt<Sent>,
+    /// The time from the first attempt to the answer, without the wait for a slot.
+    pub took_ms: Millis,
 }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -14,6 +14,7 @@
 use arbutus_wire::admin;
 use arbutus_wire::admin::DrainKind;
 use arbutus_wire::admin::DrainStatus;
+use arbutus_wire::admin::LimitStatus;
 use arbutus_wire::admin::MemberStatus;
 use arbutus_wire::admin::Status;
 use arbutus_wire::admin::TargetState;
@@ -79,7 +80,7 @@
             .map(|used| target(node, used))
             .collect(),
         requests_in_progress: node.in_flight() as u64,
-        limits: Vec::new(),
+        limits: limits(node),
     }
 }
 
@@ -149,6 +150,23 @@
     entries.into_iter().map(status).collect()
 }
 
+fn limits(node: &Node) -> Vec<LimitStatus> {
+    let status = |level: arbutus_policy::limits::LimitStatus| {
+        let limit = u64::from(level.share?);
+        let in_flight = u64::from(level.in_flight);
+        Some(LimitStatus {
+            path: level.path.to_string(),
+            limit,
+            in_flight,
+        })
+    };
+    node.limits
+        .status(node.now())
+        .into_iter()
+        .filter_map(status)
+        .collect()
+}
+
 fn target(node: &Node, used: &TargetUse) -> TargetStatus {
     let state = match used {
         TargetUse { entry, .. } if entry.leaving => TargetState::Leaving,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -194,6 +194,22 @@
     ///
     /// Returns the refusal with a delay for a retry; the request has not run.
     pub fn offer(&mut self, now: Millis, arrival: Arrival) -> Result<Ticket, Refusal> {
+        self.check(now, arrival)?;
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.insert(ticket, arrival);
+        Ok(ticket)
+    }
+
+    /// Checks whether a request would be put into the queue.
+    ///
+    /// A request of several stages is checked at the queue of each stage when it arrives, so that
+    /// no earlier stage runs in vain.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with a delay for a retry.
+    pub fn check(&mut self, now: Millis, arrival: Arrival) -> Result<(), Refusal> {
         self.advance(now);
         let wait_ms = self.predicted_wait(arrival);
         let retry_ms = Millis(wait_ms.min(1e12) as u64)
@@ -207,7 +223,7 @@
         if self.settings.enabled && completes > arrival.deadline {
             return Err(Refusal::Deadline(retry_ms));
         }
-        Ok(self.insert(arrival))
+        Ok(())
     }
 
     /// Returns the request that gets a slot that has become free.
@@ -227,6 +243,16 @@
         Some(ticket)
     }
 
+    /// Returns a request to the queue that could not use the slot that it was given.
+    pub fn put_back(&mut self, ticket: Ticket, arrival: Arrival) {
+        if let Some(share) = self.shares.get_mut(&arrival.organisation) {
+            let weight = f64::from(share.weight.max(1));
+            share.virtual_ms -= arrival.slot_ms.0.max(1) as f64 / weight;
+        }
+        self.throughput.taken_ms = self.throughput.taken_ms.saturating_sub(arrival.slot_ms.0);
+        self.insert(ticket, arrival);
+    }
+
     /// Returns the requests that left the queue because they cannot meet their deadline any more.
     pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
         self.advance(now);
@@ -281,9 +307,7 @@
         whole.min(self.throughput.time_for(own_ms / part))
     }
 
-    fn insert(&mut self, arrival: Arrival) -> Ticket {
-        let ticket = Ticket(self.next_ticket);
-        self.next_ticket += 1;
+    fn insert(&mut self, ticket: Ticket, arrival: Arrival) {
         let place = Place {
             priority: arrival.priority,
             deadline: arrival.deadline,
@@ -309,7 +333,6 @@
             slot_ms,
         };
         self.waiting.insert(ticket, waiting);
-        ticket
     }
 
     fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -111,6 +111,8 @@
     pub stall_ms: Millis,
     /// The offset of the first token to send.
     pub resume_at: u32,
+    /// How long the call may wait for a slot at the receiver.
+    pub wait_ms: Millis,
     /// How often the call was forwarded; a receiver of a forwarded call does not forward it.
     pub hops: u8,
 }
