--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -8,6 +8,7 @@
 
 use arbutus_config::Committed;
 use arbutus_config::Deployment;
+use arbutus_config::Settings;
 use arbutus_config::Source;
 use arbutus_config::Stamp;
 use arbutus_config::Texts;
@@ -86,6 +87,34 @@
     );
 }
 
+/// The load generator's scenarios call these deployments by name.
+#[test]
+fn the_scenarios_call_pipelines_of_the_examples() {
+    let scenarios = root().join("crates/standins/scenarios");
+    for name in ["kamagama", "rustwell"] {
+        let text = fs::read_to_string(scenarios.join(name).with_extension("yaml"));
+        let scenario: serde_norway::Value =
+            serde_norway::from_str(&text.expect("the scenario exists")).expect("it is YAML");
+        let deployment = example(name).deployment("").expect("it is valid");
+        for pipeline in scenario["pipelines"].as_sequence().expect("it is a list") {
+            let called = pipeline["name"].as_str().expect("it has a name");
+            let known = deployment.pipelines.get(called);
+            let class = known.map(|known| known.class.as_str());
+            assert_eq!(class, pipeline["class"].as_str(), "{name}: {called}");
+        }
+        for organisation in scenario["organisations"]
+            .as_sequence()
+            .expect("it is a list")
+        {
+            let caller = organisation["name"].as_str().expect("it has a name");
+            assert!(
+                deployment.organisations.contains_key(caller),
+                "{name}: {caller}"
+            );
+        }
+    }
+}
+
 /// The table of shapes and the typed structures are written separately. A field that only one of
 /// them has would be refused by the other.
 #[test]
@@ -106,6 +135,16 @@
     for path in field_paths() {
         assert!(page.contains(&format!("`{path}`")), "{path} is missing");
     }
+    let settings = "{name: a, cluster: b, site: c, failure_domain: d, \
+        http_address: '127.0.0.1:1', peer_address: '127.0.0.1:2', platform_address: '127.0.0.1:3'}";
+    let settings: Settings = serde_norway::from_str(settings).expect("they are complete");
+    let rendered = serde_json::to_value(&settings).expect("settings have a JSON form");
+    for field in rendered.as_object().expect("it is a mapping").keys() {
+        assert!(
+            page.contains(&format!("| `{field}` |")),
+            "{field} is missing"
+        );
+    }
 }
 
 fn rendered_paths(text: &str) -> BTreeSet<String> {
