--- a/crates/coord/tests/claim_interleavings.rs
+++ b/crates/coord/tests/claim_interleavings.rs
@@ -13,7 +13,7 @@
 
 const DEFAULT_SEED: u64 = 20_261_204;
 const SCRIPT_LENGTH: usize = 600;
-const SCRIPTS: u64 = 1_000;
+const SCRIPTS: u64 = 2_000;
 
 fn seed() -> u64 {
     let text = std::env::var("ARBUTUS_SEED").ok();
--- a/crates/coord/tests/claim_world/mod.rs
+++ b/crates/coord/tests/claim_world/mod.rs
@@ -79,6 +79,7 @@
 struct Node {
     boot_id: u64,
     paused_until: u64,
+    unseen_until: u64,
     writer: ShardWriter,
     tickets: BTreeMap<Ticket, (usize, u64, ClaimCommand)>,
     calls: BTreeMap<AttemptId, Call>,
@@ -91,6 +92,7 @@
         Self {
             boot_id,
             paused_until: 0,
+            unseen_until: 0,
             writer: ShardWriter::new(0, 1, WriterSettings::default()),
             tickets: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -186,7 +188,12 @@
                 let outage = [50, 400, 3_000][self.choose(3)];
                 self.platform_down_until = self.now + outage;
             }
-            4..=11 => self.start_call(index),
+            4 => {
+                // The other instances take it for dead although it runs.
+                let partition = [1_000, 6_000][self.choose(2)];
+                self.nodes[index].unseen_until = self.now + partition;
+            }
+            5..=12 => self.start_call(index),
             _ => {}
         }
     }
@@ -246,7 +253,7 @@
             _ => 1,
         };
         for _ in 0..copies {
-            let delay = [1, 1, 1, 2, 2, 5, 10, 60, 650, 2_400][self.choose(10)];
+            let delay = [1, 1, 1, 2, 2, 10, 60, 300, 650, 2_400][self.choose(10)];
             self.events.push((self.now + delay, event.clone()));
         }
     }
@@ -380,6 +387,7 @@
         // A long pause is taken for death, wrongly.
         let live: Vec<Holder> = (0..INSTANCES)
             .filter(|&other| self.nodes[other].paused_until < now + DETECTION_MS)
+            .filter(|&other| self.nodes[other].unseen_until <= now)
             .map(|other| self.holder(other))
             .collect();
         let node = &mut self.nodes[index];
