--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -6,8 +6,13 @@
 
 pub mod claim;
 pub mod clock;
+pub mod document;
+pub mod drain;
 pub mod entity;
+pub mod gossip;
+pub mod grant;
 pub mod lease;
+pub mod membership;
 pub mod rendezvous;
 
 pub use clock::Clock;
--- /dev/null
+++ b/crates/daemon/src/dispatch.rs
@@ -0,0 +1,416 @@
+//! Runs one stage: takes a slot, makes attempts, and resumes broken streams.
+//!
+//! An attempt counts as sent before its call is written. A non-idempotent call is tried again
+//! only while nothing was sent. Retries are paid from the service's budget; the resumption of a
+//! stream that has made progress is not, because it repeats no work.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::thread;
+
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Target;
+use arbutus_coord::membership::Member;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Sent;
+use arbutus_policy::attempt::Unsent;
+use arbutus_policy::quarantine::Fingerprint;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::call::StreamEnd;
+use crate::call::TokenStream;
+use crate::call::call_once;
+use crate::call::call_stream;
+use crate::hedge::call_hedged;
+use crate::node::Node;
+use crate::problem::Problem;
+use crate::problem::Reason;
+use crate::remote::RemoteEnd;
+use crate::remote::choose_peer;
+use crate::remote::run_remote;
+use crate::services::ServiceState;
+use crate::slots::NoSlot;
+use crate::slots::Slot;
+use crate::slots::SlotRequest;
+use crate::stage::StageCall;
+use crate::stage::StageDone;
+use crate::stage::TokenSink;
+use crate::target_client::CallError;
+
+/// How long a stage waits for a local slot before it is offered to another failure domain.
+const LOCAL_PATIENCE_MS: Millis = Millis(200);
+const BUSY_RETRY_MS: Millis = Millis(500);
+
+/// Where an attempt runs.
+enum Place {
+    Local(Slot),
+    Remote(Member),
+}
+
+enum Outcome {
+    Done(Value, Attempt<Sent>),
+    NotSent(Attempt<Unsent>, String),
+    Failed {
+        attempt: Attempt<Sent>,
+        failure: String,
+        progressed: bool,
+    },
+    CallerGone,
+}
+
+/// Runs a stage.
+///
+/// # Errors
+///
+/// Returns the problem that the caller gets.
+pub fn run_stage(
+    node: &Arc<Node>,
+    call: &StageCall,
+    attempt: Attempt<Unsent>,
+    sink: &mut dyn TokenSink,
+) -> Result<StageDone, Problem> {
+    let mut stage = Stage::new(node, call);
+    let mut attempt = attempt;
+    loop {
+        if let Some(remaining_ms) = quarantined(node, call) {
+            let detail = "targets failed each time that they ran this request";
+            return Err(refuse(attempt, Reason::Quarantined, detail).with_retry_after(remaining_ms));
+        }
+        if node.now() >= call.deadline {
+            return Err(refuse(attempt, Reason::Deadline, "the deadline has passed"));
+        }
+        let place = match stage.choose_place() {
+            Ok(place) => place,
+            Err(no_slot) => return Err(stage.refuse_without_slot(attempt, no_slot)),
+        };
+        let outcome = match place {
+            Place::Local(slot) => stage.run_local(attempt, slot, sink),
+            Place::Remote(peer) => stage.run_remote(attempt, &peer, sink),
+        };
+        match outcome {
+            Outcome::Done(output, attempt) => {
+                forgive(node, call);
+                return Ok(StageDone { output, attempt });
+            }
+            Outcome::NotSent(unsent, failure) => {
+                stage.last_failure = Some(failure);
+                let id = next_attempt_id(unsent.ids());
+                attempt = unsent.retarget(id);
+            }
+            Outcome::CallerGone => {
+                return Err(Problem::unknown(
+                    Reason::StageFailed,
+                    "the caller went away",
+                ));
+            }
+            Outcome::Failed {
+                attempt: failed,
+                failure,
+                progressed,
+            } => {
+                attempt = stage.retry(&failed, failure, progressed)?;
+            }
+        }
+    }
+}
+
+/// Ends a request that is not dispatched any further.
+pub fn refuse(attempt: Attempt<Unsent>, reason: Reason, detail: impl Into<String>) -> Problem {
+    match attempt.not_run() {
+        Ok(proof) => Problem::not_run(&proof, reason, detail),
+        Err(_may_have_run) => Problem::unknown(reason, detail),
+    }
+}
+
+/// Takes a slot at a target of this failure domain.
+pub(crate) fn acquire(
+    node: &Node,
+    call: &StageCall,
+    excluded: &BTreeSet<Target>,
+    until: Millis,
+) -> Result<Slot, NoSlot> {
+    let request = SlotRequest {
+        service: &call.service,
+        excluded,
+        prefix: call.prefix,
+        until,
+    };
+    node.slots
+        .acquire(request, &|| node.now(), &|| node.random())
+}
+
+/// Returns an identifier with the next number at its end.
+pub(crate) fn next_attempt_id(ids: &AttemptIds) -> String {
+    let (series, number) = ids.attempt.rsplit_once('.').unwrap_or((&ids.attempt, "0"));
+    let number = number.parse::<u32>().unwrap_or(0);
+    format!("{series}.{}", number + 1)
+}
+
+/// The state of a stage over its attempts.
+struct Stage<'a> {
+    node: &'a Arc<Node>,
+    call: &'a StageCall,
+    /// The targets to which no connection could be established.
+    unreachable: BTreeSet<Target>,
+    /// The targets that have failed an attempt.
+    failed: BTreeSet<Target>,
+    /// The instances of other failure domains that were tried.
+    peers: BTreeSet<String>,
+    /// Whether no other failure domain is left to try.
+    remote_tried: bool,
+    /// The attempts in a row that were sent and made no progress.
+    fruitless: u32,
+    last_failure: Option<String>,
+    stream: TokenStream,
+}
+
+impl<'a> Stage<'a> {
+    fn new(node: &'a Arc<Node>, call: &'a StageCall) -> Self {
+        Self {
+            node,
+            call,
+            unreachable: BTreeSet::new(),
+            failed: BTreeSet::new(),
+            peers: BTreeSet::new(),
+            remote_tried: false,
+            fruitless: 0,
+            last_failure: None,
+            stream: TokenStream::resuming(node.now(), call.stall_ms, call.resume_at),
+        }
+    }
+
+    fn excluded(&self) -> BTreeSet<Target> {
+        self.unreachable.union(&self.failed).copied().collect()
+    }
+
+    /// Returns where the next attempt runs: at a target of this failure domain, or through an
+    /// instance of another one when this one has no target or all of its targets stay busy.
+    fn choose_place(&mut self) -> Result<Place, NoSlot> {
+        let deadline = self.call.deadline;
+        let patient = self.call.forwarded || self.remote_tried;
+        let until = if patient {
+            deadline
+        } else {
+            deadline.min(self.node.now() + LOCAL_PATIENCE_MS)
+        };
+        let no_slot = match acquire(self.node, self.call, &self.excluded(), until) {
+            Ok(slot) => return Ok(Place::Local(slot)),
+            Err(no_slot) => no_slot,
+        };
+        if !self.call.forwarded
+            && let Some(peer) = choose_peer(self.node, &self.call.service, &self.peers)
+        {
+            return Ok(Place::Remote(peer));
+        }
+        self.remote_tried = true;
+        if no_slot == NoSlot::NoTarget && !self.failed.is_empty() {
+            // The only targets left have failed once; the retry budget allows another attempt.
+            self.failed.clear();
+        } else if no_slot == NoSlot::NoTarget || patient {
+            return Err(no_slot);
+        }
+        acquire(self.node, self.call, &self.excluded(), deadline).map(Place::Local)
+    }
+
+    fn run_remote(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        peer: &Member,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        self.peers.insert(peer.name.clone());
+        let attempt = attempt.send(self.node.now());
+        let ids = attempt.ids();
+        let stream = &mut self.stream;
+        match run_remote(self.node, self.call, ids, peer, stream, sink) {
+            RemoteEnd::Answered(output) => Outcome::Done(output, attempt),
+            RemoteEnd::Streamed { tokens } => {
+                Outcome::Done(json!({ "text": stream.text(), "tokens": tokens }), attempt)
+            }
+            RemoteEnd::NotRun(failure) => Outcome::NotSent(attempt.take_back(), failure),
+            RemoteEnd::Failed {
+                failure,
+                progressed,
+            } => Outcome::Failed {
+                attempt,
+                failure,
+                progressed,
+            },
+            RemoteEnd::CallerGone => Outcome::CallerGone,
+        }
+    }
+
+    fn run_local(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        slot: Slot,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let target = slot.target;
+        let outcome = self.run_attempt(attempt, slot, sink);
+        match &outcome {
+            Outcome::NotSent(..) => {
+                self.unreachable.insert(target);
+            }
+            Outcome::Failed { .. } => {
+                self.failed.insert(target);
+            }
+            Outcome::Done(..) | Outcome::CallerGone => {}
+        }
+        outcome
+    }
+
+    fn run_attempt(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        slot: Slot,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let now = self.node.now();
+        if !slot.may_start(now) {
+            return Outcome::NotSent(attempt, "the slot expired".to_owned());
+        }
+        let attempt = attempt.send(now);
+        if self.call.streams {
+            return self.run_stream(attempt, &slot, sink);
+        }
+        let delay_ms = self.hedge_delay(now);
+        let (attempt, result) = if let Some(delay_ms) = delay_ms {
+            call_hedged(self.node, self.call, attempt, slot, delay_ms)
+        } else {
+            let result = call_once(self.node, self.call, attempt.ids(), &slot);
+            (attempt, result)
+        };
+        match result {
+            Ok(output) => Outcome::Done(output, attempt),
+            Err(error) => failed(attempt, &error),
+        }
+    }
+
+    fn run_stream(
+        &mut self,
+        attempt: Attempt<Sent>,
+        slot: &Slot,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let stream = &mut self.stream;
+        match call_stream(self.node, self.call, attempt.ids(), slot, stream, sink) {
+            Ok(StreamEnd::Done { tokens }) => {
+                let output = json!({ "text": stream.text(), "tokens": tokens });
+                Outcome::Done(output, attempt)
+            }
+            Ok(StreamEnd::CallerGone) => Outcome::CallerGone,
+            Ok(StreamEnd::Broken { fault, progressed }) => {
+                self.node.metrics.count(&format!("stream_{fault}"));
+                let failure = format!("stream {fault} at token {}", stream.resume_at());
+                Outcome::Failed {
+                    attempt,
+                    failure,
+                    progressed,
+                }
+            }
+            Err(error) => failed(attempt, &error),
+        }
+    }
+
+    fn hedge_delay(&self, now: Millis) -> Option<Millis> {
+        if !self.call.hedge || !self.call.is_idempotent() {
+            return None;
+        }
+        self.node
+            .slots
+            .with_service(now, &self.call.service, ServiceState::hedge_delay)
+    }
+
+    /// Returns the attempt that repeats a failed one, after its delay.
+    fn retry(
+        &mut self,
+        failed: &Attempt<Sent>,
+        failure: String,
+        progressed: bool,
+    ) -> Result<Attempt<Unsent>, Problem> {
+        if !self.call.is_idempotent() {
+            return Err(Problem::unknown(Reason::StageFailed, failure));
+        }
+        if progressed {
+            self.fruitless = 0;
+        } else {
+            self.fruitless += 1;
+            self.wait_before_retry(&failure)?;
+        }
+        self.last_failure = Some(failure);
+        let id = next_attempt_id(failed.ids());
+        Ok(failed.follow(failed.ids().stage.clone(), id))
+    }
+
+    fn wait_before_retry(&self, failure: &str) -> Result<(), Problem> {
+        let now = self.node.now();
+        let random = self.node.random();
+        let delay = self
+            .node
+            .slots
+            .with_service(now, &self.call.service, |state| {
+                state.try_retry(now, self.fruitless, self.call.deadline, random)
+            });
+        match delay {
+            Ok(delay_ms) => {
+                thread::sleep(delay_ms.to_duration());
+                Ok(())
+            }
+            Err(refusal) => {
+                self.node.metrics.count("retry_refused");
+                Err(Problem::unknown(
+                    Reason::StageFailed,
+                    format!("{failure}; {refusal}"),
+                ))
+            }
+        }
+    }
+
+    fn refuse_without_slot(&mut self, attempt: Attempt<Unsent>, no_slot: NoSlot) -> Problem {
+        let service = &self.call.service;
+        let last_failure = self.last_failure.take();
+        match no_slot {
+            NoSlot::NoTarget => {
+                let detail = last_failure
+                    .unwrap_or_else(|| format!("no target of service {service} takes calls"));
+                refuse(attempt, Reason::NoTarget, detail).with_retry_after(BUSY_RETRY_MS)
+            }
+            NoSlot::Busy => {
+                let detail = format!("all targets of service {service} stayed busy");
+                refuse(attempt, Reason::Deadline, detail)
+            }
+        }
+    }
+}
+
+fn failed(attempt: Attempt<Sent>, error: &CallError) -> Outcome {
+    let failure = error.to_string();
+    match error {
+        CallError::NotConnected(_) => Outcome::NotSent(attempt.take_back(), failure),
+        _ => Outcome::Failed {
+            attempt,
+            failure,
+            progressed: false,
+        },
+    }
+}
+
+fn quarantined(node: &Node, call: &StageCall) -> Option<Millis> {
+    let quarantine = node
+        .quarantine
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    quarantine.remaining(node.now(), Fingerprint(call.fingerprint))
+}
+
+fn forgive(node: &Node, call: &StageCall) {
+    let mut quarantine = node
+        .quarantine
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    quarantine.record_success(Fingerprint(call.fingerprint));
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Stand-ins of the systems around the instances, and a load generator.
+//!
+//! The stand-ins are small fakes for tests and measurements. No product crate depends on them.
+
+pub mod calls;
+pub mod client;
+mod engine;
+pub mod executions;
+pub mod fleet;
+pub mod gate;
+pub mod http;
+pub mod loadgen;
+pub mod platform;
+pub mod platform_faults;
+pub mod process;
+pub mod report;
+pub mod sse;
+pub mod store;
+pub mod target;
+pub mod target_faults;
+pub mod text;
+pub mod usage;
