claim, lease: test lost answers, resends, limits and clock rates one by one

The random interleavings seldom reach a read that overtakes a command, or a takeover within the margin for clock rates; these cases are tested directly.

--- /dev/null
+++ b/crates/coord/tests/claim_writer.rs
@@ -0,0 +1,233 @@
+//! Guards against a claim that is reported without a version of the platform, and against answers
+//! from content that has changed since.
+
+use arbutus_coord::Millis;
+use arbutus_coord::claim::AttemptId;
+use arbutus_coord::claim::ClaimAnswer;
+use arbutus_coord::claim::ClaimCommand;
+use arbutus_coord::claim::ClaimKey;
+use arbutus_coord::claim::ClaimReply;
+use arbutus_coord::claim::Fingerprint;
+use arbutus_coord::claim::Holder;
+use arbutus_coord::claim::Input;
+use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Shard;
+use arbutus_coord::claim::ShardWriter;
+use arbutus_coord::claim::StoredAnswer;
+use arbutus_coord::claim::command::Proposal;
+use arbutus_coord::claim::record::UnknownReason;
+use arbutus_coord::claim::shard::CLAIM_LIMIT_BYTES;
+use arbutus_coord::claim::writer::Operation;
+use arbutus_coord::claim::writer::ReadResult;
+use arbutus_coord::claim::writer::Ticket;
+use arbutus_coord::claim::writer::WriteResult;
+use arbutus_coord::claim::writer::WriterSettings;
+
+fn proposal(key: &str, attempt: &str) -> Proposal {
+    Proposal {
+        key: ClaimKey::new("kiln/\"1\"", "order-desk", key),
+        fingerprint: Fingerprint::of(key.as_bytes()),
+        attempt: AttemptId::from_text(attempt),
+        holder: Holder {
+            instance: "a".to_owned(),
+            boot_id: u64::MAX,
+        },
+        wall_ms: Millis(u64::MAX / 2),
+    }
+}
+
+fn answer(body: &str) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        content_type: "application/json".to_owned(),
+        body: Some(body.to_owned()),
+    }
+}
+
+fn settle(proposal: &Proposal, body: &str) -> ClaimCommand {
+    ClaimCommand::Settle {
+        key: proposal.key.clone(),
+        attempt: proposal.attempt.clone(),
+        answer: answer(body),
+        wall_ms: Millis(7),
+    }
+}
+
+struct Harness {
+    writer: ShardWriter,
+    operations: u64,
+}
+
+impl Harness {
+    fn new() -> Self {
+        Self {
+            writer: ShardWriter::new(0, 1, WriterSettings::default()),
+            operations: 0,
+        }
+    }
+
+    fn submit(&mut self, now: u64, ticket: u64, command: ClaimCommand) -> Vec<Output> {
+        let input = Input::Command {
+            ticket: Ticket(ticket),
+            command,
+            wall_ms: Millis(7),
+        };
+        self.writer.handle(Millis(now), input)
+    }
+
+    fn tick(&mut self, now: u64) -> Vec<Output> {
+        self.writer.handle(Millis(now), Input::Tick)
+    }
+
+    fn read(&mut self, now: u64, result: ReadResult) -> Vec<Output> {
+        let operation = self.next_operation();
+        self.writer
+            .handle(Millis(now), Input::Read { operation, result })
+    }
+
+    fn write(&mut self, now: u64, result: WriteResult) -> Vec<Output> {
+        let operation = self.next_operation();
+        self.writer
+            .handle(Millis(now), Input::Write { operation, result })
+    }
+
+    fn next_operation(&mut self) -> Operation {
+        self.operations += 1;
+        Operation(self.operations - 1)
+    }
+}
+
+fn written(outputs: &[Output]) -> Shard {
+    let [Output::Write { shard, .. }] = outputs else {
+        panic!("expected one write: {outputs:?}");
+    };
+    shard.clone()
+}
+
+fn replies(outputs: &[Output]) -> Vec<(u64, ClaimReply)> {
+    let reply = |output: &Output| match output {
+        Output::Reply { ticket, reply } => Some((ticket.0, reply.clone())),
+        _ => None,
+    };
+    outputs.iter().filter_map(reply).collect()
+}
+
+#[test]
+fn lost_write_is_confirmed_only_by_reading_back() {
+    let mut harness = Harness::new();
+    harness.submit(0, 1, ClaimCommand::Propose(proposal("k", "a1")));
+    harness.tick(5);
+    let shard = written(&harness.read(6, ReadResult::Absent));
+    let outputs = harness.write(7, WriteResult::Lost);
+    assert!(matches!(outputs[..], [Output::Read { .. }]), "{outputs:?}");
+    let outputs = harness.read(8, ReadResult::Found { version: 1, shard });
+    let claimed = ClaimReply::Decided(ClaimAnswer::Claimed);
+    assert_eq!(replies(&outputs), [(1, claimed)]);
+}
+
+#[test]
+fn read_answers_only_commands_that_arrived_before_it() {
+    let mut harness = Harness::new();
+    let claim = proposal("k", "a1");
+    harness.submit(0, 1, settle(&claim, "{}"));
+    harness.tick(5);
+    // The claim lands through another writer after this read was answered by the platform.
+    harness.submit(6, 2, settle(&claim, "{}"));
+    let outputs = harness.read(7, ReadResult::Absent);
+    let refused = ClaimReply::Decided(ClaimAnswer::NotHolder);
+    assert_eq!(replies(&outputs), [(1, refused)]);
+}
+
+#[test]
+fn outage_is_reported_with_what_may_have_landed() {
+    let mut harness = Harness::new();
+    harness.submit(0, 1, ClaimCommand::Propose(proposal("k", "a1")));
+    harness.tick(5);
+    harness.read(6, ReadResult::Absent);
+    harness.submit(7, 2, ClaimCommand::Propose(proposal("l", "a2")));
+    harness.write(8, WriteResult::Lost);
+    harness.read(9, ReadResult::Failed);
+    let unavailable = |may_have_landed| ClaimReply::Unavailable { may_have_landed };
+    assert_eq!(replies(&harness.tick(1_000)), [(1, unavailable(true))]);
+    assert_eq!(replies(&harness.tick(1_007)), [(2, unavailable(false))]);
+}
+
+#[test]
+fn conflict_applies_the_commands_to_the_other_content() {
+    let mut harness = Harness::new();
+    harness.submit(0, 1, ClaimCommand::Propose(proposal("k", "a1")));
+    harness.tick(5);
+    harness.read(6, ReadResult::Absent);
+    harness.write(7, WriteResult::Conflict);
+    let mut other = Shard::new(0, 1);
+    other.apply(&ClaimCommand::Propose(proposal("k", "b1")));
+    let outputs = harness.read(
+        8,
+        ReadResult::Found {
+            version: 3,
+            shard: other,
+        },
+    );
+    let [(1, ClaimReply::Decided(ClaimAnswer::Running { attempt, .. }))] = &*replies(&outputs)
+    else {
+        panic!("the other attempt holds the claim: {outputs:?}");
+    };
+    assert_eq!(attempt.as_str(), "b1");
+}
+
+#[test]
+fn operator_is_final_and_a_wrongly_dead_holder_may_settle_before() {
+    let mut shard = Shard::new(0, 1);
+    for (key, operator) in [("k", false), ("l", true)] {
+        let claim = proposal(key, key);
+        shard.apply(&ClaimCommand::Propose(claim.clone()));
+        shard.apply(&ClaimCommand::MarkUnknown {
+            key: claim.key.clone(),
+            attempt: claim.attempt.clone(),
+            reason: UnknownReason::HolderGone,
+            wall_ms: Millis(1),
+        });
+        let resend = ClaimCommand::Propose(proposal(key, "resend"));
+        assert!(matches!(shard.apply(&resend), ClaimAnswer::Unknown { .. }));
+        let by_operator = ClaimCommand::OperatorSettle {
+            key: claim.key.clone(),
+            attempt: claim.attempt.clone(),
+            answer: answer("operator"),
+            note: "seen in the ledger".to_owned(),
+            wall_ms: Millis(2),
+        };
+        if operator {
+            assert_eq!(shard.apply(&by_operator), ClaimAnswer::Recorded);
+            assert_eq!(shard.apply(&by_operator), ClaimAnswer::Recorded);
+        }
+        let late = shard.apply(&settle(&claim, "holder"));
+        assert_eq!(late == ClaimAnswer::Recorded, !operator, "{late:?}");
+        assert!(matches!(shard.apply(&resend), ClaimAnswer::Settled { .. }));
+    }
+}
+
+#[test]
+fn full_shard_refuses_claims_and_keeps_room_for_answers() {
+    let mut shard = Shard::new(0, 1);
+    let body = "\u{1}\"".repeat(500);
+    let mut accepted = Vec::new();
+    for number in 0..2_000 {
+        let claim = proposal(&format!("{number}"), &format!("a{number}"));
+        if shard.apply(&ClaimCommand::Propose(claim.clone())) == ClaimAnswer::Full {
+            break;
+        }
+        accepted.push(claim);
+    }
+    for claim in &accepted {
+        let recorded = shard.apply(&settle(claim, &body));
+        assert_eq!(recorded, ClaimAnswer::Recorded);
+    }
+    let json = serde_json::to_string(&shard).expect("a shard is serializable");
+    assert!(accepted.len() > 100 && accepted.len() < 2_000);
+    assert!(json.len() <= shard.size_bytes(), "the size is a bound");
+    assert!(shard.size_bytes() <= CLAIM_LIMIT_BYTES);
+    let parsed: Shard = serde_json::from_str(&json).expect("the content is valid");
+    assert_eq!(parsed, shard);
+    let deleted = shard.expire(Millis(86_400_009), Millis(86_400_000), Millis(1));
+    assert_eq!(deleted, accepted.len(), "the retention has passed");
+}
--- /dev/null
+++ b/crates/coord/tests/lease.rs
@@ -0,0 +1,97 @@
+//! Guards against a lease that outlasts its duration, and against a successor that does not wait
+//! for the slowest clock of a holder.
+
+use arbutus_coord::Millis;
+use arbutus_coord::claim::Holder;
+use arbutus_coord::lease::AnyLease;
+use arbutus_coord::lease::Held;
+use arbutus_coord::lease::Lease;
+use arbutus_coord::lease::LeaseRead;
+use arbutus_coord::lease::Vacant;
+
+const DURATION_MS: Millis = Millis(1_000);
+/// Percentages of the rate of true time.
+const SLOW: u64 = 90;
+const FAST: u64 = 110;
+
+fn vacant(name: &str) -> Lease<Vacant> {
+    let holder = Holder {
+        instance: name.to_owned(),
+        boot_id: 1,
+    };
+    Lease::new(holder, DURATION_MS)
+}
+
+fn held(at: Millis) -> Lease<Held> {
+    let AnyLease::Vacant(mut lease) = vacant("a").observe(at, LeaseRead::Absent) else {
+        panic!("nothing was written yet");
+    };
+    lease.acquire(at).expect("an absent lease can be taken");
+    let AnyLease::Held(lease) = lease.acquired(at, 1) else {
+        panic!("the write was confirmed");
+    };
+    lease
+}
+
+#[test]
+fn successor_with_a_fast_clock_waits_for_a_holder_with_a_slow_clock() {
+    let mut holder = held(Millis::ZERO);
+    let write = holder.renew(Millis::ZERO);
+    let AnyLease::Held(holder) = holder.renewed(Millis::ZERO, 2) else {
+        panic!("the renewal was confirmed");
+    };
+    let read = LeaseRead::Found {
+        version: 2,
+        record: write.record,
+    };
+    let AnyLease::Vacant(mut successor) = vacant("b").observe(Millis::ZERO, read) else {
+        panic!("another instance holds the lease");
+    };
+    for true_time in 0..2_000 {
+        let holds = holder.token(Millis(true_time * SLOW / 100)).is_some();
+        let taken = successor.acquire(Millis(true_time * FAST / 100)).is_some();
+        assert!(!(holds && taken), "both at {true_time} ms");
+    }
+    assert!(successor.acquire(Millis(2_000)).is_some());
+}
+
+#[test]
+fn renewal_counts_from_before_it_was_first_sent() {
+    let mut lease = held(Millis::ZERO);
+    let first = lease.renew(Millis(100));
+    assert_eq!(
+        first,
+        lease.renew(Millis(500)),
+        "a repetition is the same write"
+    );
+    let AnyLease::Held(lease) = lease.renewed(Millis(900), 2) else {
+        panic!("the renewal was confirmed in time");
+    };
+    assert_eq!(lease.expires_at(), Millis(1_100));
+}
+
+#[test]
+fn lost_renewal_is_settled_by_reading_back() {
+    let mut lease = held(Millis::ZERO);
+    let write = lease.renew(Millis(100));
+    let read = LeaseRead::Found {
+        version: 2,
+        record: write.record,
+    };
+    let AnyLease::Held(lease) = lease.observe(Millis(700), &read) else {
+        panic!("the renewal landed");
+    };
+    assert_eq!(lease.expires_at(), Millis(1_100));
+    assert!(lease.token(Millis(1_099)).is_some());
+    assert!(lease.token(Millis(1_100)).is_none());
+}
+
+#[test]
+fn confirmation_after_the_expiry_does_not_revive_the_lease() {
+    let mut lease = held(Millis::ZERO);
+    lease.renew(Millis(100));
+    assert!(matches!(
+        lease.renewed(Millis(1_100), 2),
+        AnyLease::Expired(_)
+    ));
+}
