daemon: hold claims in shards with group commit

Every instance now has a thread for each shard that drives the group commit of arbutus-coord. The commands go to the writer by rendezvous over the live members and are committed directly when it does not answer. Closing commands are repeated in the background and before the process ends, claims of dead holders become unknown, operators list and settle them, a resend waits for the outcome of the running call, and a claimed call is not sent to a target after its window.

--- a/crates/coord/src/claim/holder.rs
+++ b/crates/coord/src/claim/holder.rs
@@ -199,6 +199,12 @@
 }
 
 impl Claim<Confirmed> {
+    /// Returns the time at which the dispatch window ends.
+    #[must_use]
+    pub fn window_ends(&self) -> Millis {
+        self.state.window_ends
+    }
+
     /// Allows the dispatch of the request, which has to follow at once.
     ///
     /// # Errors
--- a/crates/coord/src/claim/writer.rs
+++ b/crates/coord/src/claim/writer.rs
@@ -89,6 +89,8 @@
     },
     /// The object has another version, so the write had no effect.
     Conflict,
+    /// The write certainly had no effect, for instance because no connection was established.
+    NotWritten,
     /// There was no usable answer. The write may have taken effect or may still do so.
     Lost,
 }
@@ -162,8 +164,8 @@
     pub conflicts: u64,
     /// Writes without a usable answer.
     pub lost_writes: u64,
-    /// Reads that failed.
-    pub failed_reads: u64,
+    /// Reads and writes that certainly had no effect.
+    pub failures: u64,
     /// Commands that were answered as unavailable.
     pub unavailable: u64,
 }
@@ -173,7 +175,7 @@
     ticket: Ticket,
     command: ClaimCommand,
     received: Millis,
-    /// Whether the command was part of a write.
+    /// Whether the command was part of a write that may have taken effect.
     sent: bool,
     /// Whether the last read was started after the command arrived.
     covered_by_read: bool,
@@ -350,10 +352,18 @@
         self.pending = kept;
         let expired: Vec<Pending> = expired;
         for pending in expired {
-            self.reply_unavailable(pending.ticket, pending.sent, outputs);
+            let may_have_landed = pending.sent || self.is_being_written(pending.ticket);
+            self.reply_unavailable(pending.ticket, may_have_landed, outputs);
         }
     }
 
+    fn is_being_written(&self, ticket: Ticket) -> bool {
+        let Phase::Writing { answers, .. } = &self.phase else {
+            return false;
+        };
+        answers.iter().any(|(written, _)| *written == ticket)
+    }
+
     fn reply_unavailable(
         &mut self,
         ticket: Ticket,
@@ -419,9 +429,6 @@
     ) {
         let operation = self.take_operation();
         self.counters.writes += 1;
-        for pending in &mut self.pending {
-            pending.sent = true;
-        }
         outputs.push(Output::Write {
             operation,
             expected,
@@ -498,7 +505,7 @@
     }
 
     fn wait_after_failure(&mut self, now: Millis) {
-        self.counters.failed_reads += 1;
+        self.counters.failures += 1;
         self.phase = Phase::Waiting {
             until: now + self.settings.retry_delay_ms,
         };
@@ -532,16 +539,27 @@
                 self.collect(now);
             }
             WriteResult::Conflict => {
+                // A copy of this write that the transport repeated may be the other change.
                 self.counters.conflicts += 1;
+                self.mark_sent(&answers);
                 self.read(now, outputs);
             }
+            WriteResult::NotWritten => self.wait_after_failure(now),
             WriteResult::Lost => {
                 self.counters.lost_writes += 1;
+                self.mark_sent(&answers);
                 self.read(now, outputs);
             }
         }
     }
 
+    fn mark_sent(&mut self, answers: &[(Ticket, ClaimAnswer)]) {
+        for pending in &mut self.pending {
+            let written = answers.iter().any(|(ticket, _)| *ticket == pending.ticket);
+            pending.sent |= written;
+        }
+    }
+
     /// Replies to the commands that the last read covers. The content may have changed before the
     /// others arrived.
     fn reply_covered(&mut self, answers: Vec<(Ticket, ClaimAnswer)>, outputs: &mut Vec<Output>) {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -10,6 +10,7 @@
 use arbutus_wire::admin::DrainOrder;
 use arbutus_wire::admin::DrainStatus;
 use arbutus_wire::admin::MemberStatus;
+use arbutus_wire::admin::SettleOrder;
 use arbutus_wire::admin::Status;
 use arbutus_wire::admin::TargetState;
 use arbutus_wire::admin::TargetStatus;
@@ -17,6 +18,7 @@
 use tiny_http::Method;
 use tiny_http::Request;
 
+use crate::claims::operators;
 use crate::http::refuse_request;
 use crate::node::Node;
 use crate::problem::Reason;
@@ -38,10 +40,29 @@
             Responder::new(request, &node.new_request_id(), false).send_json(200, &status)
         }
         (Method::Post, "/admin/drain") => drain(node, request),
+        (Method::Get, "/admin/claims") => match operators::unsettled(node) {
+            Ok(claims) => Responder::new(request, &node.new_request_id(), false)
+                .send_json(200, &json!(claims)),
+            Err(detail) => refuse_request(node, request, Reason::PlatformUnavailable, &detail),
+        },
+        (Method::Post, "/admin/claims/settle") => settle(node, request),
         _ => refuse_request(node, request, Reason::NotFound, "there is no such path"),
     }
 }
 
+fn settle(node: &Node, mut request: Request) -> io::Result<()> {
+    let order: SettleOrder = match read_json(&mut request) {
+        Ok(order) => order,
+        Err(detail) => return refuse_request(node, request, Reason::BadRequest, &detail),
+    };
+    match operators::settle(node, &order) {
+        Ok(answer) => {
+            Responder::new(request, &node.new_request_id(), false).send_json(200, &json!(answer))
+        }
+        Err(detail) => refuse_request(node, request, Reason::PlatformUnavailable, &detail),
+    }
+}
+
 fn drain(node: &Node, mut request: Request) -> io::Result<()> {
     let order: DrainOrder = match read_json(&mut request) {
         Ok(order) => order,
--- /dev/null
+++ b/crates/daemon/src/claims/shards.rs
@@ -0,0 +1,240 @@
+//! The threads that commit commands to the shard objects.
+//!
+//! Every instance has a thread for each shard. The thread of the instance with the writer's role
+//! commits for all instances; the others commit only what the writer did not answer. The role
+//! saves calls to the platform; the conditional update keeps the content right.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+
+use arbutus_config::deployment::ClaimsSpec;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_coord::claim::ClaimReply;
+use arbutus_coord::claim::DeadHolders;
+use arbutus_coord::claim::Holder;
+use arbutus_coord::claim::Input;
+use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Shard;
+use arbutus_coord::claim::ShardWriter;
+use arbutus_coord::claim::writer::ReadResult;
+use arbutus_coord::claim::writer::Ticket;
+use arbutus_coord::claim::writer::WriteResult;
+use arbutus_coord::claim::writer::WriterCounters;
+use arbutus_coord::claim::writer::WriterSettings;
+use arbutus_coord::membership::MemberState;
+use log::error;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::claims::ReplyTo;
+use crate::claims::ShardMessage;
+use crate::claims::object_key;
+use crate::claims::writer_of;
+use crate::node::Node;
+use crate::platform::Condition;
+use crate::platform::Platform;
+use crate::platform::WriteError;
+use crate::stop::Stop;
+
+const IDLE_WAIT_MS: Millis = Millis(500);
+const OPERATION_TIMEOUT_MS: Millis = Millis(400);
+/// Time between two searches of a shard for claims of dead holders.
+const SCAN_PERIOD_MS: Millis = Millis(3_000);
+
+/// The thread of one shard.
+pub(super) struct ShardThread<'a> {
+    node: &'a Node,
+    index: u32,
+    platform: Platform,
+    writer: ShardWriter,
+    waiting: BTreeMap<Ticket, ReplyTo>,
+    next_ticket: u64,
+    dead_holders: DeadHolders,
+    next_scan: Millis,
+    counted: WriterCounters,
+}
+
+impl<'a> ShardThread<'a> {
+    pub(super) fn new(node: &'a Node, index: u32, claims: &ClaimsSpec) -> Self {
+        let settings = WriterSettings {
+            group_commit_ms: claims.group_commit_ms,
+            retention_ms: claims.retention_ms,
+            operation_timeout_ms: OPERATION_TIMEOUT_MS.times(2),
+            ..WriterSettings::default()
+        };
+        Self {
+            node,
+            index,
+            platform: node
+                .platform
+                .clone()
+                .with_call_timeout(OPERATION_TIMEOUT_MS),
+            writer: ShardWriter::new(index, claims.shards, settings),
+            waiting: BTreeMap::new(),
+            next_ticket: 0,
+            dead_holders: DeadHolders::new(),
+            next_scan: SCAN_PERIOD_MS,
+            counted: WriterCounters::default(),
+        }
+    }
+
+    /// Commits commands until the stop flag is raised.
+    pub(super) fn run(mut self, messages: &Receiver<ShardMessage>, stop: &Stop) {
+        while !stop.is_raised() {
+            let now = self.node.now();
+            let wake_at = self.writer.wake_at().unwrap_or(Millis::MAX);
+            let wait = (wake_at - now).min(IDLE_WAIT_MS).to_duration();
+            match messages.recv_timeout(wait) {
+                Ok(ShardMessage::Command { command, reply_to }) => {
+                    let ticket = Ticket(self.next_ticket);
+                    self.next_ticket += 1;
+                    self.waiting.insert(ticket, reply_to);
+                    self.drive(Input::Command {
+                        ticket,
+                        command: *command,
+                        wall_ms: Clock::wall(),
+                    });
+                }
+                Ok(ShardMessage::Content(reply_to)) => {
+                    self.drive(Input::Refresh);
+                    // The operator has gone when nothing receives the content.
+                    drop(reply_to.send(self.writer.content().cloned()));
+                }
+                Err(RecvTimeoutError::Timeout) => self.drive(Input::Tick),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.scan();
+            self.count();
+        }
+    }
+
+    fn drive(&mut self, input: Input) {
+        let mut outputs: VecDeque<Output> = self.writer.handle(self.node.now(), input).into();
+        while let Some(output) = outputs.pop_front() {
+            let input = match output {
+                Output::Read { operation } => Input::Read {
+                    operation,
+                    result: self.read(),
+                },
+                Output::Write {
+                    operation,
+                    expected,
+                    shard,
+                } => Input::Write {
+                    operation,
+                    result: self.write(expected, &shard),
+                },
+                Output::Reply { ticket, reply } => {
+                    self.reply(ticket, reply);
+                    continue;
+                }
+            };
+            outputs.extend(self.writer.handle(self.node.now(), input));
+        }
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: ClaimReply) {
+        match self.waiting.remove(&ticket) {
+            // A waiter that has given up is treated like a lost answer by its caller.
+            Some(ReplyTo::Waiter(waiter)) => drop(waiter.try_send(reply)),
+            Some(ReplyTo::Backlog(attempt)) => {
+                self.node.claims.resolve(self.node, &attempt, &reply);
+            }
+            Some(ReplyTo::Nobody) | None => {}
+        }
+    }
+
+    fn read(&self) -> ReadResult {
+        match self.platform.get(&object_key(self.index)) {
+            Ok(Some(object)) => match Shard::deserialize(object.value) {
+                Ok(shard) => ReadResult::Found {
+                    version: object.version,
+                    shard,
+                },
+                Err(error) => {
+                    self.node.metrics.count("claim_shard_malformed");
+                    error!(shard = self.index, error:% = error; "shard of claims cannot be read");
+                    ReadResult::Failed
+                }
+            },
+            Ok(None) => ReadResult::Absent,
+            Err(_error) => ReadResult::Failed,
+        }
+    }
+
+    fn write(&self, expected: Option<u64>, shard: &Shard) -> WriteResult {
+        let condition = expected.map_or(Condition::Absent, Condition::Version);
+        let result = self
+            .platform
+            .put(&object_key(self.index), condition, &json!(shard));
+        match result {
+            Ok(version) => WriteResult::Written { version },
+            Err(WriteError::Conflict) => WriteResult::Conflict,
+            Err(WriteError::NotWritten(_)) => WriteResult::NotWritten,
+            Err(WriteError::Unknown(_)) => WriteResult::Lost,
+        }
+    }
+
+    /// Marks claims of dead holders as unknown, when this instance has the writer's role.
+    fn scan(&mut self) {
+        let now = self.node.now();
+        if now < self.next_scan {
+            return;
+        }
+        self.next_scan = now + SCAN_PERIOD_MS;
+        let is_writer = writer_of(self.node, self.index).is_none();
+        if !is_writer || self.node.is_self_suspect() {
+            self.dead_holders = DeadHolders::new();
+            return;
+        }
+        self.drive(Input::Refresh);
+        let live = live_holders(self.node);
+        let Some(shard) = self.writer.content() else {
+            return;
+        };
+        let is_live = |holder: &Holder| live.contains(holder);
+        let commands = self
+            .dead_holders
+            .observe(now, Clock::wall(), shard, is_live);
+        for command in commands {
+            self.node.metrics.count("claim_marked_unknown");
+            self.node.claims.hand_to_shard(&command, ReplyTo::Nobody);
+        }
+    }
+
+    fn count(&mut self) {
+        let counters = self.writer.counters();
+        let metrics = &self.node.metrics;
+        metrics.count_by("claim_shard_reads", counters.reads - self.counted.reads);
+        metrics.count_by("claim_shard_writes", counters.writes - self.counted.writes);
+        metrics.count_by(
+            "claim_write_conflicts",
+            counters.conflicts - self.counted.conflicts,
+        );
+        metrics.count_by(
+            "claim_writes_lost",
+            counters.lost_writes - self.counted.lost_writes,
+        );
+        self.counted = counters;
+    }
+}
+
+/// Returns the processes that are not known to be dead.
+fn live_holders(node: &Node) -> Vec<Holder> {
+    let own = Holder {
+        instance: node.settings.name.clone(),
+        boot_id: node.boot_id,
+    };
+    let members = node.members().into_iter();
+    members
+        .filter(|member| member.state != MemberState::Dead)
+        .map(|member| Holder {
+            instance: member.name,
+            boot_id: member.boot_id,
+        })
+        .chain([own])
+        .collect()
+}
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -82,6 +82,10 @@
         if node.now() >= call.deadline {
             return Err(refuse(attempt, Reason::Deadline, "the deadline has passed"));
         }
+        if call.is_too_late(node.now()) {
+            let detail = "no target took the call within the dispatch window of its claim";
+            return Err(refuse(attempt, Reason::NoTarget, detail).with_retry_after(BUSY_RETRY_MS));
+        }
         let place = match stage.choose_place() {
             Ok(place) => place,
             Err(no_slot) => return Err(stage.refuse_without_slot(attempt, no_slot)),
@@ -189,7 +193,7 @@
     /// Returns where the next attempt runs: at a target of this failure domain, or through an
     /// instance of another one when this one has no target or all of its targets stay busy.
     fn choose_place(&mut self) -> Result<Place, NoSlot> {
-        let deadline = self.call.deadline;
+        let deadline = self.call.wait_until();
         let patient = self.call.forwarded || self.remote_tried;
         let until = if patient {
             deadline
@@ -273,6 +277,9 @@
         if !slot.may_start(now) {
             return Outcome::NotSent(attempt, "the slot expired".to_owned());
         }
+        if self.call.is_too_late(now) {
+            return Outcome::NotSent(attempt, "the dispatch window has passed".to_owned());
+        }
         let attempt = attempt.send(now);
         if self.call.streams {
             return self.run_stream(attempt, &slot, sink);
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -118,6 +118,7 @@
             PeerRequest::StageCall(stage_call) => {
                 remote::serve_stage(&self.node, &call.sender, &stage_call, replies)
             }
+            PeerRequest::Claim { command, .. } => replies.send(&self.node.claims.serve(&command)),
             _ => replies.send(&PeerReply::Refused {
                 reason: "the call is not supported".to_owned(),
             }),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 use arbutus_config::Settings;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
+use arbutusd::claims;
 use arbutusd::events::NodeEvents;
 use arbutusd::gossip::GossipNode;
 use arbutusd::grants;
@@ -136,7 +137,8 @@
             Supervisor::new("platform")
                 .with_task("configuration", task(watcher::run_configuration))
                 .with_task("lists", task(watcher::run_lists))
-                .with_task("orders", task(orders::run)),
+                .with_task("orders", task(orders::run))
+                .with_task("claims", task(claims::background::run)),
         )
         .with_branch(
             Supervisor::new("grants")
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -160,6 +160,17 @@
             .inc();
     }
 
+    /// Counts several events.
+    pub fn count_by(&self, event: &str, number: u64) {
+        if number > 0 {
+            self.events
+                .get_or_create(&EventLabels {
+                    event: event.to_owned(),
+                })
+                .inc_by(number);
+        }
+    }
+
     /// Returns all metrics as text.
     ///
     /// # Panics
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -106,7 +106,7 @@
             owners: Owners::new(),
             quarantine: Mutex::new(Quarantine::new(QuarantineSettings::default())),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(boot_id)),
-            claims: Claims::new(platform.clone()),
+            claims: Claims::new(),
             platform,
             terminate: Stop::new(),
             gossip: OnceLock::new(),
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -8,15 +8,23 @@
 use arbutus_config::deployment::ClassSpec;
 use arbutus_config::deployment::ServiceKind;
 use arbutus_config::deployment::StageSpec;
+use arbutus_coord::Millis;
+use arbutus_coord::claim::StoredAnswer;
+use arbutus_coord::claim::holder::NotRunReason;
+use arbutus_coord::claim::holder::NotSent;
+use arbutus_coord::claim::record::SettledBy;
 use arbutus_policy::attempt::Attempt;
 use arbutus_policy::attempt::AttemptIds;
 use arbutus_policy::attempt::Unsent;
 use arbutus_policy::balance::prefix_key;
+use arbutus_wire::admin::SettleOutcome;
 use serde_json::Value;
 
-use crate::claims::ClaimKey;
-use crate::claims::HeldClaim;
-use crate::claims::Proposal;
+use crate::claims::holder;
+use crate::claims::holder::ClaimRequest;
+use crate::claims::holder::HeldClaim;
+use crate::claims::holder::Proposal;
+use crate::claims::operators::outcome_of;
 use crate::dispatch::refuse;
 use crate::dispatch::run_stage;
 use crate::node::Node;
@@ -24,12 +32,16 @@
 use crate::problem::Problem;
 use crate::problem::Reason;
 use crate::request::CallerRequest;
+use crate::response::JSON;
 use crate::stage::NoSink;
 use crate::stage::StageCall;
 use crate::stage::TokenSink;
 
 /// The field of a caller's JSON whose start engines cache.
 const PROMPT_FIELD: &str = "prompt";
+/// The time after which a claim can be tried again when the platform does not respond.
+const PLATFORM_RETRY_MS: Millis = Millis(1_000);
+const STATUS_OK: u16 = 200;
 
 /// The whole answer to a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,24 +111,30 @@
         .idempotency_key
         .as_deref()
         .expect("parsing requires the key");
-    let key = ClaimKey {
-        organisation: &request.organisation,
-        pipeline: &request.pipeline,
-        idempotency_key,
-    };
-    match node
-        .claims
-        .propose(key, request.fingerprint, &attempt.ids().attempt)
-    {
+    let mut call = stage_call(request, stage, input, Some(idempotency_key));
+    let proposal = holder::propose(
+        node,
+        ClaimRequest {
+            organisation: &request.organisation,
+            pipeline: &request.pipeline,
+            idempotency_key,
+            fingerprint: request.fingerprint,
+            attempt: &attempt.ids().attempt,
+            deadline: request.deadline,
+        },
+    );
+    match proposal {
         Proposal::Confirmed(claim) => {
-            let call = stage_call(request, stage, input, Some(idempotency_key));
+            call.dispatch_by = Some(claim.dispatch_by());
             let result = run_stage(node, &call, attempt, sink);
-            record(node, claim, result.map(|done| done.output))
+            record(
+                node,
+                claim,
+                request.deadline,
+                result.map(|done| done.output),
+            )
         }
-        Proposal::Settled(output) => Ok(Answer {
-            output,
-            replayed: true,
-        }),
+        Proposal::Settled { answer, by } => replay(attempt, &answer, &by),
         Proposal::KeyReused => Err(refuse(
             attempt,
             Reason::IdempotencyKeyReused,
@@ -126,28 +144,105 @@
             Reason::InProgress,
             "an earlier call with this idempotency key has no recorded outcome",
         )),
-        Proposal::Unavailable(detail) => Err(refuse(attempt, Reason::PlatformUnavailable, detail)),
+        Proposal::Unknown => Err(Problem::unknown(
+            Reason::OutcomeUnknown,
+            "an earlier call with this idempotency key may have run",
+        )),
+        Proposal::Unavailable if deduplicates(request, stage) => {
+            node.metrics.count("claim_left_to_service");
+            let done = run_stage(node, &call, attempt, sink)?;
+            Ok(Answer {
+                output: done.output,
+                replayed: false,
+            })
+        }
+        Proposal::Unavailable => {
+            let detail = "the claim cannot be recorded; this call was not run";
+            Err(refuse(attempt, Reason::PlatformUnavailable, detail)
+                .with_retry_after(PLATFORM_RETRY_MS))
+        }
+        Proposal::NotRun(reason) => Err(refuse_unclaimed(attempt, reason)),
+    }
+}
+
+fn refuse_unclaimed(attempt: Attempt<Unsent>, reason: NotRunReason) -> Problem {
+    let (kind, detail) = match reason {
+        NotRunReason::ShardFull => (Reason::Overloaded, "there is no room for another claim"),
+        NotRunReason::Late => (
+            Reason::PlatformUnavailable,
+            "the claim was confirmed too late",
+        ),
+        NotRunReason::Unavailable | NotRunReason::Withdrawn => (
+            Reason::NotReady,
+            "this instance cannot hold claims at present",
+        ),
+    };
+    refuse(attempt, kind, detail).with_retry_after(PLATFORM_RETRY_MS)
+}
+
+/// Returns whether the service runs a repeated key once, so that no claim is needed.
+fn deduplicates(request: &CallerRequest, stage: &StageSpec) -> bool {
+    let services = &request.active.deployment.services;
+    services
+        .get(&stage.service)
+        .is_some_and(|service| service.deduplicates)
+}
+
+/// Gives a resend the recorded outcome.
+fn replay(
+    attempt: Attempt<Unsent>,
+    answer: &StoredAnswer,
+    by: &SettledBy,
+) -> Result<Answer, Problem> {
+    if let SettledBy::Operator(note) = by
+        && outcome_of(note) == Some(SettleOutcome::NotRun)
+    {
+        let detail = "an operator found that it was not run; send it again under a new key";
+        return Err(refuse(attempt, Reason::SettledNotRun, detail));
     }
+    let output = answer
+        .body
+        .as_deref()
+        .and_then(|body| serde_json::from_str(body).ok());
+    output.map_or_else(
+        || {
+            let detail = "the request has run; its answer was too large to be kept";
+            Err(Problem::unknown(Reason::OutcomeUnknown, detail))
+        },
+        |output| {
+            Ok(Answer {
+                output,
+                replayed: true,
+            })
+        },
+    )
 }
 
 fn record(
     node: &Arc<Node>,
     claim: HeldClaim,
+    deadline: Millis,
     result: Result<Value, Problem>,
 ) -> Result<Answer, Problem> {
     match result {
         Ok(output) => {
-            if !node.claims.settle(claim, &output) {
-                node.metrics.count("claim_outcome_not_recorded");
-            }
+            let answer = StoredAnswer {
+                status: STATUS_OK,
+                content_type: JSON.to_owned(),
+                body: Some(output.to_string()),
+            };
+            holder::settle(node, claim, answer, deadline);
             Ok(Answer {
                 output,
                 replayed: false,
             })
         }
         Err(problem) => {
+            // The problem says `no` only on the proof that nothing was sent.
             if problem.executed() == Executed::No {
-                node.claims.release(claim);
+                holder::release(node, claim, NotSent::connection_not_established());
+            } else {
+                holder::lose(node, claim);
             }
             Err(problem)
         }
@@ -178,6 +273,7 @@
         input: input.clone(),
         resume_at: 0,
         forwarded: false,
+        dispatch_by: None,
     }
 }
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -68,6 +68,7 @@
     agent: Agent,
     base: String,
     failure_domain: String,
+    call_timeout_ms: Millis,
 }
 
 impl Platform {
@@ -83,9 +84,17 @@
             agent,
             base: format!("http://{address}"),
             failure_domain: failure_domain.to_owned(),
+            call_timeout_ms: CALL_TIMEOUT_MS,
         }
     }
 
+    /// Replaces the time limit of reads and writes.
+    #[must_use]
+    pub fn with_call_timeout(mut self, timeout_ms: Millis) -> Self {
+        self.call_timeout_ms = timeout_ms;
+        self
+    }
+
     /// Reads an object.
     ///
     /// # Errors
@@ -93,7 +102,7 @@
     /// Returns why the platform gave no answer.
     pub fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
         let url = format!("{}/v1/objects/{key}", self.base);
-        self.read(&url, CALL_TIMEOUT_MS, STATUS_NOT_FOUND)
+        self.read(&url, self.call_timeout_ms, STATUS_NOT_FOUND)
     }
 
     /// Reads all objects whose key starts with a prefix.
@@ -123,7 +132,7 @@
             "{}/v1/watch?prefix={prefix}&after={after}&timeout_ms={}",
             self.base, timeout_ms.0
         );
-        let changed = self.read(&url, timeout_ms + CALL_TIMEOUT_MS, STATUS_NOT_MODIFIED)?;
+        let changed = self.read(&url, timeout_ms + self.call_timeout_ms, STATUS_NOT_MODIFIED)?;
         Ok(changed.unwrap_or_default())
     }
 
@@ -134,7 +143,7 @@
     /// Returns why the platform gave no answer.
     pub fn instances(&self, after: u64) -> Result<Option<InstanceList>, ReadError> {
         let url = format!("{}/v1/instances?after={after}", self.base);
-        self.read(&url, CALL_TIMEOUT_MS, STATUS_NOT_MODIFIED)
+        self.read(&url, self.call_timeout_ms, STATUS_NOT_MODIFIED)
     }
 
     /// Writes an object under a condition, and returns its new version.
@@ -149,7 +158,7 @@
             .put(url)
             .header(FAILURE_DOMAIN_HEADER, &self.failure_domain)
             .config()
-            .timeout_global(Some(CALL_TIMEOUT_MS.to_duration()))
+            .timeout_global(Some(self.call_timeout_ms.to_duration()))
             .build();
         let request = match condition {
             Condition::Absent => request.header("If-None-Match", "*"),
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -44,6 +44,8 @@
     InProgress,
     /// The outcome of an earlier call with the same idempotency key is not known.
     OutcomeUnknown,
+    /// An operator recorded that the request was not run.
+    SettledNotRun,
     /// The instance has no configuration, or leaves.
     NotReady,
     /// Too many requests are in progress, or a limit is reached.
@@ -69,7 +71,7 @@
             Self::UnknownOrganisation => 403,
             Self::NotFound => 404,
             Self::MethodNotAllowed => 405,
-            Self::InProgress | Self::OutcomeUnknown => 409,
+            Self::InProgress | Self::OutcomeUnknown | Self::SettledNotRun => 409,
             Self::BodyTooLarge => 413,
             Self::IdempotencyKeyReused | Self::Quarantined => 422,
             Self::Overloaded => 429,
--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -111,6 +111,7 @@
         organisation: call.organisation.clone(),
         priority: call.priority,
         idempotency_key: call.idempotency_key.clone(),
+        dispatch_within_ms: call.dispatch_by.map(|by| by - node.now()),
         fingerprint: call.fingerprint,
         prefix: call.prefix,
         body: call.input.to_string().into_bytes(),
@@ -289,6 +290,7 @@
         prefix: call.prefix,
         input,
         resume_at: call.resume_at,
+        dispatch_by: call.dispatch_within_ms.map(|within| node.now() + within),
         forwarded: true,
     };
     let attempt = Attempt::first(AttemptIds {
--- a/crates/daemon/src/stage.rs
+++ b/crates/daemon/src/stage.rs
@@ -58,11 +58,26 @@
     pub input: Value,
     /// The offset of the first token to deliver.
     pub resume_at: u32,
+    /// The time after which a claimed call must not be sent to a target.
+    pub dispatch_by: Option<Millis>,
     /// Whether the call came from another failure domain; it is not forwarded again.
     pub forwarded: bool,
 }
 
 impl StageCall {
+    /// Returns whether the dispatch window of a claimed call has passed.
+    #[must_use]
+    pub fn is_too_late(&self, now: Millis) -> bool {
+        self.dispatch_by.is_some_and(|by| now >= by)
+    }
+
+    /// Returns the time until which the call may wait for a slot.
+    #[must_use]
+    pub fn wait_until(&self) -> Millis {
+        self.dispatch_by
+            .map_or(self.deadline, |by| by.min(self.deadline))
+    }
+
     /// Returns whether the call may be repeated.
     #[must_use]
     pub fn is_idempotent(&self) -> bool {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -99,6 +99,9 @@
     pub priority: u8,
     /// The idempotency key of a non-idempotent request.
     pub idempotency_key: Option<String>,
+    /// The time within which a claimed call may be sent to a target, counted from the sending of
+    /// this call.
+    pub dispatch_within_ms: Option<Millis>,
     /// The hash of the caller's request, which a resend shares.
     pub fingerprint: u64,
     /// The key that determines the preferred engine of a prompt.
