--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -102,7 +102,7 @@
     stream: &mut TokenStream,
     sink: &mut dyn TokenSink,
 ) -> RemoteEnd {
-    let request = PeerRequest::StageCall(WireCall {
+    let request = PeerRequest::StageCall(Box::new(WireCall {
         request_id: ids.request.clone(),
         stage_id: ids.stage.clone(),
         attempt_id: ids.attempt.clone(),
@@ -111,6 +111,7 @@
         organisation: call.organisation.clone(),
         priority: call.priority,
         idempotency_key: call.idempotency_key.clone(),
+        dispatch_within_ms: call.dispatch_by.map(|by| by - node.now()),
         fingerprint: call.fingerprint,
         prefix: call.prefix,
         body: call.input.to_string().into_bytes(),
@@ -119,7 +120,7 @@
         resume_at: stream.resume_at(),
         wait_ms,
         hops: 1,
-    });
+    }));
     let end = match node.gossip().client().stream(peer.peer_address, request) {
         Ok(answer) => receive(node, call, ids, answer, stream, sink),
         Err(error) => lost(&error, false),
@@ -296,6 +297,7 @@
         input,
         resume_at: call.resume_at,
         wait_ms: call.wait_ms,
+        dispatch_by: call.dispatch_within_ms.map(|within| node.now() + within),
         forwarded: true,
     };
     let attempt = Attempt::first(AttemptIds {
