grant: give unused slots back at once while other holders wait

Ruled out: the spare slot, the length of a turn, and the interval between requests; none of them changed the median.

Three causes were found and removed. A holder asked again only when its need was higher than at its last request. The owner did not learn that calls had ended before the next renewal; answers and hints now say when others wait, and holders then report the end of calls at once. Slots that were taken back needed another report; now each request makes all earlier answers void and gives up what the holder does not want, which also replaces the list of unconfirmed answers by one number.

Two owners at once still stay at 12 for 6 allowed slots.

--- a/crates/coord/src/grant/holder.rs
+++ b/crates/coord/src/grant/holder.rs
@@ -1,6 +1,5 @@
 //! The slots of one target at one instance that uses it.
 
-use std::collections::VecDeque;
 use std::error::Error;
 
 use displaydoc::Display;
@@ -11,9 +10,6 @@
 use super::TargetView;
 use crate::Millis;
 
-/// How many requests without an answer are remembered.
-const MAX_PENDING: usize = 8;
-
 /// The permission to run one call; it is given back with [`GrantHolder::release`].
 #[derive(Debug)]
 #[must_use]
@@ -51,23 +47,24 @@
     settings: GrantSettings,
     boot_id: u64,
     sequence: u64,
-    applied: u64,
     held: u32,
     expires_at: Millis,
     in_use: u32,
     waiting: u32,
     /// The highest need since the last request, which damps the demand.
     peak: u32,
-    /// Whether a call was started since the last request.
-    started: bool,
+    /// The calls that were started since the last request.
+    starts: u32,
     /// What the owner may count for this holder.
     counted: u32,
-    last_needed: u32,
+    /// The waiting calls without a slot that the owner has been asked for.
+    asked: u32,
     sent_at: Option<Millis>,
     answered_at: Millis,
     hinted: bool,
     closed: bool,
-    pending: VecDeque<Pending>,
+    contended_until: Millis,
+    pending: Option<Pending>,
     view: TargetView,
 }
 
@@ -79,20 +76,20 @@
             settings,
             boot_id,
             sequence: 0,
-            applied: 0,
             held: 0,
             expires_at: Millis::ZERO,
             in_use: 0,
             waiting: 0,
             peak: 0,
-            started: false,
+            starts: 0,
             counted: 0,
-            last_needed: 0,
+            asked: 0,
             sent_at: None,
             answered_at: Millis::ZERO,
             hinted: false,
             closed: false,
-            pending: VecDeque::new(),
+            contended_until: Millis::ZERO,
+            pending: None,
             view: TargetView::default(),
         }
     }
@@ -104,7 +101,7 @@
         }
         self.in_use += 1;
         self.peak = self.peak.max(self.needed());
-        self.started = true;
+        self.starts = self.starts.saturating_add(1);
         Some(Slot {
             start_before: self.expires_at,
         })
@@ -162,48 +159,55 @@
     ///
     /// The slots that are held stay valid until they expire, and the next request reports them.
     pub fn change_owner(&mut self) {
-        self.applied = self.sequence;
-        self.pending.clear();
+        self.pending = None;
         self.hinted = true;
     }
 
     /// Returns the request to send to the owner, if one is due.
     pub fn poll(&mut self, now: Millis) -> Option<GrantRequest> {
+        self.asked = self.asked.min(self.unmet(now));
         if !self.is_due(now) {
             return None;
         }
         Some(self.request(now))
     }
 
-    /// Takes an answer, and returns whether it was used.
+    /// Takes an answer or hint, and returns whether it was used.
     pub fn on_reply(&mut self, now: Millis, reply: &GrantReply) -> bool {
         if reply.holder_boot_id != self.boot_id {
             return false;
         }
         if reply.sequence == 0 {
-            self.hinted = true;
+            self.on_hint(now, reply.contended);
             return true;
         }
-        let answered = |pending: &&Pending| pending.sequence == reply.sequence;
-        let Some(pending) = self.pending.iter().find(answered).copied() else {
+        let answered = |pending: &Pending| pending.sequence == reply.sequence;
+        let Some(pending) = self.pending.take_if(|pending| answered(pending)) else {
             return false;
         };
-        self.pending
-            .retain(|pending| pending.sequence > reply.sequence);
         self.answered_at = now;
         self.view = reply.view;
         self.counted = reply.counted;
-        // After a request that gave up everything, `applied` already covers the answer.
-        if reply.sequence > self.applied {
-            self.applied = reply.sequence;
-            self.held = reply.slots;
-            self.expires_at = pending.sent_at + reply.lifetime_ms;
-            // The owner passes on slots that it took back only after this is confirmed.
-            self.hinted |= reply.counted > reply.slots.max(self.in_use);
+        self.held = reply.slots;
+        self.expires_at = pending.sent_at + reply.lifetime_ms;
+        self.contended_until = Millis::ZERO;
+        if reply.contended {
+            self.contended_until = now + self.settings.renew_ms;
         }
+        // The owner passes on slots that it took back only after this is confirmed.
+        self.hinted |= reply.counted > reply.slots.max(self.in_use);
         true
     }
 
+    fn on_hint(&mut self, now: Millis, contended: bool) {
+        if !contended {
+            self.hinted = true;
+            return;
+        }
+        self.contended_until = now + self.settings.renew_ms;
+        self.hinted |= self.waiting > 0;
+    }
+
     /// Checks the holder's invariants.
     ///
     /// # Errors
@@ -211,7 +215,7 @@
     /// Returns the contradiction that was found.
     pub fn verify(&self, now: Millis) -> Result<(), HolderError> {
         let held = self.held(now);
-        if held > 0 && self.applied == 0 {
+        if held > 0 && self.sequence == 0 {
             return Err(HolderError::Unfounded(held));
         }
         Ok(())
@@ -221,66 +225,76 @@
         self.in_use.saturating_add(self.waiting)
     }
 
+    /// Returns the waiting calls for which there is no slot.
+    fn unmet(&self, now: Millis) -> u32 {
+        let missing = self.needed().saturating_sub(self.held(now));
+        missing.min(self.waiting)
+    }
+
+    /// Returns whether calls start so often that slots are worth keeping between them.
+    ///
+    /// The single call for which slots were asked for does not count; renewing after it would
+    /// double the messages of an instance that calls many targets rarely.
+    fn is_busy(&self) -> bool {
+        self.starts >= 2
+    }
+
     fn is_due(&self, now: Millis) -> bool {
         let Some(sent_at) = self.sent_at else {
             return self.needed() > 0;
         };
         let since = now - sent_at;
-        if since < self.settings.min_interval_ms {
+        let awaits = self.pending.is_some() && since < self.settings.answer_timeout_ms;
+        if awaits || since < self.settings.min_interval_ms {
             return false;
         }
         let needed = self.needed();
-        let held = self.held(now);
         let owner_counts = self.counted > 0 && now < self.answered_at + self.settings.forget_ms;
         if self.hinted && (needed > 0 || owner_counts) {
             return true;
         }
-        if needed > held && self.waiting > 0 && needed > self.last_needed {
+        if self.unmet(now) > self.asked {
+            return true;
+        }
+        // What the owner counts, and this holder does not need or may not use.
+        let usable = self.held(now).max(self.in_use);
+        let unused = owner_counts && self.counted > usable.min(needed);
+        if unused && now < self.contended_until {
             return true;
         }
         if since >= self.settings.report_ms && self.in_use > 0 {
             return true;
         }
-        let renews = self.started || self.waiting > 0;
-        let gives_back = owner_counts && self.counted > held.max(self.in_use);
+        let renews = self.is_busy() || self.waiting > 0;
+        let gives_back = owner_counts && self.counted > usable;
         since >= self.settings.renew_ms && (renews || gives_back)
     }
 
     fn request(&mut self, now: Millis) -> GrantRequest {
         self.sequence += 1;
         let needed = self.needed();
-        let active = self.started || self.waiting > 0;
-        let wanted = if active {
+        let wanted = if self.is_busy() && now >= self.contended_until {
             self.peak.max(needed) + self.settings.spare_slots
         } else {
             needed
         };
-        if wanted == 0 {
-            self.applied = self.sequence;
-            self.held = 0;
-        }
-        let in_use = self.in_use;
-        let held = self.held(now);
-        if self.pending.len() >= MAX_PENDING {
-            self.pending.pop_front();
-        }
-        self.pending.push_back(Pending {
+        self.held = self.held(now).min(wanted);
+        self.pending = Some(Pending {
             sequence: self.sequence,
             sent_at: now,
         });
         self.sent_at = Some(now);
         self.hinted = false;
-        self.started = false;
+        self.starts = 0;
         self.peak = needed;
-        self.last_needed = needed;
+        self.asked = self.unmet(now);
         // The answer may be lost, so the owner may count all that is asked for.
         self.counted = self.counted.max(wanted);
         GrantRequest {
             holder_boot_id: self.boot_id,
             sequence: self.sequence,
-            applied: self.applied,
-            held,
-            in_use,
+            held: self.held,
+            in_use: self.in_use,
             needed,
             wanted,
         }
--- a/crates/coord/src/grant/mod.rs
+++ b/crates/coord/src/grant/mod.rs
@@ -49,6 +49,8 @@
     pub report_ms: Millis,
     /// The shortest time between two requests of a holder, or two hints to a holder.
     pub min_interval_ms: Millis,
+    /// How long a holder waits for an answer before it asks again.
+    pub answer_timeout_ms: Millis,
     /// How long a holder keeps its turn when there are more holders than slots.
     pub turn_ms: Millis,
     /// After which silence the owner forgets a holder that membership has not declared dead; longer
@@ -72,6 +74,7 @@
             renew_ms: Millis(500),
             report_ms: Millis(3_000),
             min_interval_ms: Millis(10),
+            answer_timeout_ms: Millis(100),
             turn_ms: Millis(500),
             forget_ms: Millis(60_000),
             stale_ms: Millis(1_000),
@@ -102,15 +105,16 @@
 }
 
 /// A holder's report and request for slots.
+///
+/// It makes the answers to all earlier requests void, whether they have arrived or not, so the
+/// holder may use only `held` slots until this request is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantRequest {
     /// The boot identifier of the holder.
     pub holder_boot_id: u64,
     /// The number of the request, rising with each request of the holder for any owner.
     pub sequence: u64,
-    /// The holder ignores answers to requests with lower numbers than this one.
-    pub applied: u64,
-    /// The slots that the holder may still use because of earlier answers.
+    /// The slots that the holder keeps of earlier answers until they expire.
     pub held: u32,
     /// The calls that run.
     pub in_use: u32,
@@ -120,7 +124,7 @@
     pub wanted: u32,
 }
 
-/// The owner's answer, or a hint that the holder should report now.
+/// The owner's answer, or a hint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantReply {
     /// The boot identifier of the holder to which the answer is addressed.
@@ -134,6 +138,10 @@
     pub counted: u32,
     /// How long the slots are valid after the request was sent.
     pub lifetime_ms: Millis,
+    /// Whether other holders wait for slots; then slots are given back as soon as calls end.
+    ///
+    /// A hint without this mark asks for a report in any case.
+    pub contended: bool,
     /// What the owner knows about the target, for the choice among targets.
     pub view: TargetView,
 }
--- a/crates/coord/src/grant/owner.rs
+++ b/crates/coord/src/grant/owner.rs
@@ -16,8 +16,6 @@
 use crate::Millis;
 use crate::entity::Instance;
 
-/// How many answers that a holder has not confirmed are remembered; it gets no further ones.
-const MAX_UNCONFIRMED: usize = 8;
 /// How many renewals a holder may miss before its demand no longer counts in the division.
 const MISSED_RENEWALS: u64 = 3;
 
@@ -37,13 +35,6 @@
 
 impl Error for OwnerError {}
 
-#[derive(Clone, Copy, Debug)]
-struct Unconfirmed {
-    sequence: u64,
-    slots: u32,
-    expires_at: Millis,
-}
-
 #[derive(Clone, Debug)]
 struct HolderState {
     boot_id: u64,
@@ -51,17 +42,28 @@
     sequence: u64,
     seen_at: Millis,
     hinted_at: Option<Millis>,
+    /// When the holder was told last that others wait.
+    told_at: Option<Millis>,
     in_use: u32,
     needed: u32,
     wanted: u32,
     /// The upper bound of max(granted, in use), which falls only because of a report.
     counted: u32,
-    unconfirmed: Vec<Unconfirmed>,
+    /// The slots of the last answer, and until when they are valid.
+    granted: u32,
+    granted_until: Millis,
     gone: bool,
     turn: u64,
     turn_until: Millis,
 }
 
+impl HolderState {
+    /// Returns whether calls wait for slots.
+    fn waits(&self) -> bool {
+        !self.gone && self.needed > self.counted
+    }
+}
+
 /// The owner's side of the slots of one target.
 #[derive(Clone, Debug)]
 pub struct GrantOwner {
@@ -177,24 +179,18 @@
             let bound = self.bound;
             return Err(OwnerError::TooMany { counted, bound });
         }
-        for (&holder, state) in &self.holders {
-            let granted = state.unconfirmed.iter().map(|reply| reply.slots).max();
-            if granted.unwrap_or(0) > state.counted {
-                return Err(OwnerError::Uncounted(holder));
-            }
+        let uncounted = |(_, state): &(&Instance, &HolderState)| state.granted > state.counted;
+        match self.holders.iter().find(uncounted) {
+            Some((&holder, _)) => Err(OwnerError::Uncounted(holder)),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// Returns whether holders reported slots that this owner did not grant, which an earlier
     /// owner, or another one that acts at the same time, granted.
     fn reported_beyond_bound(&self) -> bool {
-        let granted = |state: &HolderState| {
-            let granted = state.unconfirmed.iter().map(|reply| reply.slots).max();
-            granted.unwrap_or(0)
-        };
-        let own: u32 = self.holders.values().map(granted).sum();
-        own <= self.bound
+        let granted = self.holders.values().map(|state| state.granted);
+        granted.fold(0, u32::saturating_add) <= self.bound
     }
 
     fn on_request(
@@ -208,18 +204,12 @@
         }
         let slots = self.slots_for(now, holder, request);
         let lifetime_ms = self.settings.lifetime_ms;
+        let contended = self.has_waiting(holder);
         let state = self.holders.get_mut(&holder)?;
-        if request.wanted > 0 {
-            if state.unconfirmed.len() >= MAX_UNCONFIRMED {
-                return None;
-            }
-            state.unconfirmed.push(Unconfirmed {
-                sequence: request.sequence,
-                slots,
-                expires_at: now + lifetime_ms,
-            });
-            state.counted = state.counted.max(slots);
-        }
+        state.granted = slots;
+        state.granted_until = now + lifetime_ms;
+        state.counted = state.counted.max(slots);
+        state.told_at = contended.then_some(now);
         if slots > 0 && now >= state.turn_until {
             self.turns += 1;
             state.turn = self.turns;
@@ -231,6 +221,7 @@
             slots,
             counted: state.counted,
             lifetime_ms,
+            contended,
             view: self.slow_start.view(now),
         };
         Some(OwnerOutput { holder, reply })
@@ -244,11 +235,13 @@
             sequence: 0,
             seen_at: now,
             hinted_at: None,
+            told_at: None,
             in_use: 0,
             needed: 0,
             wanted: 0,
             counted: 0,
-            unconfirmed: Vec::new(),
+            granted: 0,
+            granted_until: Millis::ZERO,
             gone: false,
             turn: self.turns,
             turn_until: Millis::ZERO,
@@ -273,12 +266,9 @@
         state.in_use = request.in_use;
         state.needed = request.needed;
         state.wanted = request.wanted;
-        // The holder ignores answers before `applied`; that one itself is part of `held`.
-        state
-            .unconfirmed
-            .retain(|reply| reply.sequence >= request.applied && reply.expires_at > now);
-        let granted = state.unconfirmed.iter().map(|reply| reply.slots).max();
-        state.counted = request.in_use.max(request.held).max(granted.unwrap_or(0));
+        // The request made all earlier answers void.
+        state.granted = 0;
+        state.counted = request.in_use.max(request.held);
         true
     }
 
@@ -294,7 +284,11 @@
             return request.held.min(request.wanted).min(available);
         }
         let shares = self.shares(now);
-        let share = shares.get(&holder).copied().unwrap_or(0);
+        let mut share = shares.get(&holder).copied().unwrap_or(0);
+        if !self.has_waiting(holder) {
+            // The demands of the others may be out of date, but none of them waits.
+            share = share.max(request.needed);
+        }
         share.min(available.saturating_sub(self.external))
     }
 
@@ -321,14 +315,14 @@
         self.holders.keys().copied().zip(shares).collect()
     }
 
-    /// Asks holders to report: those that have more than their share while others need slots, and
-    /// those that wait while slots are available.
+    /// Asks holders to report: all whose grant is above their share after the allowed number fell,
+    /// those that may have slots to give back while others wait, and those that wait while slots
+    /// are available.
     fn hint(&mut self, now: Millis, outputs: &mut Vec<OwnerOutput>) {
         let allowed = self.allowed(now).saturating_sub(self.external);
         let sum = self.counted();
-        let waiting = |state: &HolderState| !state.gone && state.needed > state.counted;
         let excess = sum > allowed;
-        if !excess && !self.holders.values().any(waiting) {
+        if !excess && !self.holders.values().any(HolderState::waits) {
             return;
         }
         let shares = self.shares(now);
@@ -337,34 +331,51 @@
         let answered: Vec<Instance> = outputs.iter().map(|output| output.holder).collect();
         for (&holder, state) in &mut self.holders {
             let share = shares.get(&holder).copied().unwrap_or(0);
-            let valid = |reply: &&Unconfirmed| reply.expires_at > now;
-            let granted = state.unconfirmed.iter().rfind(valid);
-            let granted = granted.map_or(0, |reply| reply.slots);
-            let idle = state.counted > state.in_use;
-            let gives_back = granted > share && (excess || idle);
-            let gets = !settling && available > 0 && waiting(state) && share > state.counted;
+            let granted = if now < state.granted_until {
+                state.granted
+            } else {
+                0
+            };
+            let shrinks = excess && granted > share;
+            let gets = !settling && available > 0 && state.waits() && share > state.counted;
+            let told = state
+                .told_at
+                .is_some_and(|at| now < at + self.settings.renew_ms);
+            let gives_back = state.counted > 0 && !state.waits() && !told;
             let hinted = state
                 .hinted_at
                 .is_some_and(|at| now < at + self.settings.min_interval_ms.times(2));
-            if !(gives_back || gets) || hinted || state.gone || answered.contains(&holder) {
+            if !(shrinks || gives_back || gets)
+                || hinted
+                || state.gone
+                || answered.contains(&holder)
+            {
                 continue;
             }
             if gets {
                 available = available.saturating_sub(share - state.counted);
             }
             state.hinted_at = Some(now);
+            state.told_at = (!shrinks).then_some(now);
             let reply = GrantReply {
                 holder_boot_id: state.boot_id,
                 sequence: 0,
                 slots: 0,
                 counted: state.counted,
                 lifetime_ms: Millis::ZERO,
+                contended: !shrinks,
                 view: self.slow_start.view(now),
             };
             outputs.push(OwnerOutput { holder, reply });
         }
     }
 
+    fn has_waiting(&self, except: Instance) -> bool {
+        self.holders
+            .iter()
+            .any(|(&holder, state)| holder != except && state.waits())
+    }
+
     /// Starts to settle again after a pause in which another owner may have acted.
     fn detect_pause(&mut self, now: Millis) {
         if now - self.handled_at > self.settings.lifetime_ms {
