--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -4,16 +4,20 @@
 
 use std::collections::BTreeMap;
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 use strum::EnumString;
 
+use arbutus_coord::Millis;
+
 /// The configuration of a deployment.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Deployment {
+    /// The sites that may have an overlay; when empty, any site may.
+    #[serde(default)]
+    pub sites: Vec<String>,
     /// The services by name.
     pub services: BTreeMap<String, ServiceSpec>,
     /// The pipelines by name.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,13 +6,17 @@
 
 pub mod committed;
 pub mod deployment;
+pub mod difference;
 pub mod fault;
+mod limits;
 pub mod overlay;
 pub mod path;
 pub mod resolve;
+pub mod schema;
+pub mod sections;
 pub mod settings;
 pub mod source;
-pub mod validate;
+mod validate;
 
 pub use committed::Committed;
 pub use committed::ConfigError;
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -19,8 +19,6 @@
 use tiny_http::Server;
 
 use crate::admin;
-use crate::dispatch::SinkClosed;
-use crate::dispatch::TokenSink;
 use crate::dispatch::refuse;
 use crate::lifecycle::Phase;
 use crate::metrics::OutcomeLabels;
@@ -31,9 +29,12 @@
 use crate::pipeline::Answer;
 use crate::problem::Problem;
 use crate::problem::Reason;
+use crate::relief::Relief;
 use crate::request::CallerRequest;
 use crate::response::EventStream;
 use crate::response::Responder;
+use crate::stage::SinkClosed;
+use crate::stage::TokenSink;
 use crate::stop::Stop;
 use crate::supervisor::ChildResult;
 
@@ -71,12 +72,15 @@
 /// # Errors
 ///
 /// Returns why the listener cannot accept any more.
-pub fn serve(node: &Arc<Node>, server: &Server, stop: &Stop) -> ChildResult {
+pub fn serve(node: &Arc<Node>, server: &Server, relief: &Relief, stop: &Stop) -> ChildResult {
     while !stop.is_raised() {
         let received = server
             .recv_timeout(ACCEPT_POLL_MS.to_duration())
             .map_err(|error| format!("accepting a request: {error}"))?;
         let Some(request) = received else { continue };
+        if let Some(&peer) = request.remote_addr() {
+            relief.observe(peer);
+        }
         let node = Arc::clone(node);
         let spawned = thread::Builder::new()
             .name("request".to_owned())
@@ -89,7 +93,7 @@
     Ok(())
 }
 
-fn handle(node: &Node, request: Request) {
+fn handle(node: &Arc<Node>, request: Request) {
     let url = request.url().to_owned();
     let path = url.split('?').next().unwrap_or_default();
     let sent = match path {
@@ -114,11 +118,17 @@
 
 fn ready(node: &Node, request: Request) -> io::Result<()> {
     let phase = node.phase.get();
-    let status = if phase == Phase::Serving { 200 } else { 503 };
-    respond(node, request).send_json(status, &json!({ "phase": phase.to_string() }))
+    let drained = node.is_self_drained();
+    let status = if phase == Phase::Serving && !drained {
+        200
+    } else {
+        503
+    };
+    let body = json!({ "phase": phase.to_string(), "drained": drained });
+    respond(node, request).send_json(status, &body)
 }
 
-fn pipeline_request(node: &Node, mut request: Request, pipeline: &str) -> io::Result<()> {
+fn pipeline_request(node: &Arc<Node>, mut request: Request, pipeline: &str) -> io::Result<()> {
     if *request.method() != Method::Post {
         return refuse_request(node, request, Reason::MethodNotAllowed, "use POST");
     }
@@ -140,7 +150,7 @@
     }
 }
 
-fn run(node: &Node, request: Request, caller_request: &CallerRequest) -> io::Result<()> {
+fn run(node: &Arc<Node>, request: Request, caller_request: &CallerRequest) -> io::Result<()> {
     let responder = Responder::new(request, &caller_request.id, closes(node));
     let mut sink = CallerSink::new(node, caller_request, responder);
     let result = pipeline::run(node, caller_request, &mut sink);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,9 @@
 //! The state that the threads of an instance share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicU64;
@@ -9,17 +12,33 @@
 
 use arbutus_config::Deployment;
 use arbutus_config::Settings;
+use arbutus_config::deployment::ServiceKind;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
+use arbutus_coord::drain::Subject;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
+use arbutus_policy::quarantine::Quarantine;
+use arbutus_policy::quarantine::QuarantineEntry;
+use arbutus_policy::quarantine::QuarantineSettings;
+use arbutus_wire::datagram::Body;
 use arbutus_wire::platform::InstanceList;
 use log::info;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::claims::Claims;
 use crate::directory::Directory;
+use crate::directory::TargetEntry;
+use crate::events::NodeEvents;
+use crate::gossip::GossipNode;
 use crate::lifecycle::PhaseCell;
 use crate::metrics::Metrics;
+use crate::owner::Owners;
 use crate::platform::Platform;
 use crate::slots::Slots;
+use crate::stop::Stop;
 use crate::target_client::TargetClient;
 
 /// The configuration in force.
@@ -49,13 +68,21 @@
     /// The targets' client.
     pub targets: TargetClient,
     /// The slots at targets.
-    pub slots: Slots,
+    pub slots: Arc<Slots>,
+    /// The targets whose slots this instance grants.
+    pub owners: Owners,
+    /// The requests that made targets fail.
+    pub quarantine: Mutex<Quarantine>,
     /// The claims of non-idempotent requests.
     pub claims: Claims,
+    /// Raised when the instance has to shut down.
+    pub terminate: Stop,
+    gossip: OnceLock<Arc<GossipNode<NodeEvents>>>,
     active: RwLock<Arc<Active>>,
     directory: RwLock<Arc<Directory>>,
     in_flight: AtomicUsize,
     next_request: AtomicU64,
+    random: Mutex<ChaCha8Rng>,
 }
 
 /// A request that counts as in progress until it is dropped.
@@ -75,9 +102,14 @@
             phase: PhaseCell::default(),
             metrics: Metrics::new(),
             targets: TargetClient::new(),
-            slots: Slots::new(),
+            slots: Arc::new(Slots::new(boot_id)),
+            owners: Owners::new(),
+            quarantine: Mutex::new(Quarantine::new(QuarantineSettings::default())),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(boot_id)),
             claims: Claims::new(platform.clone()),
             platform,
+            terminate: Stop::new(),
+            gossip: OnceLock::new(),
             active: RwLock::default(),
             directory: RwLock::default(),
             in_flight: AtomicUsize::new(0),
@@ -92,6 +124,138 @@
         self.clock.now()
     }
 
+    /// Returns a uniformly distributed random number.
+    #[must_use]
+    pub fn random(&self) -> u64 {
+        self.random
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .next_u64()
+    }
+
+    /// Connects the instance with the others.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it is called twice.
+    pub fn set_gossip(&self, gossip: Arc<GossipNode<NodeEvents>>) {
+        assert!(self.gossip.set(gossip).is_ok(), "gossip is connected once");
+    }
+
+    /// Returns the connection with other instances.
+    ///
+    /// # Panics
+    ///
+    /// Panics before [`Node::set_gossip`].
+    #[must_use]
+    pub fn gossip(&self) -> &GossipNode<NodeEvents> {
+        self.gossip
+            .get()
+            .expect("gossip is connected before requests are accepted")
+    }
+
+    /// Returns all members, this instance included.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        self.gossip()
+            .read(|gossip| gossip.members().members().cloned().collect())
+    }
+
+    /// Returns the names of the instances of this failure domain that can own targets.
+    ///
+    /// A suspect member owns nothing, so that ownership moves before the suspicion ends.
+    #[must_use]
+    pub fn live_instances(&self) -> BTreeSet<String> {
+        self.domain_members(|member| member.state == MemberState::Alive)
+    }
+
+    /// Returns the names of the instances of this failure domain that may use slots.
+    #[must_use]
+    pub fn known_instances(&self) -> BTreeSet<String> {
+        self.domain_members(|member| member.state != MemberState::Dead)
+    }
+
+    /// Returns whether this instance cannot know whether the others regard it as dead.
+    #[must_use]
+    pub fn is_self_suspect(&self) -> bool {
+        self.gossip().is_self_suspect()
+    }
+
+    /// Returns whether a target takes no new calls: it leaves, or it or its domain is drained.
+    #[must_use]
+    pub fn is_closed(&self, entry: &TargetEntry) -> bool {
+        entry.leaving
+            || self.is_drained(&Subject::FailureDomain(entry.failure_domain.clone()))
+            || self.is_drained(&Subject::Target(entry.name.clone()))
+    }
+
+    /// Returns whether an instance, or its failure domain, is drained.
+    #[must_use]
+    pub fn is_instance_drained(&self, member: &Member) -> bool {
+        self.is_drained(&Subject::FailureDomain(member.failure_domain.clone()))
+            || self.is_drained(&Subject::Instance(member.name.clone()))
+    }
+
+    /// Returns whether a subject is drained.
+    #[must_use]
+    pub fn is_drained(&self, subject: &Subject) -> bool {
+        self.gossip()
+            .read(|gossip| gossip.drains().is_drained(subject))
+    }
+
+    /// Returns whether this instance, or its failure domain, is drained.
+    #[must_use]
+    pub fn is_self_drained(&self) -> bool {
+        self.is_drained(&Subject::FailureDomain(
+            self.settings.failure_domain.clone(),
+        )) || self.is_drained(&Subject::Instance(self.settings.name.clone()))
+    }
+
+    /// Sends a datagram to an instance; a lost one is the protocol's concern.
+    pub fn send(&self, instance: &str, body: Body) {
+        let gossip = self.gossip();
+        let address = gossip.read(|gossip| {
+            gossip
+                .members()
+                .get(instance)
+                .map(|member| member.peer_address)
+        });
+        let Some(address) = address else { return };
+        if gossip.send(address, body).is_err() {
+            self.metrics.count("datagram_too_large");
+        }
+    }
+
+    /// Returns whether the targets of a service stream tokens.
+    #[must_use]
+    pub fn streams(&self, service: &str) -> bool {
+        let active = self.active();
+        let spec = active.deployment.services.get(service);
+        spec.is_some_and(|spec| spec.kind == ServiceKind::Engine)
+    }
+
+    /// Tells other instances about a request that made targets fail.
+    pub fn share_quarantine(&self, entry: &QuarantineEntry) {
+        self.metrics.count("target_failed_during_request");
+        let body = Body::Quarantine(vec![entry.clone()]);
+        for member in self.members() {
+            if member.name != self.settings.name && member.state == MemberState::Alive {
+                self.send(&member.name, body.clone());
+            }
+        }
+    }
+
+    fn domain_members(&self, accepts: impl Fn(&Member) -> bool) -> BTreeSet<String> {
+        let domain = &self.settings.failure_domain;
+        self.gossip().read(|gossip| {
+            let members = gossip.members().members();
+            members
+                .filter(|member| member.failure_domain == *domain && accepts(member))
+                .map(|member| member.name.clone())
+                .collect()
+        })
+    }
+
     /// Returns an identifier that no other request has, also after a restart.
     #[must_use]
     pub fn new_request_id(&self) -> String {
--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -35,10 +35,13 @@
 
 const CONNECT_TIMEOUT_MS: Millis = Millis(500);
 const REPORT_TIMEOUT_MS: Millis = Millis(400);
-const ORDER_TIMEOUT_MS: Millis = Millis(2_000);
+/// The longest time that an order is on its way.
+pub const ORDER_TIMEOUT_MS: Millis = Millis(2_000);
 const MAX_ANSWER_BYTES: u64 = 4 * 1024 * 1024;
 const MAX_IDLE_CONNECTIONS: usize = 256;
 const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 32;
+/// The library's default of 128 KiB for each direction dominates the memory of an open stream.
+const BUFFER_BYTES: usize = 16 * 1024;
 const STATUS_CONFLICT: u16 = 409;
 
 /// Why a call has no usable answer.
@@ -48,6 +51,8 @@
     NotConnected(String),
     /// the call failed after the connection was established: {0}
     Failed(String),
+    /// the call took longer than it may: {0}
+    TimedOut(String),
     /// the target answered with status {0}
     Status(u16),
     /// the answer belongs to another attempt
@@ -263,6 +268,8 @@
         .max_idle_connections(max_idle_connections)
         .max_idle_connections_per_host(max_idle_connections.min(MAX_IDLE_CONNECTIONS_PER_TARGET))
         .timeout_connect(Some(CONNECT_TIMEOUT_MS.to_duration()))
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .build()
         .new_agent()
 }
