grant: let a holder be created again and tell when it is idle

An instance that stops using a target and uses it again creates a new holder with the same boot identifier. Its numbers started at 1 again, and the owner ignored its requests as old. Numbers are now at least the time in milliseconds. `GrantHolder::is_idle` says when a holder that is no longer used can be dropped without leaving slots counted at the owner.

`a_holder_that_gives_up_can_be_created_again` failed in the second round when the number was only incremented (without random input).

--- a/crates/coord/src/grant/holder.rs
+++ b/crates/coord/src/grant/holder.rs
@@ -138,6 +138,16 @@
         self.in_use
     }
 
+    /// Returns whether no call runs or waits and the owner counts nothing for this holder.
+    ///
+    /// An instance that stops using a target keeps the holder and polls it until then; otherwise
+    /// the owner counts its slots until it forgets the silent holder.
+    #[must_use]
+    pub fn is_idle(&self, now: Millis) -> bool {
+        let forgotten = now >= self.answered_at + self.settings.forget_ms;
+        self.needed() == 0 && (self.counted == 0 || forgotten)
+    }
+
     /// Returns what the owner last said about the target.
     #[must_use]
     pub fn view(&self) -> TargetView {
@@ -271,7 +281,9 @@
     }
 
     fn request(&mut self, now: Millis) -> GrantRequest {
-        self.sequence += 1;
+        // A holder that is created again in the same process continues above its old numbers, since
+        // the numbers of the old one cannot be ahead of the time in milliseconds.
+        self.sequence = (self.sequence + 1).max(now.0);
         let needed = self.needed();
         let wanted = if self.is_busy() && now >= self.contended_until {
             self.peak.max(needed) + self.settings.spare_slots
--- a/crates/coord/tests/grant/main.rs
+++ b/crates/coord/tests/grant/main.rs
@@ -5,6 +5,7 @@
 
 use arbutus_coord::Millis;
 use arbutus_coord::grant::Demand;
+use arbutus_coord::grant::GrantHolder;
 use arbutus_coord::grant::GrantSettings;
 use arbutus_coord::grant::OwnerInput;
 use arbutus_coord::grant::SlowStart;
@@ -253,6 +254,22 @@
     assert_eq!(slow_start.allowed(Millis(13_000)), 1, "an old report");
 }
 
+#[test]
+fn a_holder_that_gives_up_can_be_created_again() {
+    let mut deployment = Deployment::new(5, 1, 4, QUIET);
+    for round in 1..=3 {
+        deployment.nodes[0].waiting = 2;
+        for _ in 0..800 {
+            deployment.step(0);
+        }
+        assert_eq!(deployment.nodes[0].served, 2 * round);
+        let holder = &mut deployment.nodes[0].holder;
+        assert!(holder.is_idle(deployment.now), "{holder:?}");
+        assert_eq!(deployment.owners[0].counted(), 0);
+        *holder = GrantHolder::new(GrantSettings::default(), 100);
+    }
+}
+
 fn division_is_fair(slots: u8, demands: Vec<(u8, u8, u8)>) -> bool {
     let slots = u32::from(slots);
     let demands: Vec<Demand> = demands
