--- a/crates/coord/tests/grant/main.rs
+++ b/crates/coord/tests/grant/main.rs
@@ -3,6 +3,9 @@
 
 mod deployment;
 
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
 use arbutus_coord::Millis;
 use arbutus_coord::grant::Demand;
 use arbutus_coord::grant::GrantHolder;
@@ -11,9 +14,6 @@
 use arbutus_coord::grant::SlowStart;
 use arbutus_coord::grant::TargetReport;
 use arbutus_coord::grant::divide;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
-
 use deployment::Deployment;
 use deployment::Faults;
 use deployment::QUIET;
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -14,9 +14,10 @@
 use std::collections::BTreeSet;
 use std::error::Error;
 
+use displaydoc::Display;
+
 use arbutus_coord::Millis;
 use arbutus_coord::entity::Organisation;
-use displaydoc::Display;
 
 /// The busy time after which the throughput is measured anew.
 const MEASURE_MS: u64 = 200;
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -10,9 +10,10 @@
 
 use std::error::Error;
 
-use arbutus_coord::Millis;
 use displaydoc::Display;
 
+use arbutus_coord::Millis;
+
 /// The identifiers that a call carries and that its answer echoes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptIds {
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -4,9 +4,8 @@
 //! hedged while the service is healthy. When the whole service becomes slow, more calls pass that
 //! delay; the bounded share of calls then keeps hedges from adding to the overload.
 
-use arbutus_coord::Millis;
-
 use crate::latency::RecentLatency;
+use arbutus_coord::Millis;
 
 const HEDGE_COST: u64 = 100;
 
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -3,9 +3,10 @@
 //! Two histograms cover between one and two windows of time, so old measurements are forgotten
 //! and memory is constant.
 
-use arbutus_coord::Millis;
 use hdrhistogram::Histogram;
 
+use arbutus_coord::Millis;
+
 const LOWEST_MS: u64 = 1;
 const HIGHEST_MS: u64 = 600_000;
 const SIGNIFICANT_DIGITS: u8 = 2;
--- a/crates/policy/src/limit_share.rs
+++ b/crates/policy/src/limit_share.rs
@@ -12,12 +12,11 @@
 
 use std::collections::BTreeMap;
 
-use arbutus_coord::Millis;
-use arbutus_coord::entity::Instance;
-
 use crate::limits::LimitDemand;
 use crate::limits::LimitPath;
 use crate::limits::LimitTree;
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Instance;
 
 /// Settings of the division of limits.
 #[derive(Clone, Copy, Debug)]
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -19,11 +19,12 @@
 use std::error::Error;
 use std::fmt;
 
-use arbutus_coord::Millis;
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
+use arbutus_coord::Millis;
+
 const WILDCARD: &str = "*";
 /// Organisation, class, pipeline.
 const MAX_DEPTH: usize = 3;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -9,10 +9,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 
+use arbutus_coord::Millis;
+
 /// The failures that quarantine a request.
 const FAILURES: usize = 2;
 /// How much each hop shortens the span of an entry; longer than a datagram usually travels.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -7,9 +7,10 @@
 
 use std::error::Error;
 
-use arbutus_coord::Millis;
 use displaydoc::Display;
 
+use arbutus_coord::Millis;
+
 /// The cost of one retry in the unit of the bucket.
 const RETRY_COST: u64 = 100_000;
 /// What each percent of the budget adds for a successful call.
--- a/crates/policy/src/stage_budget.rs
+++ b/crates/policy/src/stage_budget.rs
@@ -4,9 +4,8 @@
 //! stage whose latency varies much gets more room. Until every stage has been measured, the
 //! remaining time is divided evenly.
 
-use arbutus_coord::Millis;
-
 use crate::latency::RecentLatency;
+use arbutus_coord::Millis;
 
 /// Settings of stage budgets.
 #[derive(Clone, Copy, Debug)]
