--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -9,6 +9,8 @@
 //! see [`Attempt::check_echo`].
 
 use std::error::Error;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use displaydoc::Display;
 
@@ -56,6 +58,7 @@
 pub struct Sent {
     at: Millis,
     earlier_sent: bool,
+    followed: AtomicBool,
 }
 
 /// One attempt to run one stage at one target.
@@ -158,6 +161,7 @@
             state: Sent {
                 at: now,
                 earlier_sent: self.state.earlier_sent,
+                followed: AtomicBool::new(false),
             },
         }
     }
@@ -193,16 +197,18 @@
         Attempt {
             ids: self.ids,
             state: Unsent {
-                earlier_sent: self.state.earlier_sent,
+                earlier_sent: self.state.earlier_sent || self.state.followed.into_inner(),
             },
         }
     }
 
     /// Creates a further attempt of the same request: a retry, a hedge or the next stage.
     ///
-    /// The new attempt cannot prove `not run`, because this one was sent.
+    /// The new attempt cannot prove `not run`, because this one was sent. This one cannot do so any
+    /// more either, even if it is taken back, because the new one may be sent meanwhile.
     #[must_use]
     pub fn follow(&self, stage: String, attempt: String) -> Attempt<Unsent> {
+        self.state.followed.store(true, Ordering::Relaxed);
         Attempt {
             ids: AttemptIds {
                 request: self.ids.request.clone(),
--- a/crates/policy/tests/attempt.rs
+++ b/crates/policy/tests/attempt.rs
@@ -75,3 +75,14 @@
     let refused = retry.send(Millis(8)).take_back().not_run();
     assert_eq!(refused.expect_err("an attempt was sent").request, "r1");
 }
+
+#[test]
+fn an_attempt_that_was_hedged_proves_nothing_when_it_is_taken_back() {
+    let first = Attempt::first(ids()).send(Millis(7));
+    let hedge = first
+        .follow("encode".to_owned(), "a2".to_owned())
+        .send(Millis(8));
+    let proof = first.take_back().not_run();
+    assert_eq!(proof.expect_err("the hedge was sent").request, "r1");
+    drop(hedge);
+}
