--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub struct Sent {
     at: Millis,
-    earlier_sent: bool,
+    preceded: bool,
     followed: AtomicBool,
 }
 
@@ -160,7 +160,7 @@
             ids: self.ids,
             state: Sent {
                 at: now,
-                earlier_sent: self.state.earlier_sent,
+                preceded: self.state.earlier_sent,
                 followed: AtomicBool::new(false),
             },
         }
@@ -197,7 +197,7 @@
         Attempt {
             ids: self.ids,
             state: Unsent {
-                earlier_sent: self.state.earlier_sent || self.state.followed.into_inner(),
+                earlier_sent: self.state.preceded || self.state.followed.into_inner(),
             },
         }
     }
