--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -9,10 +9,13 @@
 //! see [`Attempt::check_echo`].
 
 use std::error::Error;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
-use arbutus_coord::Millis;
 use displaydoc::Display;
 
+use arbutus_coord::Millis;
+
 /// The identifiers that a call carries and that its answer echoes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptIds {
@@ -54,7 +57,8 @@
 #[derive(Debug)]
 pub struct Sent {
     at: Millis,
-    earlier_sent: bool,
+    preceded: bool,
+    followed: AtomicBool,
 }
 
 /// One attempt to run one stage at one target.
@@ -156,7 +160,8 @@
             ids: self.ids,
             state: Sent {
                 at: now,
-                earlier_sent: self.state.earlier_sent,
+                preceded: self.state.earlier_sent,
+                followed: AtomicBool::new(false),
             },
         }
     }
@@ -192,16 +197,18 @@
         Attempt {
             ids: self.ids,
             state: Unsent {
-                earlier_sent: self.state.earlier_sent,
+                earlier_sent: self.state.preceded || self.state.followed.into_inner(),
             },
         }
     }
 
     /// Creates a further attempt of the same request: a retry, a hedge or the next stage.
     ///
-    /// The new attempt cannot prove `not run`, because this one was sent.
+    /// The new attempt cannot prove `not run`, because this one was sent. This one cannot do so any
+    /// more either, even if it is taken back, because the new one may be sent meanwhile.
     #[must_use]
     pub fn follow(&self, stage: String, attempt: String) -> Attempt<Unsent> {
+        self.state.followed.store(true, Ordering::Relaxed);
         Attempt {
             ids: AttemptIds {
                 request: self.ids.request.clone(),
