--- a/crates/wire/tests/encoding.rs
+++ b/crates/wire/tests/encoding.rs
@@ -46,6 +46,7 @@
         digests: Digests::default(),
         body,
         members: Vec::new(),
+        briefs: Vec::new(),
         drains: Vec::new(),
     }
 }
