--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -120,6 +120,7 @@
                 remote::serve_stage(&self.node, &call.sender, &stage_call, replies)
             }
             PeerRequest::Status => replies.send(&PeerReply::Status(status::own_status(&self.node))),
+            PeerRequest::Claim { command, .. } => replies.send(&self.node.claims.serve(&command)),
             _ => replies.send(&PeerReply::Refused {
                 reason: "the call is not supported".to_owned(),
             }),
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -8,6 +8,8 @@
 use arbutus_coord::Millis;
 use arbutus_policy::attempt::Attempt;
 use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Unsent;
+use arbutus_wire::header;
 use log::debug;
 use serde_json::json;
 use socket2::Domain;
@@ -153,11 +155,43 @@
 fn run(node: &Arc<Node>, request: Request, caller_request: &CallerRequest) -> io::Result<()> {
     let responder = Responder::new(request, &caller_request.id, closes(node));
     let mut sink = CallerSink::new(node, caller_request, responder);
-    let result = pipeline::run(node, caller_request, &mut sink);
+    let result = run_within_limits(node, caller_request, &mut sink);
     count(node, caller_request, result.as_ref());
     sink.finish(result)
 }
 
+fn run_within_limits(
+    node: &Arc<Node>,
+    request: &CallerRequest,
+    sink: &mut CallerSink<'_>,
+) -> Result<Answer, Problem> {
+    let CallerRequest {
+        organisation,
+        pipeline,
+        ..
+    } = request;
+    match node
+        .limits
+        .enter(node.now(), organisation, &request.spec().class, pipeline)
+    {
+        Ok(_counted) => pipeline::run(node, request, sink),
+        Err(denied) => {
+            let attempt = unsent_attempt(&request.id);
+            let problem = refuse(attempt, Reason::Overloaded, denied.to_string())
+                .with_retry_after(OVERLOAD_RETRY_MS);
+            pipeline::confirm_refusal(node, request, problem)
+        }
+    }
+}
+
+fn unsent_attempt(request_id: &str) -> Attempt<Unsent> {
+    Attempt::first(AttemptIds {
+        request: request_id.to_owned(),
+        stage: String::new(),
+        attempt: format!("{request_id}..0"),
+    })
+}
+
 fn count(node: &Node, request: &CallerRequest, result: Result<&Answer, &Problem>) {
     let late = node.now() > request.deadline;
     let outcome = match result {
@@ -203,15 +237,17 @@
     detail: &str,
 ) -> io::Result<()> {
     let id = node.new_request_id();
-    let ids = AttemptIds {
-        request: id.clone(),
-        stage: String::new(),
-        attempt: format!("{id}..0"),
-    };
-    let mut problem = refuse(Attempt::first(ids), reason, detail);
+    let mut problem = refuse(unsent_attempt(&id), reason, detail);
     if matches!(reason, Reason::Overloaded | Reason::NotReady) {
         problem = problem.with_retry_after(OVERLOAD_RETRY_MS);
     }
+    let keyed = request
+        .headers()
+        .iter()
+        .any(|header| header.field.equiv(header::IDEMPOTENCY_KEY));
+    if keyed {
+        problem = problem.with_earlier_calls_unknown();
+    }
     node.metrics.count(&format!("refused_{reason}"));
     Responder::new(request, &id, closes(node)).send_problem(&problem)
 }
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -44,6 +44,8 @@
     InProgress,
     /// The outcome of an earlier call with the same idempotency key is not known.
     OutcomeUnknown,
+    /// An operator recorded that the request was not run.
+    SettledNotRun,
     /// The instance has no configuration, or leaves.
     NotReady,
     /// Too many requests are in progress, or a limit is reached.
@@ -69,7 +71,7 @@
             Self::UnknownOrganisation => 403,
             Self::NotFound => 404,
             Self::MethodNotAllowed => 405,
-            Self::InProgress | Self::OutcomeUnknown => 409,
+            Self::InProgress | Self::OutcomeUnknown | Self::SettledNotRun => 409,
             Self::BodyTooLarge => 413,
             Self::IdempotencyKeyReused | Self::Quarantined => 422,
             Self::Overloaded => 429,
@@ -87,6 +89,7 @@
     executed: Executed,
     detail: String,
     retry_after_ms: Option<Millis>,
+    earlier_calls_unknown: bool,
 }
 
 #[derive(Serialize)]
@@ -96,6 +99,8 @@
     status: u16,
     detail: &'a str,
     executed: Executed,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    earlier_calls: Option<&'static str>,
 }
 
 impl Problem {
@@ -107,6 +112,7 @@
             executed: Executed::No,
             detail: detail.into(),
             retry_after_ms: None,
+            earlier_calls_unknown: false,
         }
     }
 
@@ -118,6 +124,7 @@
             executed: Executed::Unknown,
             detail: detail.into(),
             retry_after_ms: None,
+            earlier_calls_unknown: false,
         }
     }
 
@@ -128,6 +135,15 @@
         self
     }
 
+    /// Adds that an earlier call with the same idempotency key may have run.
+    ///
+    /// `"executed": "no"` is about this call; whether it was a resend is not known.
+    #[must_use]
+    pub fn with_earlier_calls_unknown(mut self) -> Self {
+        self.earlier_calls_unknown = self.executed == Executed::No;
+        self
+    }
+
     /// Returns why the request was refused or failed.
     #[must_use]
     pub fn reason(&self) -> Reason {
@@ -165,6 +181,7 @@
             status: self.reason.status(),
             detail: &self.detail,
             executed: self.executed,
+            earlier_calls: self.earlier_calls_unknown.then_some("unknown"),
         };
         serde_json::to_string(&body).expect("problem details are serializable")
     }
--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -98,11 +98,11 @@
     node: &Node,
     call: &StageCall,
     ids: &AttemptIds,
-    peer: &Member,
+    (peer, wait_ms): (&Member, Millis),
     stream: &mut TokenStream,
     sink: &mut dyn TokenSink,
 ) -> RemoteEnd {
-    let request = PeerRequest::StageCall(WireCall {
+    let request = PeerRequest::StageCall(Box::new(WireCall {
         request_id: ids.request.clone(),
         stage_id: ids.stage.clone(),
         attempt_id: ids.attempt.clone(),
@@ -111,14 +111,16 @@
         organisation: call.organisation.clone(),
         priority: call.priority,
         idempotency_key: call.idempotency_key.clone(),
+        dispatch_within_ms: call.dispatch_by.map(|by| by - node.now()),
         fingerprint: call.fingerprint,
         prefix: call.prefix,
         body: call.input.to_string().into_bytes(),
         max_tokens: call.max_tokens,
         stall_ms: call.stall_ms,
         resume_at: stream.resume_at(),
+        wait_ms,
         hops: 1,
-    });
+    }));
     let end = match node.gossip().client().stream(peer.peer_address, request) {
         Ok(answer) => receive(node, call, ids, answer, stream, sink),
         Err(error) => lost(&error, false),
@@ -276,11 +278,16 @@
         };
     };
     let local = StageCall {
+        pipeline: String::new(),
+        stage_index: 0,
         streams: node.streams(&call.service),
         service: call.service.clone(),
         organisation: call.organisation.clone(),
+        weight: node.weight(&call.organisation),
         priority: call.priority,
         deadline: node.now() + call.remaining_ms,
+        expected_ms: Millis::ZERO,
+        patience_ms: call.remaining_ms,
         stall_ms: call.stall_ms,
         max_tokens: call.max_tokens,
         hedge: false,
@@ -289,6 +296,8 @@
         prefix: call.prefix,
         input,
         resume_at: call.resume_at,
+        wait_ms: call.wait_ms,
+        dispatch_by: call.dispatch_within_ms.map(|within| node.now() + within),
         forwarded: true,
     };
     let attempt = Attempt::first(AttemptIds {
