--- a/crates/coord/examples/scale.rs
+++ b/crates/coord/examples/scale.rs
@@ -113,7 +113,7 @@
     fleet.partitioned = true;
     let live = fleet.live();
     let cut = fleet.run(LONGEST_HEAL, |fleet| {
-        fleet.all(|gossip| gossip.members().peers() <= live / 2 + DOMAINS)
+        fleet.all(|gossip| gossip.members().peers() <= usize::midpoint(live, DOMAINS))
     });
     fleet.run(QUIET, |_| false);
     fleet.partitioned = false;
--- a/crates/coord/tests/gossip.rs
+++ b/crates/coord/tests/gossip.rs
@@ -10,6 +10,8 @@
 use arbutus_coord::document::DocumentKind;
 use arbutus_coord::drain::Subject;
 use arbutus_coord::gossip::Input;
+use arbutus_coord::gossip::Output;
+use arbutus_coord::membership::Member;
 use arbutus_coord::membership::MemberState;
 use network::Faults;
 use network::Network;
@@ -185,6 +187,81 @@
     check(60, property as fn(usize, u64) -> TestResult);
 }
 
+/// Guards against a live member that is declared dead by an instance that the refutation did not
+/// reach, with 20 % loss.
+#[test]
+fn lost_refutations_do_not_kill_a_member() {
+    fn property(seed: u64) -> TestResult {
+        let mut network = Network::new(INSTANCES, DOMAINS, seed);
+        network.faults.loss_percent = 20;
+        network.faults.max_delay_ms = 5;
+        network.run(Millis(60_000));
+        let deaths = network.nodes.values().map(|node| node.deaths_seen.len());
+        match deaths.sum::<usize>() {
+            0 => TestResult::passed(),
+            deaths => TestResult::error(format!("{deaths} wrong deaths")),
+        }
+    }
+    check(60, property as fn(u64) -> TestResult);
+}
+
+/// Guards against an observer that relies on others to hear a refutation.
+#[test]
+fn every_observer_probes_a_suspect_before_it_declares_it_dead() {
+    let mut network = Network::new(INSTANCES, DOMAINS, 4);
+    let mut observer = network.nodes.remove(&0).expect("it runs").gossip;
+    let accuser = &mut network.nodes.get_mut(&1).expect("it runs").gossip;
+    let mut packet = accuser.notice();
+    let mut suspect = accuser
+        .members()
+        .get(&name(8))
+        .cloned()
+        .expect("it is known");
+    suspect.state = MemberState::Suspect;
+    packet.members = vec![suspect.clone()];
+    let from = address(1);
+    let packet = &packet;
+    observer.handle(network.now, Input::Received { from, packet });
+    let mut told = 0;
+    for elapsed in 1..2_000 {
+        let now = network.now + Millis(elapsed);
+        if observer.wake_at() <= now {
+            let outputs = observer.handle(now, Input::Tick);
+            let tells = |output: &&Output| {
+                matches!(output, Output::Send { to, packet }
+                    if *to == address(8) && packet.members.contains(&suspect))
+            };
+            told += outputs.iter().filter(tells).count();
+        }
+    }
+    assert!(told >= 4, "the suspect was told {told} times");
+}
+
+/// Guards against news that waits for the next probes, which takes too long in a large fleet.
+#[test]
+fn news_spreads_within_a_probe_period() {
+    fn property(origin: usize, seed: u64) -> TestResult {
+        let origin = origin % INSTANCES;
+        let mut network = Network::new(INSTANCES, DOMAINS, seed);
+        let subject = Subject::FailureDomain("domain-1".to_owned());
+        let document = generation(2, 0);
+        order(&mut network, origin, subject.clone(), true);
+        network.input(origin, Input::Document(&document));
+        network.run(Millis(250));
+        let knows = |index: &usize| {
+            let gossip = &network.nodes[index].gossip;
+            let configuration = gossip.documents().get(&DocumentKind::Configuration);
+            gossip.drains().is_drained(&subject) && configuration.is_some()
+        };
+        let informed = network.nodes.keys().filter(|index| knows(index)).count();
+        if informed + 1 < INSTANCES {
+            return TestResult::error(format!("{informed} instances have the news"));
+        }
+        TestResult::passed()
+    }
+    check(30, property as fn(usize, u64) -> TestResult);
+}
+
 /// Guards against a drain that does not reach every reachable instance within 5 s without the
 /// platform, with loss, and against a partitioned side that does not learn of it after the heal.
 #[test]
@@ -327,7 +404,8 @@
             packet: &newer,
         };
         let outputs = old.gossip.handle(network.now, input);
-        if outputs.is_empty() {
+        let superseded = |output: &Output| matches!(output, Output::Superseded { .. });
+        if !outputs.iter().any(superseded) {
             return TestResult::error("the old process does not notice its successor");
         }
         match network.wrong_view() {
@@ -356,6 +434,20 @@
     }
 }
 
+/// Guards against live members that are declared dead because a peer from the other side of a
+/// healed partition, from which the members are pulled, regards them so.
+#[test]
+fn deaths_are_not_pulled_from_a_peer() {
+    let mut network = Network::new(INSTANCES, DOMAINS, 6);
+    let members = network.nodes[&0].gossip.members().members().cloned();
+    let mut members: Vec<Member> = members.collect();
+    for member in &mut members {
+        member.state = MemberState::Dead;
+    }
+    network.input(3, Input::Members(&members));
+    assert_eq!(network.wrong_view(), None);
+}
+
 /// Guards against a failure domain that stays cut off after an hour without the platform.
 #[test]
 fn sides_meet_again_after_a_long_partition() {
