standins: measure the cost of control at 2 to 16 instances

arbutus-control starts fleets without callers (two failure domains, three engines for each instance) and reads processor time, memory and bytes over 10 s (release build, shared machine, load average 15):

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -102,6 +102,7 @@
         "/healthz" => respond(node, request).send(200, "text/plain", "ok\n"),
         "/readyz" => ready(node, request),
         "/metrics" => {
+            node.update_gauges();
             let text = node.metrics.render();
             let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
             respond(node, request).send(200, content_type, &text)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -80,6 +80,12 @@
     pub in_flight: Gauge,
     /// The generation of the configuration in force.
     pub generation: Gauge,
+    /// Bytes sent to other instances: gossip, grants, peer calls.
+    pub peer_bytes_sent: Gauge,
+    /// Datagrams sent to other instances.
+    pub peer_datagrams_sent: Gauge,
+    /// Calls made to the platform.
+    pub platform_calls: Counter,
 }
 
 impl Metrics {
@@ -96,6 +102,24 @@
         let events = Family::default();
         let in_flight = Gauge::default();
         let generation = Gauge::default();
+        let peer_bytes_sent = Gauge::default();
+        let peer_datagrams_sent = Gauge::default();
+        let platform_calls = Counter::default();
+        registry.register(
+            "peer_bytes_sent",
+            "Bytes sent to other instances",
+            Gauge::clone(&peer_bytes_sent),
+        );
+        registry.register(
+            "peer_datagrams_sent",
+            "Datagrams sent to other instances",
+            Gauge::clone(&peer_datagrams_sent),
+        );
+        registry.register(
+            "platform_calls",
+            "Calls made to the platform",
+            Counter::clone(&platform_calls),
+        );
         registry.register(
             "requests",
             "Requests by how they ended",
@@ -148,6 +172,9 @@
             events,
             in_flight,
             generation,
+            peer_bytes_sent,
+            peer_datagrams_sent,
+            platform_calls,
         }
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -102,12 +102,14 @@
     #[must_use]
     pub fn new(settings: Settings, boot_id: u64) -> Self {
         let clock = Clock::new();
-        let platform = Platform::new(settings.platform_address, &settings.failure_domain);
+        let metrics = Metrics::new();
+        let platform = Platform::new(settings.platform_address, &settings.failure_domain)
+            .with_counter(metrics.platform_calls.clone());
         Self {
             clock,
             boot_id,
             phase: PhaseCell::default(),
-            metrics: Metrics::new(),
+            metrics,
             targets: TargetClient::new(),
             slots: Arc::new(Slots::new(clock, boot_id)),
             owners: Owners::new(),
@@ -231,6 +233,17 @@
         )) || self.is_drained(&Subject::Instance(self.settings.name.clone()))
     }
 
+    /// Takes over counters that other parts keep into the metrics.
+    pub fn update_gauges(&self) {
+        let counters = self.gossip().counters();
+        let datagrams = counters.datagrams_sent.load(Ordering::Relaxed);
+        let bytes = i64::try_from(counters.bytes_sent()).unwrap_or(i64::MAX);
+        self.metrics.peer_bytes_sent.set(bytes);
+        self.metrics
+            .peer_datagrams_sent
+            .set(i64::try_from(datagrams).unwrap_or(i64::MAX));
+    }
+
     /// Sends a datagram to an instance; a lost one is the protocol's concern.
     pub fn send(&self, instance: &str, body: Body) {
         let gossip = self.gossip();
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -11,6 +11,7 @@
 use arbutus_wire::platform::ObjectList;
 use arbutus_wire::platform::Written;
 use displaydoc::Display;
+use prometheus_client::metrics::counter::Counter;
 use serde_json::Value;
 use ureq::Agent;
 use ureq::Error;
@@ -69,6 +70,7 @@
     base: String,
     failure_domain: String,
     call_timeout_ms: Millis,
+    calls: Counter,
 }
 
 impl Platform {
@@ -85,9 +87,17 @@
             base: format!("http://{address}"),
             failure_domain: failure_domain.to_owned(),
             call_timeout_ms: CALL_TIMEOUT_MS,
+            calls: Counter::default(),
         }
     }
 
+    /// Counts the calls in a metric.
+    #[must_use]
+    pub fn with_counter(mut self, calls: Counter) -> Self {
+        self.calls = calls;
+        self
+    }
+
     /// Replaces the time limit of reads and writes.
     #[must_use]
     pub fn with_call_timeout(mut self, timeout_ms: Millis) -> Self {
@@ -152,6 +162,7 @@
     ///
     /// Returns whether the write took no effect or may have taken effect.
     pub fn put(&self, key: &str, condition: Condition, value: &Value) -> Result<u64, WriteError> {
+        self.calls.inc();
         let url = format!("{}/v1/objects/{key}", self.base);
         let request = self
             .agent
@@ -181,6 +192,7 @@
         timeout_ms: Millis,
         absent_status: u16,
     ) -> Result<Option<T>, ReadError> {
+        self.calls.inc();
         let mut answer: Response<ureq::Body> = self
             .agent
             .get(url)
--- /dev/null
+++ b/crates/standins/src/bin/arbutus-control.rs
@@ -0,0 +1,136 @@
+//! Measures what control costs an instance, at several numbers of instances.
+//!
+//! No caller sends requests, so everything that the processes use is spent on control: gossip,
+//! load reports, grants, watches, claims and leases.
+
+use std::env;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use arbutus_standins::fleet::Fleet;
+use arbutus_standins::fleet::FleetSpec;
+use arbutus_standins::fleet::ServiceTargets;
+use arbutus_standins::usage::Usage;
+
+type Outcome<T> = Result<T, Box<dyn Error>>;
+
+const INSTANCES: [usize; 4] = [2, 4, 8, 16];
+const FAILURE_DOMAINS: usize = 2;
+/// Targets for each instance, about the ratio of the planned size (5,500 to 1,700).
+const TARGETS_PER_INSTANCE: usize = 3;
+const SETTLE_SPAN: Duration = Duration::from_secs(3);
+const MEASURE_SPAN: Duration = Duration::from_secs(10);
+const CONFIGURATION: &str = "
+services:
+  engine: { kind: engine }
+classes:
+  bench: { priority: 0 }
+organisations:
+  bench: {}
+pipelines:
+  stream: { class: bench, idempotent: true, deadline_ms: 4000, stages: [{ name: generate, service: engine }] }
+";
+
+/// What all instances of a fleet have used together.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    processor: Duration,
+    resident_kb: u64,
+    bytes: f64,
+    datagrams: f64,
+    platform_calls: f64,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("arbutus-control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Outcome<()> {
+    let program = env::current_exe()?;
+    let binaries = program.parent().ok_or("the program has no directory")?;
+    let scratch = env::temp_dir().join(format!("arbutus-control-{}", std::process::id()));
+    std::fs::create_dir_all(&scratch)?;
+    std::fs::write(scratch.join("base.yaml"), CONFIGURATION)?;
+    println!("instances  core %  resident KB  bytes/s  datagrams/s  platform calls/s (all)");
+    for instances in INSTANCES {
+        measure(instances, binaries, &scratch)?;
+    }
+    std::fs::remove_dir_all(&scratch)?;
+    Ok(())
+}
+
+fn measure(instances: usize, binaries: &Path, scratch: &Path) -> Outcome<()> {
+    let options = ["--cold-ms", "0"];
+    let spec = FleetSpec {
+        cluster: "control".to_owned(),
+        failure_domains: (0..FAILURE_DOMAINS)
+            .map(|index| format!("domain-{index}"))
+            .collect(),
+        instances_per_failure_domain: instances / FAILURE_DOMAINS,
+        services: vec![ServiceTargets {
+            service: "engine".to_owned(),
+            kind: "engine".to_owned(),
+            per_failure_domain: TARGETS_PER_INSTANCE * instances / FAILURE_DOMAINS,
+            options: options.iter().map(ToString::to_string).collect(),
+        }],
+        configuration: scratch.to_owned(),
+    };
+    let fleet = Fleet::start(&spec, binaries, &scratch.join(instances.to_string()))?;
+    thread::sleep(SETTLE_SPAN);
+    let before = totals(&fleet)?;
+    thread::sleep(MEASURE_SPAN);
+    let after = totals(&fleet)?;
+    let count = instances as f64;
+    let seconds = MEASURE_SPAN.as_secs_f64();
+    let processor = after
+        .processor
+        .saturating_sub(before.processor)
+        .as_secs_f64();
+    println!(
+        "{instances:9}  {:6.2}  {:11.0}  {:7.0}  {:11.1}  {:.1}",
+        processor / seconds / count * 100.0,
+        after.resident_kb as f64 / count,
+        (after.bytes - before.bytes) / seconds / count,
+        (after.datagrams - before.datagrams) / seconds / count,
+        (after.platform_calls - before.platform_calls) / seconds,
+    );
+    fleet.shut_down()?;
+    Ok(())
+}
+
+fn totals(fleet: &Fleet) -> Outcome<Totals> {
+    let mut totals = Totals::default();
+    for instance in &fleet.instances {
+        let usage = Usage::read(instance.process.id())?;
+        totals.processor += usage.processor;
+        totals.resident_kb += usage.resident_kb;
+        let metrics = metrics(fleet, instance.settings.http_address)?;
+        totals.bytes += metric(&metrics, "arbutus_peer_bytes_sent");
+        totals.datagrams += metric(&metrics, "arbutus_peer_datagrams_sent");
+        totals.platform_calls += metric(&metrics, "arbutus_platform_calls_total");
+    }
+    Ok(totals)
+}
+
+fn metrics(fleet: &Fleet, address: SocketAddr) -> Outcome<String> {
+    let mut answer = fleet
+        .agent()
+        .get(format!("http://{address}/metrics"))
+        .call()?;
+    Ok(answer.body_mut().read_to_string()?)
+}
+
+fn metric(text: &str, name: &str) -> f64 {
+    let value = |line: &str| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok();
+    text.lines().find_map(value).unwrap_or(0.0)
+}
