--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,12 +6,14 @@
 use arbutus_wire::admin::DrainAnswer;
 use arbutus_wire::admin::DrainKind;
 use arbutus_wire::admin::DrainOrder;
+use arbutus_wire::admin::SettleOrder;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use tiny_http::Method;
 use tiny_http::Request;
 
+use crate::claims::operators;
 use crate::http::refuse_request;
 use crate::node::Node;
 use crate::problem::Reason;
@@ -36,6 +38,12 @@
         (Method::Post, "/admin/faults") if node.settings.fault_injection => {
             inject_faults(node, request)
         }
+        (Method::Get, "/admin/claims") => match operators::unsettled(node) {
+            Ok(claims) => Responder::new(request, &node.new_request_id(), false)
+                .send_json(200, &json!(claims)),
+            Err(detail) => refuse_request(node, request, Reason::PlatformUnavailable, &detail),
+        },
+        (Method::Post, "/admin/claims/settle") => settle(node, request),
         _ => refuse_request(node, request, Reason::NotFound, "there is no such path"),
     }
 }
@@ -67,6 +75,19 @@
     Responder::new(request, &node.new_request_id(), false).send_json(200, &json!({}))
 }
 
+fn settle(node: &Node, mut request: Request) -> io::Result<()> {
+    let order: SettleOrder = match read_json(&mut request) {
+        Ok(order) => order,
+        Err(detail) => return refuse_request(node, request, Reason::BadRequest, &detail),
+    };
+    match operators::settle(node, &order) {
+        Ok(answer) => {
+            Responder::new(request, &node.new_request_id(), false).send_json(200, &json!(answer))
+        }
+        Err(detail) => refuse_request(node, request, Reason::PlatformUnavailable, &detail),
+    }
+}
+
 fn drain(node: &Node, mut request: Request) -> io::Result<()> {
     let order: DrainOrder = match read_json(&mut request) {
         Ok(order) => order,
