--- a/crates/coord/tests/gossip.rs
+++ b/crates/coord/tests/gossip.rs
@@ -5,6 +5,12 @@
 
 use std::env;
 
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+use quickcheck::Testable;
+
 use arbutus_coord::Millis;
 use arbutus_coord::document::Document;
 use arbutus_coord::document::DocumentKind;
@@ -17,11 +23,6 @@
 use network::Network;
 use network::address;
 use network::name;
-use quickcheck::Arbitrary;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
-use quickcheck::TestResult;
-use quickcheck::Testable;
 
 const DEFAULT_SEED: u64 = 11;
 const INSTANCES: usize = 9;
--- a/crates/coord/tests/versions.rs
+++ b/crates/coord/tests/versions.rs
@@ -2,6 +2,10 @@
 
 use std::env;
 
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
 use arbutus_coord::document::Document;
 use arbutus_coord::document::DocumentKind;
 use arbutus_coord::document::DocumentStore;
@@ -12,9 +16,6 @@
 use arbutus_coord::drain::DrainEntry;
 use arbutus_coord::drain::DrainTable;
 use arbutus_coord::drain::Subject;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
-use quickcheck::Testable;
 
 const DEFAULT_SEED: u64 = 13;
 
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -15,6 +15,16 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::mpsc::SyncSender;
 
+use crate::peer;
+use crate::peer::Blocked;
+use crate::peer::PeerClient;
+use crate::peer::PeerCounters;
+use crate::peer::PeerError;
+use crate::peer::PeerHandler;
+use crate::peer::Replies;
+use crate::peer::lock;
+use crate::stop::Stop;
+use crate::supervisor::ChildResult;
 use arbutus_config::Settings;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
@@ -41,17 +51,6 @@
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
 
-use crate::peer;
-use crate::peer::Blocked;
-use crate::peer::PeerClient;
-use crate::peer::PeerCounters;
-use crate::peer::PeerError;
-use crate::peer::PeerHandler;
-use crate::peer::Replies;
-use crate::peer::lock;
-use crate::stop::Stop;
-use crate::supervisor::ChildResult;
-
 /// The time between two looks at the stop flag while waiting for datagrams or fetches.
 const WAIT_MS: Millis = Millis(100);
 
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -19,6 +19,11 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use displaydoc::Display;
+use socket2::SockRef;
+
+use crate::stop::Stop;
+use crate::supervisor::ChildResult;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
 use arbutus_wire::frame;
@@ -27,11 +32,6 @@
 use arbutus_wire::peer::PeerCall;
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
-use displaydoc::Display;
-use socket2::SockRef;
-
-use crate::stop::Stop;
-use crate::supervisor::ChildResult;
 
 /// The time in which a connection has to be established.
 const CONNECT_TIMEOUT_MS: Millis = Millis(500);
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,6 +4,12 @@
 //! [`MAX_DATAGRAM_BYTES`], so it is not fragmented on an ordinary network. Malformed input and
 //! other versions give an error value.
 
+use displaydoc::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::PROTOCOL_VERSION;
+use crate::decode_exact;
 use arbutus_coord::drain::DrainEntry;
 use arbutus_coord::grant;
 use arbutus_coord::membership::Brief;
@@ -11,12 +17,6 @@
 use arbutus_coord::membership::Member;
 use arbutus_coord::membership::Message;
 use arbutus_coord::membership::Packet;
-use displaydoc::Display;
-use serde::Deserialize;
-use serde::Serialize;
-
-use crate::PROTOCOL_VERSION;
-use crate::decode_exact;
 
 pub use arbutus_policy::quarantine::QuarantineEntry;
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,9 @@
 //! A connection carries one [`PeerCall`] after another, each answered by [`PeerReply`] frames. A
 //! stage call is answered by any number of tokens and one end; every other call by one frame.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use arbutus_coord::Millis;
 use arbutus_coord::document::DocumentKind;
 use arbutus_coord::document::Transfer;
@@ -10,8 +13,6 @@
 use arbutus_coord::drain::DrainEntry;
 use arbutus_coord::membership::Digests;
 use arbutus_coord::membership::Member;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// One call to another instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/wire/tests/encoding.rs
+++ b/crates/wire/tests/encoding.rs
@@ -5,6 +5,10 @@
 use std::env;
 use std::io::Cursor;
 
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
 use arbutus_coord::Millis;
 use arbutus_coord::grant;
 use arbutus_coord::membership::Digests;
@@ -22,9 +26,6 @@
 use arbutus_wire::peer::PeerCall;
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
-use quickcheck::Testable;
 
 const DEFAULT_SEED: u64 = 7;
 const MAX_TEST_FRAME_BYTES: usize = 64 * 1024;
