daemon: lower the cost of control

Causes: each load report was polled in a thread of its own; the requests to owners were looked for 40 times a second even without calls; used and owned targets were computed 10 times a second, which grows with the product of instances and targets of a failure domain. Ruled out: peer calls, which are 0.00 a second at rest.

Four tasks now poll the reports, requests are looked for 5 times a second while no call runs, and targets are computed anew only when the list, the drains, the generation or the members change. The end of a call is reported to the owner at once, and a retired target's slots are given back before it is forgotten.

--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 
 use arbutus_coord::Millis;
+use arbutus_coord::entity::Entity;
 use arbutus_coord::entity::Target;
 use arbutus_coord::rendezvous;
 use arbutus_policy::balance::subset;
@@ -26,11 +26,10 @@
 
 /// How often the used and owned targets are computed anew.
 const SYNC_PERIOD_MS: Millis = Millis(100);
-/// How long the sender of requests waits for one to become due.
-const REQUEST_PERIOD_MS: Millis = Millis(25);
 /// How often an owner polls the load report of a target.
 const REPORT_PERIOD_MS: Millis = Millis(250);
-const REPORT_STACK_BYTES: usize = 128 * 1024;
+/// The number of tasks that poll load reports.
+pub const REPORT_TASKS: usize = 4;
 /// The number of requests or replies in a datagram, which keeps it under its size limit.
 const MAX_MESSAGES: usize = 10;
 
@@ -40,14 +39,44 @@
 ///
 /// Never returns an error.
 pub fn run_sync(node: &Arc<Node>, stop: &Stop) -> ChildResult {
+    let mut seen = None;
     loop {
-        sync(node);
+        let basis = Basis::of(node);
+        // Ranking all instances for all targets of a large failure domain takes milliseconds.
+        if seen.as_ref() != Some(&basis) {
+            sync(node, &basis);
+            seen = Some(basis);
+        }
         if stop.wait(SYNC_PERIOD_MS) {
             return Ok(());
         }
     }
 }
 
+/// Everything that the used and owned targets depend on.
+#[derive(Debug, PartialEq, Eq)]
+struct Basis {
+    revision: u64,
+    generation: u64,
+    drains: u64,
+    live: BTreeSet<String>,
+    known: BTreeSet<String>,
+    live_everywhere: usize,
+}
+
+impl Basis {
+    fn of(node: &Node) -> Self {
+        Self {
+            revision: node.directory().revision(),
+            generation: node.active().generation,
+            drains: node.gossip().read(|gossip| gossip.drains().digest()),
+            live: node.live_instances(),
+            known: node.known_instances(),
+            live_everywhere: node.count_live_instances(),
+        }
+    }
+}
+
 /// Sends due requests to the owners.
 ///
 /// # Errors
@@ -55,28 +84,26 @@
 /// Never returns an error.
 pub fn run_requests(node: &Arc<Node>, stop: &Stop) -> ChildResult {
     while !stop.is_raised() {
-        let due = node.slots.poll(REQUEST_PERIOD_MS);
+        let due = node.slots.poll();
         send_requests(node, due);
         send_replies(node, node.owners.tick(node.now()));
     }
     Ok(())
 }
 
-/// Polls the load reports of owned targets.
+/// Polls the load reports of the owned targets that fall to one of [`REPORT_TASKS`].
+///
+/// A target that does not answer delays only those that share its task.
 ///
 /// # Errors
 ///
-/// Returns why a thread could not be started.
-pub fn run_reports(node: &Arc<Node>, stop: &Stop) -> ChildResult {
+/// Never returns an error: a missing report is counted.
+pub fn run_reports(node: &Arc<Node>, task: usize, stop: &Stop) -> ChildResult {
     loop {
-        // Each target has a thread of its own, so one that does not answer delays no other.
         for (target, address) in node.owners.addresses() {
-            let node = Arc::clone(node);
-            thread::Builder::new()
-                .name("report".to_owned())
-                .stack_size(REPORT_STACK_BYTES)
-                .spawn(move || poll_report(&node, target, address))
-                .map_err(|error| format!("starting a report thread: {error}"))?;
+            if target.index() as usize % REPORT_TASKS == task {
+                poll_report(node, target, address);
+            }
         }
         if stop.wait(REPORT_PERIOD_MS) {
             return Ok(());
@@ -111,18 +138,16 @@
     }
 }
 
-fn sync(node: &Node) {
+fn sync(node: &Node, basis: &Basis) {
     let directory = node.directory();
-    let live = node.live_instances();
-    let used = used_targets(node, &directory, &live);
-    let owned = owned_targets(node, &directory, &live);
-    node.slots.sync(used);
-    let known = node.known_instances();
-    node.limits.set_live_instances(node.count_live_instances());
-    let replies = node
-        .owners
-        .sync(node.now(), node.slots.settings(), &owned, &known);
-    send_replies(node, replies);
+    node.slots.sync(used_targets(node, &directory, &basis.live));
+    node.limits.set_live_instances(basis.live_everywhere);
+    let owned = owned_targets(node, &directory, &basis.live);
+    let settings = node.slots.settings();
+    send_replies(
+        node,
+        node.owners.sync(node.now(), settings, &owned, &basis.known),
+    );
 }
 
 fn used_targets(node: &Node, directory: &Directory, live: &BTreeSet<String>) -> Vec<UsedTarget> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -141,10 +141,9 @@
                 .with_task("claims", task(claims::background::run)),
         )
         .with_branch(
-            Supervisor::new("grants")
+            grant_reports(node)
                 .with_task("sync", task(grants::run_sync))
-                .with_task("requests", task(grants::run_requests))
-                .with_task("reports", task(grants::run_reports)),
+                .with_task("requests", task(grants::run_requests)),
         )
         .with_branch(
             Supervisor::new("callers")
@@ -155,6 +154,17 @@
         )
 }
 
+fn grant_reports(node: &Arc<Node>) -> Supervisor {
+    let mut branch = Supervisor::new("grants");
+    for index in 0..grants::REPORT_TASKS {
+        let node = Arc::clone(node);
+        branch = branch.with_task("reports", move |stop| {
+            grants::run_reports(&node, index, stop)
+        });
+    }
+    branch
+}
+
 /// Serves until termination is requested, then finishes what is in progress.
 fn serve_until_terminated(node: &Node) {
     let terminate = &node.terminate;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -84,6 +84,8 @@
     pub peer_bytes_sent: Gauge,
     /// Datagrams sent to other instances.
     pub peer_datagrams_sent: Gauge,
+    /// Calls made to other instances.
+    pub peer_calls_sent: Gauge,
     /// Calls made to the platform.
     pub platform_calls: Counter,
 }
@@ -104,7 +106,13 @@
         let generation = Gauge::default();
         let peer_bytes_sent = Gauge::default();
         let peer_datagrams_sent = Gauge::default();
+        let peer_calls_sent = Gauge::default();
         let platform_calls = Counter::default();
+        registry.register(
+            "peer_calls_sent",
+            "Calls made to other instances",
+            Gauge::clone(&peer_calls_sent),
+        );
         registry.register(
             "peer_bytes_sent",
             "Bytes sent to other instances",
@@ -174,6 +182,7 @@
             generation,
             peer_bytes_sent,
             peer_datagrams_sent,
+            peer_calls_sent,
             platform_calls,
         }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -239,6 +239,10 @@
         let datagrams = counters.datagrams_sent.load(Ordering::Relaxed);
         let bytes = i64::try_from(counters.bytes_sent()).unwrap_or(i64::MAX);
         self.metrics.peer_bytes_sent.set(bytes);
+        let calls = counters.calls_sent.load(Ordering::Relaxed);
+        self.metrics
+            .peer_calls_sent
+            .set(i64::try_from(calls).unwrap_or(i64::MAX));
         self.metrics
             .peer_datagrams_sent
             .set(i64::try_from(datagrams).unwrap_or(i64::MAX));
--- a/crates/daemon/src/relief.rs
+++ b/crates/daemon/src/relief.rs
@@ -22,7 +22,7 @@
 use crate::supervisor::ChildResult;
 
 const BUSY_PERIOD_MS: Millis = Millis(10);
-const IDLE_PERIOD_MS: Millis = Millis(100);
+const IDLE_PERIOD_MS: Millis = Millis(250);
 /// How long after a new connection others of the same burst may still wait.
 const BUSY_SPAN_MS: Millis = Millis(500);
 const CONNECT_TIMEOUT_MS: Millis = Millis(100);
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -37,7 +37,10 @@
 use crate::services::ServiceState;
 use crate::services::Services;
 
-/// How long a request waits for slots of one target before it asks for those of another.
+/// How often requests to owners become due while calls run or wait, and while none do.
+const BUSY_PERIOD_MS: Millis = Millis(10);
+const QUIET_PERIOD_MS: Millis = Millis(200);
+/// How long a waiting request sleeps before it looks for a free slot again.
 const WAIT_SLICE_MS: Millis = Millis(50);
 
 /// What a call needs from its target.
@@ -232,10 +235,10 @@
         }
         for (target, holder) in &mut table.holders {
             holder.retired = !current.contains(target);
+            if holder.retired {
+                holder.grants.set_closed(true);
+            }
         }
-        table
-            .holders
-            .retain(|_, holder| !holder.retired || holder.grants.in_use() > 0);
         drop(table);
         self.freed.notify_all();
     }
@@ -331,8 +334,13 @@
 
     /// Returns the requests to owners that are due, after waiting for one at most for a span.
     #[must_use]
-    pub fn poll(&self, span: Millis) -> Vec<DueRequest> {
+    pub fn poll(&self) -> Vec<DueRequest> {
         let table = self.lock();
+        let span = if table.is_quiet() {
+            QUIET_PERIOD_MS
+        } else {
+            BUSY_PERIOD_MS
+        };
         let (mut table, _) = self
             .due
             .wait_timeout_while(table, span.to_duration(), |table| !table.kicked)
@@ -349,6 +357,10 @@
                 });
             }
         }
+        // The owner counts the slots of a retired target until they have been given back.
+        table
+            .holders
+            .retain(|_, holder| !holder.retired || !holder.grants.is_idle(time));
         due
     }
 
@@ -359,8 +371,8 @@
             return;
         };
         if holder.grants.on_reply(now, reply) {
-            // A hint asks for a report, which the next poll sends.
-            table.kicked |= reply.sequence == 0;
+            // An answer may ask for a report, which the next poll sends.
+            table.kicked = true;
             drop(table);
             self.freed.notify_all();
             self.due.notify_all();
@@ -412,6 +424,9 @@
                 .state(self.clock.now(), service)
                 .record_slot(occupied_ms);
         }
+        // The owner may need the slot for another instance.
+        table.kicked = true;
+        self.due.notify_all();
         self.freed.notify_all();
     }
 
@@ -421,6 +436,13 @@
 }
 
 impl Table {
+    /// Returns whether no call of this instance runs or waits.
+    fn is_quiet(&self) -> bool {
+        self.holders
+            .values()
+            .all(|holder| holder.waiting == 0 && holder.grants.in_use() == 0)
+    }
+
     fn choose(&mut self, request: SlotRequest<'_>, now: Millis, random: u64) -> Option<Target> {
         let state = self.services.state(now, request.service);
         let candidates: Vec<Candidate<'_>> = self
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -28,7 +28,7 @@
 
 /// The watchers of each failure domain; with two, the loss of one delays nothing.
 const WATCHERS: usize = 2;
-const POLL_PERIOD_MS: Millis = Millis(500);
+const POLL_PERIOD_MS: Millis = Millis(1_000);
 const WATCH_TIMEOUT_MS: Millis = Millis(5_000);
 const OUTAGE_PAUSE_MS: Millis = Millis(500);
 const DRAINS_KEY: &str = "drains";
--- a/crates/standins/src/bin/arbutus-control.rs
+++ b/crates/standins/src/bin/arbutus-control.rs
@@ -22,7 +22,8 @@
 const FAILURE_DOMAINS: usize = 2;
 /// Targets for each instance, about the ratio of the planned size (5,500 to 1,700).
 const TARGETS_PER_INSTANCE: usize = 3;
-const SETTLE_SPAN: Duration = Duration::from_secs(3);
+/// News of the start is repeated for some seconds.
+const SETTLE_SPAN: Duration = Duration::from_secs(15);
 const MEASURE_SPAN: Duration = Duration::from_secs(10);
 const CONFIGURATION: &str = "
 services:
@@ -42,6 +43,7 @@
     resident_kb: u64,
     bytes: f64,
     datagrams: f64,
+    calls: f64,
     platform_calls: f64,
 }
 
@@ -61,7 +63,9 @@
     let scratch = env::temp_dir().join(format!("arbutus-control-{}", std::process::id()));
     std::fs::create_dir_all(&scratch)?;
     std::fs::write(scratch.join("base.yaml"), CONFIGURATION)?;
-    println!("instances  core %  resident KB  bytes/s  datagrams/s  platform calls/s (all)");
+    println!(
+        "instances  core %  resident KB  bytes/s  datagrams/s  calls/s  platform calls/s (all)"
+    );
     for instances in INSTANCES {
         measure(instances, binaries, &scratch)?;
     }
@@ -97,11 +101,12 @@
         .saturating_sub(before.processor)
         .as_secs_f64();
     println!(
-        "{instances:9}  {:6.2}  {:11.0}  {:7.0}  {:11.1}  {:.1}",
+        "{instances:9}  {:6.2}  {:11.0}  {:7.0}  {:11.1}  {:7.2}  {:.1}",
         processor / seconds / count * 100.0,
         after.resident_kb as f64 / count,
         (after.bytes - before.bytes) / seconds / count,
         (after.datagrams - before.datagrams) / seconds / count,
+        (after.calls - before.calls) / seconds / count,
         (after.platform_calls - before.platform_calls) / seconds,
     );
     fleet.shut_down()?;
@@ -117,6 +122,7 @@
         let metrics = metrics(fleet, instance.settings.http_address)?;
         totals.bytes += metric(&metrics, "arbutus_peer_bytes_sent");
         totals.datagrams += metric(&metrics, "arbutus_peer_datagrams_sent");
+        totals.calls += metric(&metrics, "arbutus_peer_calls_sent");
         totals.platform_calls += metric(&metrics, "arbutus_platform_calls_total");
     }
     Ok(totals)
