claim: repeat a closing command that finds no record

A read from a lagging replica lacks a claim that was just confirmed, and the settlement was given up. The backlog now repeats the command a few times, and the random test has stale reads.

Adds the example for embedders.

--- /dev/null
+++ b/crates/coord/examples/claims.rs
@@ -0,0 +1,141 @@
+//! Claims a request, runs it once, and answers its resend, with an object store in memory.
+//!
+//! Run it with `cargo run -p arbutus-coord --example claims`.
+
+use arbutus_coord::Clock;
+use arbutus_coord::claim::AttemptId;
+use arbutus_coord::claim::Claim;
+use arbutus_coord::claim::ClaimCommand;
+use arbutus_coord::claim::ClaimKey;
+use arbutus_coord::claim::ClaimReply;
+use arbutus_coord::claim::Fingerprint;
+use arbutus_coord::claim::Holder;
+use arbutus_coord::claim::Input;
+use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Shard;
+use arbutus_coord::claim::ShardWriter;
+use arbutus_coord::claim::StoredAnswer;
+use arbutus_coord::claim::command::Proposal;
+use arbutus_coord::claim::holder::DISPATCH_WINDOW_MS;
+use arbutus_coord::claim::holder::ProposalResult;
+use arbutus_coord::claim::holder::Proposed;
+use arbutus_coord::claim::writer::ReadResult;
+use arbutus_coord::claim::writer::Ticket;
+use arbutus_coord::claim::writer::WriteResult;
+use arbutus_coord::claim::writer::WriterSettings;
+
+/// The shell of one writer: an object with a version, and the loop that carries outputs out.
+struct Store {
+    clock: Clock,
+    writer: ShardWriter,
+    object: Option<(u64, Shard)>,
+    tickets: u64,
+}
+
+impl Store {
+    fn commit(&mut self, command: ClaimCommand) -> ClaimReply {
+        let ticket = Ticket(self.tickets);
+        self.tickets += 1;
+        let mut input = Input::Command {
+            ticket,
+            command,
+            wall_ms: Clock::wall(),
+        };
+        loop {
+            let mut next = Input::Tick;
+            for output in self.writer.handle(self.clock.now(), input) {
+                match output {
+                    Output::Read { operation } => {
+                        let result = self.read();
+                        next = Input::Read { operation, result };
+                    }
+                    Output::Write {
+                        operation,
+                        expected,
+                        shard,
+                    } => {
+                        let result = self.write(expected, shard);
+                        next = Input::Write { operation, result };
+                    }
+                    Output::Reply { reply, .. } => return reply,
+                }
+            }
+            input = next;
+        }
+    }
+
+    fn read(&self) -> ReadResult {
+        match self.object.clone() {
+            Some((version, shard)) => ReadResult::Found { version, shard },
+            None => ReadResult::Absent,
+        }
+    }
+
+    fn write(&mut self, expected: Option<u64>, shard: Shard) -> WriteResult {
+        let current = self.object.as_ref().map(|(version, _)| *version);
+        if current != expected {
+            return WriteResult::Conflict;
+        }
+        let version = current.unwrap_or(0) + 1;
+        self.object = Some((version, shard));
+        WriteResult::Written { version }
+    }
+}
+
+/// Books at most once, and returns the answer for the caller.
+fn book(store: &mut Store, attempt: &str, body: &str) -> Result<StoredAnswer, String> {
+    let proposal = Proposal {
+        key: ClaimKey::new("sato-ya", "booking", "8c1f-2"),
+        fingerprint: Fingerprint::of(body.as_bytes()),
+        attempt: AttemptId::from_text(attempt),
+        holder: Holder {
+            instance: "arita-0".to_owned(),
+            boot_id: 1,
+        },
+        wall_ms: Clock::wall(),
+    };
+    let claim = Claim::<Proposed>::new(store.clock.now(), proposal, DISPATCH_WINDOW_MS);
+    let reply = store.commit(claim.command());
+    match claim.resolve(store.clock.now(), reply) {
+        ProposalResult::Confirmed(claim) => match claim.dispatch(store.clock.now()) {
+            Ok(claim) => {
+                println!("{attempt}: the service books {body}");
+                let answer = StoredAnswer {
+                    status: 200,
+                    content_type: "text/plain".to_owned(),
+                    body: Some(format!("booked {body}")),
+                };
+                let closing = claim.settle(answer.clone(), Clock::wall());
+                // A real holder repeats the command until it is decided; see `Backlog`.
+                store.commit(closing.command().clone());
+                Ok(answer)
+            }
+            Err(closing) => {
+                store.commit(closing.command().clone());
+                Err("not run: the dispatch window has passed".to_owned())
+            }
+        },
+        ProposalResult::Settled { answer, .. } => Ok(answer),
+        ProposalResult::Conflict(_) => Err("not run: the key has another body".to_owned()),
+        other => Err(format!("{other:?}")),
+    }
+}
+
+fn main() {
+    let mut store = Store {
+        clock: Clock::new(),
+        writer: ShardWriter::new(0, 1, WriterSettings::default()),
+        object: None,
+        tickets: 0,
+    };
+    for (attempt, body) in [
+        ("first", "kiln 3"),
+        ("resend", "kiln 3"),
+        ("mistake", "kiln 4"),
+    ] {
+        match book(&mut store, attempt, body) {
+            Ok(answer) => println!("{attempt}: {}", answer.body.unwrap_or_default()),
+            Err(refusal) => println!("{attempt}: {refusal}"),
+        }
+    }
+}
--- a/crates/coord/src/claim/backlog.rs
+++ b/crates/coord/src/claim/backlog.rs
@@ -18,12 +18,17 @@
 pub const FIRST_DELAY_MS: Millis = Millis(100);
 /// Largest delay between repetitions.
 pub const MAX_DELAY_MS: Millis = Millis(5_000);
+/// Number of times that a command is refused for want of a record before it is given up.
+///
+/// A read from a lagging replica lacks a claim that was just confirmed.
+pub const MAX_REFUSALS: u32 = 6;
 
 #[derive(Debug)]
 struct Entry {
     claim: Claim<Closing>,
     next_at: Millis,
     delay: Millis,
+    refusals: u32,
 }
 
 /// Closing commands that are repeated until they are decided.
@@ -44,6 +49,7 @@
         let entry = Entry {
             next_at: now,
             delay: FIRST_DELAY_MS,
+            refusals: 0,
             claim,
         };
         self.entries.insert(entry.claim.attempt().clone(), entry);
@@ -78,6 +84,16 @@
                 self.entries.insert(attempt.clone(), entry);
                 None
             }
+            ClosingResult::NotHolder(claim) if entry.refusals < MAX_REFUSALS => {
+                let refusals = entry.refusals + 1;
+                let entry = Entry {
+                    claim,
+                    refusals,
+                    ..entry
+                };
+                self.entries.insert(attempt.clone(), entry);
+                None
+            }
             result => Some(result),
         }
     }
--- a/crates/coord/src/claim/holder.rs
+++ b/crates/coord/src/claim/holder.rs
@@ -282,8 +282,9 @@
         /// The operator's answer, which resends receive.
         answer: StoredAnswer,
     },
-    /// The claim is not held by this attempt any more. The record was lost or changed by hand.
-    NotHolder,
+    /// The attempt does not hold the claim. The read was out of date, or the record was lost or
+    /// changed by hand. The command is worth a few repetitions.
+    NotHolder(Claim<Closing>),
     /// The command has to be repeated.
     Retry(Claim<Closing>),
 }
@@ -316,7 +317,7 @@
             ClaimAnswer::Running { .. }
             | ClaimAnswer::Conflict
             | ClaimAnswer::Absent
-            | ClaimAnswer::NotHolder => ClosingResult::NotHolder,
+            | ClaimAnswer::NotHolder => ClosingResult::NotHolder(self),
         }
     }
 }
--- a/crates/coord/tests/claim_world/mod.rs
+++ b/crates/coord/tests/claim_world/mod.rs
@@ -110,6 +110,7 @@
     events: Vec<(u64, Event)>,
     nodes: Vec<Node>,
     object: Option<(u64, Shard)>,
+    previous: Option<(u64, Shard)>,
     platform_down_until: u64,
     pub accepted: BTreeMap<AttemptId, (ClaimKey, u64)>,
     pub endings: BTreeMap<AttemptId, Ending>,
@@ -130,6 +131,7 @@
                 .map(|index| Node::new(index as u64))
                 .collect(),
             object: None,
+            previous: None,
             platform_down_until: 0,
             accepted: BTreeMap::new(),
             endings: BTreeMap::new(),
@@ -319,7 +321,14 @@
                 if self.now < self.platform_down_until {
                     return;
                 }
-                let result = match &self.object {
+                // A lagging replica answers with the state before the last write.
+                let is_stale = self.choose(20) == 1;
+                let object = if is_stale {
+                    &self.previous
+                } else {
+                    &self.object
+                };
+                let result = match object {
                     None => ReadResult::Absent,
                     Some((version, shard)) => ReadResult::Found {
                         version: *version,
@@ -361,7 +370,7 @@
                 self.marked.insert(record.attempt.clone());
             }
         }
-        self.object = Some((version, shard));
+        self.previous = self.object.replace((version, shard));
         WriteResult::Written { version }
     }
 
--- a/crates/daemon/src/claims/holder.rs
+++ b/crates/daemon/src/claims/holder.rs
@@ -177,7 +177,7 @@
     let timeout = (deadline - now).min(SETTLE_WAIT_MS).min(COMMAND_TIMEOUT_MS);
     let submitted = node.claims.submit(node, closing.command(), timeout);
     match closing.resolve(&submitted.reply) {
-        ClosingResult::Retry(closing) => {
+        ClosingResult::Retry(closing) | ClosingResult::NotHolder(closing) => {
             node.metrics.count("claim_outcome_recorded_later");
             node.claims.close_later(node.now(), closing);
         }
--- a/crates/daemon/src/claims/mod.rs
+++ b/crates/daemon/src/claims/mod.rs
@@ -250,7 +250,7 @@
 fn count_result(node: &Node, result: Option<&ClosingResult>) {
     match result {
         Some(ClosingResult::Overruled { .. }) => node.metrics.count("claim_settled_by_operator"),
-        Some(ClosingResult::NotHolder) => node.metrics.count("claim_record_missing"),
+        Some(ClosingResult::NotHolder(_)) => node.metrics.count("claim_record_missing"),
         Some(ClosingResult::Done | ClosingResult::Retry(_)) | None => {}
     }
 }
