--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -103,6 +103,25 @@
         }
     }
 
+    fn wait_until_all_know_each_other(&self) {
+        let begun = Instant::now();
+        let live = |index: usize| {
+            let status = self.fleet.get(self.address(index), "/admin/status").ok()?;
+            let members = status["members"].as_array()?;
+            Some(
+                members
+                    .iter()
+                    .filter(|member| member["state"] == "live")
+                    .count(),
+            )
+        };
+        let expected = self.fleet.instances.len();
+        while (0..expected).any(|index| live(index) != Some(expected)) {
+            assert!(begun.elapsed() < PATIENCE, "membership does not converge");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     fn platform_faults(&self, faults: &Value) {
         let (status, _) = self
             .fleet
@@ -290,3 +309,57 @@
     assert_eq!(other_body.status().as_u16(), 422);
     deployment.stop();
 }
+
+/// Every command is written on its own, so that the platform's write rate bounds the bookings.
+#[test]
+fn concurrent_bookings_share_writes() {
+    const CALLERS: usize = 32;
+    const BOOKINGS: usize = 12;
+    let deployment = Deployment::start("claims-group", 1);
+    // Before that, instances disagree about the writer of a shard, and their writes conflict.
+    deployment.wait_until_all_know_each_other();
+    let writes = || {
+        let metric = |index: usize| {
+            let url = format!("http://{}/metrics", deployment.address(index));
+            let mut answer = deployment
+                .fleet
+                .agent()
+                .get(url)
+                .call()
+                .expect("it answers");
+            let text = answer.body_mut().read_to_string().expect("it is text");
+            let of_writes = |line: &&str| line.contains("\"claim_shard_writes\"");
+            let line = text
+                .lines()
+                .find(of_writes)
+                .and_then(|line| line.rsplit(' ').next());
+            line.and_then(|value| value.parse::<usize>().ok())
+                .unwrap_or(0)
+        };
+        (0..4).map(metric).sum::<usize>()
+    };
+    let begun = Instant::now();
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let deployment = &deployment;
+            scope.spawn(move || {
+                for number in 0..BOOKINGS {
+                    let key = format!("k{caller}-{number}");
+                    deployment.book_until(caller % 4, &key, |answer| answer.status == 200);
+                }
+            });
+        }
+    });
+    let elapsed = begun.elapsed();
+    let commands = 2 * CALLERS * BOOKINGS;
+    let writes = writes();
+    println!(
+        "{commands} commands in {writes} writes within {} ms",
+        elapsed.as_millis()
+    );
+    assert!(
+        writes * 10 < commands * 9,
+        "{writes} writes for {commands} commands"
+    );
+    deployment.stop();
+}
