--- a/crates/coord/tests/claim_writer.rs
+++ b/crates/coord/tests/claim_writer.rs
@@ -3,6 +3,8 @@
 
 use arbutus_coord::Millis;
 use arbutus_coord::claim::AttemptId;
+use arbutus_coord::claim::Backlog;
+use arbutus_coord::claim::Claim;
 use arbutus_coord::claim::ClaimAnswer;
 use arbutus_coord::claim::ClaimCommand;
 use arbutus_coord::claim::ClaimKey;
@@ -15,6 +17,8 @@
 use arbutus_coord::claim::ShardWriter;
 use arbutus_coord::claim::StoredAnswer;
 use arbutus_coord::claim::command::Proposal;
+use arbutus_coord::claim::holder::ClosingResult;
+use arbutus_coord::claim::holder::Proposed;
 use arbutus_coord::claim::record::UnknownReason;
 use arbutus_coord::claim::shard::CLAIM_LIMIT_BYTES;
 use arbutus_coord::claim::writer::Operation;
@@ -231,3 +235,28 @@
     let deleted = shard.expire(Millis(86_400_009), Millis(86_400_000), Millis(1));
     assert_eq!(deleted, accepted.len(), "the retention has passed");
 }
+
+#[test]
+fn backlog_repeats_until_decided_and_outlives_a_read_that_is_out_of_date() {
+    let mut backlog = Backlog::new();
+    let attempt = AttemptId::from_text("a1");
+    let claim = Claim::<Proposed>::new(Millis(0), proposal("k", "a1"), Millis(1));
+    backlog.push(Millis(0), claim.abandon());
+    assert_eq!(backlog.due(Millis(0)).len(), 1);
+    assert!(
+        backlog.due(Millis(1)).is_empty(),
+        "the next repetition is later"
+    );
+    for reply in [
+        ClaimReply::Unavailable {
+            may_have_landed: false,
+        },
+        ClaimReply::Decided(ClaimAnswer::NotHolder),
+    ] {
+        assert!(backlog.resolve(&attempt, &reply).is_none(), "{reply:?}");
+        assert_eq!(backlog.len(), 1, "{reply:?}");
+    }
+    assert_eq!(backlog.due(Millis(100)).len(), 1);
+    let done = backlog.resolve(&attempt, &ClaimReply::Decided(ClaimAnswer::Released));
+    assert!(matches!(done, Some(ClosingResult::Done)) && backlog.is_empty());
+}
