claim: move settled claims to segments

A shard of 900 KB holds 1,600 settled claims, so 16 shards refused new claims after 25,600 bookings in 24 h, and every commit wrote up to 900 KB.

The writer now moves settled claims to objects that are created once under a name of its own, and keeps a Bloom filter of their keys in the shard object. A key that the shard object lacks counts as absent only when no segment has it.

--- a/crates/coord/examples/claims.rs
+++ b/crates/coord/examples/claims.rs
@@ -58,6 +58,10 @@
                         next = Input::Write { operation, result };
                     }
                     Output::Reply { reply, .. } => return reply,
+                    // This writer was created without segments.
+                    Output::ReadSegment { .. }
+                    | Output::WriteSegment { .. }
+                    | Output::DeleteSegment { .. } => {}
                 }
             }
             input = next;
--- a/crates/coord/src/claim/mod.rs
+++ b/crates/coord/src/claim/mod.rs
@@ -6,7 +6,8 @@
 //! - [`record`]: the identity and the record of a claim.
 //! - [`command`]: commands on a shard and their answers.
 //! - [`shard`]: the content of a shard object and the pure functions on it.
-//! - [`writer`]: group commit of commands to one shard.
+//! - [`segment`]: settled claims that were moved out of the shard object.
+//! - [`messages`] and [`writer`]: group commit of commands to one shard.
 //! - [`holder`]: the life cycle of a claim at the instance that runs the request.
 //! - [`backlog`]: commands that are repeated in the background until they are decided.
 //! - [`dead_holders`]: detection of claims whose holder has gone.
@@ -23,7 +24,9 @@
 pub mod command;
 pub mod dead_holders;
 pub mod holder;
+pub mod messages;
 pub mod record;
+pub mod segment;
 pub mod shard;
 pub mod writer;
 
@@ -40,6 +43,7 @@
 pub use record::Fingerprint;
 pub use record::Holder;
 pub use record::StoredAnswer;
+pub use segment::Segment;
 pub use shard::Shard;
 pub use shard::ShardError;
 pub use writer::Input;
--- a/crates/coord/src/claim/shard.rs
+++ b/crates/coord/src/claim/shard.rs
@@ -22,6 +22,7 @@
 use crate::claim::record::SettledBy;
 use crate::claim::record::StoredAnswer;
 use crate::claim::record::UnknownReason;
+use crate::claim::segment::SegmentRef;
 use crate::clock::Millis;
 
 /// Size above which new claims are refused.
@@ -39,7 +40,7 @@
 /// but the request does not run.
 pub const MAX_WITHDRAWN: usize = 32;
 
-const SHARD_OVERHEAD_BYTES: usize = 80;
+const SHARD_OVERHEAD_BYTES: usize = 100;
 const RECORD_OVERHEAD_BYTES: usize = 360;
 const ESCAPED_CONTROL_BYTES: usize = 6;
 
@@ -87,6 +88,17 @@
     #[serde(rename = "shard_count")]
     count: u32,
     claims: BTreeMap<ClaimKey, ClaimRecord>,
+    #[serde(default)]
+    segments: BTreeMap<String, SegmentRef>,
+}
+
+/// What [`Shard::expire`] removed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Expired {
+    /// The number of claims.
+    pub claims: usize,
+    /// The names of the segments, which can be deleted once the content is written.
+    pub segments: Vec<String>,
 }
 
 /// Content of a shard object.
@@ -96,9 +108,10 @@
     index: u32,
     #[serde(rename = "shard_count")]
     count: u32,
-    claims: BTreeMap<ClaimKey, ClaimRecord>,
+    pub(super) claims: BTreeMap<ClaimKey, ClaimRecord>,
+    pub(super) segments: BTreeMap<String, SegmentRef>,
     #[serde(skip)]
-    size_bytes: usize,
+    pub(super) size_bytes: usize,
     #[serde(skip)]
     running: usize,
 }
@@ -111,6 +124,9 @@
         for (key, record) in content.claims {
             shard.put(key, record);
         }
+        for (name, segment) in content.segments {
+            shard.put_segment(name, segment);
+        }
         shard.verify()?;
         Ok(shard)
     }
@@ -124,6 +140,7 @@
             index,
             count: shard_count,
             claims: BTreeMap::new(),
+            segments: BTreeMap::new(),
             size_bytes: SHARD_OVERHEAD_BYTES,
             running: 0,
         }
@@ -229,14 +246,14 @@
         }
     }
 
-    /// Deletes settled claims older than `retention` and released ones older than
-    /// `released_retention`, and returns their number. Running and unknown claims stay.
+    /// Deletes settled claims and segments older than `retention`, and released claims older than
+    /// `released_retention`. Running and unknown claims stay.
     pub fn expire(
         &mut self,
         wall_ms: Millis,
         retention: Millis,
         released_retention: Millis,
-    ) -> usize {
+    ) -> Expired {
         let expired: Vec<ClaimKey> = self
             .claims
             .iter()
@@ -253,7 +270,10 @@
         for key in &expired {
             self.take(key);
         }
-        expired.len()
+        Expired {
+            claims: expired.len(),
+            segments: self.expire_segments(wall_ms, retention),
+        }
     }
 
     fn propose(&mut self, proposal: &Proposal) -> ClaimAnswer {
@@ -445,14 +465,14 @@
         self.size_bytes - replaced + entry_size_bytes(key, record)
     }
 
-    fn put(&mut self, key: ClaimKey, record: ClaimRecord) {
+    pub(super) fn put(&mut self, key: ClaimKey, record: ClaimRecord) {
         self.take(&key);
         self.size_bytes += entry_size_bytes(&key, &record);
         self.running += usize::from(record.state == ClaimState::Claimed);
         self.claims.insert(key, record);
     }
 
-    fn take(&mut self, key: &ClaimKey) {
+    pub(super) fn take(&mut self, key: &ClaimKey) {
         if let Some(record) = self.claims.remove(key) {
             self.size_bytes -= entry_size_bytes(key, &record);
             self.running -= usize::from(record.state == ClaimState::Claimed);
@@ -497,7 +517,7 @@
 }
 
 /// Returns an upper bound of the size of an entry in JSON.
-fn entry_size_bytes(key: &ClaimKey, record: &ClaimRecord) -> usize {
+pub(super) fn entry_size_bytes(key: &ClaimKey, record: &ClaimRecord) -> usize {
     let withdrawn: usize = record
         .withdrawn
         .iter()
--- a/crates/coord/src/claim/writer.rs
+++ b/crates/coord/src/claim/writer/mod.rs
@@ -11,165 +11,35 @@
 //!   either the version that the batch created, or one that was read for the batch.
 //! - A write whose answer was lost is never assumed to have failed. The object is read and the
 //!   commands are applied again, which changes nothing where they have taken effect.
+//! - A key that the shard's content lacks counts as absent only when no segment contains it.
+//! - A segment is created before the content refers to it, under a name that no other writer
+//!   uses, and is never changed.
 //! - A command is answered once, at the latest after the time limit of the settings.
 
+mod sealing;
+
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::mem;
 
+use sealing::Sealing;
+
 use crate::claim::command::ClaimAnswer;
 use crate::claim::command::ClaimCommand;
 use crate::claim::command::ClaimReply;
+pub use crate::claim::messages::Input;
+pub use crate::claim::messages::Operation;
+pub use crate::claim::messages::Output;
+pub use crate::claim::messages::ReadResult;
+pub use crate::claim::messages::Ticket;
+pub use crate::claim::messages::WriteResult;
+pub use crate::claim::messages::WriterCounters;
+pub use crate::claim::messages::WriterSettings;
+use crate::claim::record::ClaimKey;
+use crate::claim::record::ClaimRecord;
 use crate::claim::shard::Shard;
 use crate::clock::Millis;
 
-/// Settings of a writer.
-#[derive(Clone, Copy, Debug)]
-pub struct WriterSettings {
-    /// The time during which commands are collected before they are written.
-    pub group_commit_ms: Millis,
-    /// The time after which a command without a result is answered as unavailable.
-    pub unavailable_after_ms: Millis,
-    /// The time after which the answer to a read or write counts as lost.
-    pub operation_timeout_ms: Millis,
-    /// The time between a failed read and the next.
-    pub retry_delay_ms: Millis,
-    /// The age at which settled claims are deleted.
-    pub retention_ms: Millis,
-    /// The age at which released claims are deleted.
-    pub released_retention_ms: Millis,
-    /// The largest number of commands that wait. Further commands are answered as unavailable.
-    pub max_pending: usize,
-}
-
-impl Default for WriterSettings {
-    fn default() -> Self {
-        Self {
-            group_commit_ms: Millis(5),
-            unavailable_after_ms: Millis(1_000),
-            operation_timeout_ms: Millis(500),
-            retry_delay_ms: Millis(100),
-            retention_ms: Millis(86_400_000),
-            released_retention_ms: Millis(600_000),
-            max_pending: 4_096,
-        }
-    }
-}
-
-/// Identifies a command within its writer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
-pub struct Ticket(pub u64);
-
-/// Identifies a read or write within its writer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
-pub struct Operation(pub u64);
-
-/// Result of a read.
-#[derive(Clone, Debug)]
-pub enum ReadResult {
-    /// The object with its version.
-    Found {
-        /// The version.
-        version: u64,
-        /// The content, which was verified.
-        shard: Shard,
-    },
-    /// The object does not exist.
-    Absent,
-    /// There was no answer, or the content is invalid.
-    Failed,
-}
-
-/// Result of a conditional write.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum WriteResult {
-    /// The write took effect and created a version.
-    Written {
-        /// The version.
-        version: u64,
-    },
-    /// The object has another version, so the write had no effect.
-    Conflict,
-    /// The write certainly had no effect, for instance because no connection was established.
-    NotWritten,
-    /// There was no usable answer. The write may have taken effect or may still do so.
-    Lost,
-}
-
-/// Input of a writer.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A command to be committed.
-    Command {
-        /// The shell's identifier of the command, unique within the writer.
-        ticket: Ticket,
-        /// The command.
-        command: ClaimCommand,
-        /// The writer's wall time, used for retention only.
-        wall_ms: Millis,
-    },
-    /// The result of a read.
-    Read {
-        /// The read.
-        operation: Operation,
-        /// The result.
-        result: ReadResult,
-    },
-    /// The result of a write.
-    Write {
-        /// The write.
-        operation: Operation,
-        /// The result.
-        result: WriteResult,
-    },
-    /// The passage of time.
-    Tick,
-    /// A request to read the object even if no command waits.
-    Refresh,
-}
-
-/// Output of a writer.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// The shell reads the object.
-    Read {
-        /// The read.
-        operation: Operation,
-    },
-    /// The shell writes the object if it has the expected version.
-    Write {
-        /// The write.
-        operation: Operation,
-        /// The expected version, or `None` when the object must not exist.
-        expected: Option<u64>,
-        /// The content.
-        shard: Shard,
-    },
-    /// The reply to a command.
-    Reply {
-        /// The command.
-        ticket: Ticket,
-        /// The reply.
-        reply: ClaimReply,
-    },
-}
-
-/// Counters of a writer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct WriterCounters {
-    /// Reads of the object.
-    pub reads: u64,
-    /// Writes of the object.
-    pub writes: u64,
-    /// Writes that another writer prevented.
-    pub conflicts: u64,
-    /// Writes without a usable answer.
-    pub lost_writes: u64,
-    /// Reads and writes that certainly had no effect.
-    pub failures: u64,
-    /// Commands that were answered as unavailable.
-    pub unavailable: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Pending {
     ticket: Ticket,
@@ -203,6 +73,17 @@
         since: Millis,
         candidate: Shard,
         answers: Vec<(Ticket, ClaimAnswer)>,
+        /// The segments that nothing refers to after the write.
+        expired: Vec<String>,
+    },
+    ReadingSegment {
+        operation: Operation,
+        since: Millis,
+        name: String,
+    },
+    WritingSegment {
+        operation: Operation,
+        since: Millis,
     },
     Waiting {
         until: Millis,
@@ -216,11 +97,19 @@
     index: u32,
     shard_count: u32,
     base: Option<Base>,
+    /// The highest version that the platform returned.
+    known_version: Option<u64>,
     pending: Vec<Pending>,
     phase: Phase,
     next_operation: u64,
     wall_ms: Millis,
     counters: WriterCounters,
+    segment_prefix: Option<String>,
+    next_segment: u64,
+    sealing: Option<Sealing>,
+    seal_after: Millis,
+    /// What segments contain of the waiting commands' keys.
+    sealed: BTreeMap<(String, ClaimKey), Option<ClaimRecord>>,
 }
 
 impl ShardWriter {
@@ -232,14 +121,28 @@
             index,
             shard_count,
             base: None,
+            known_version: None,
             pending: Vec::new(),
             phase: Phase::Idle,
             next_operation: 0,
             wall_ms: Millis::ZERO,
             counters: WriterCounters::default(),
+            segment_prefix: None,
+            next_segment: 0,
+            sealing: None,
+            seal_after: Millis::ZERO,
+            sealed: BTreeMap::new(),
         }
     }
 
+    /// Lets the writer move settled claims to segments, whose names start with a prefix that no
+    /// other process uses.
+    #[must_use]
+    pub fn with_segments(mut self, prefix: &str) -> Self {
+        self.segment_prefix = Some(prefix.to_owned());
+        self
+    }
+
     /// Returns the last content that the platform returned. Others may have changed it since.
     #[must_use]
     pub fn content(&self) -> Option<&Shard> {
@@ -260,7 +163,10 @@
         let phase_ends = match &self.phase {
             Phase::Idle => None,
             Phase::Collecting { until } | Phase::Waiting { until } => Some(*until),
-            Phase::Reading { since, .. } | Phase::Writing { since, .. } => {
+            Phase::Reading { since, .. }
+            | Phase::Writing { since, .. }
+            | Phase::ReadingSegment { since, .. }
+            | Phase::WritingSegment { since, .. } => {
                 Some(*since + self.settings.operation_timeout_ms)
             }
         };
@@ -282,6 +188,9 @@
             Input::Write { operation, result } => {
                 self.finish_write(now, operation, result, &mut outputs);
             }
+            Input::Segment { operation, segment } => {
+                self.finish_segment_read(now, operation, segment, &mut outputs);
+            }
             Input::Refresh if matches!(self.phase, Phase::Idle) => self.read(now, &mut outputs),
             Input::Tick | Input::Refresh => {}
         }
@@ -336,6 +245,16 @@
                 let operation = *operation;
                 self.finish_write(now, operation, WriteResult::Lost, outputs);
             }
+            Phase::ReadingSegment {
+                operation, since, ..
+            } if self.is_overdue(now, *since) => {
+                let operation = *operation;
+                self.finish_segment_read(now, operation, None, outputs);
+            }
+            Phase::WritingSegment { operation, since } if self.is_overdue(now, *since) => {
+                let operation = *operation;
+                self.finish_write(now, operation, WriteResult::Lost, outputs);
+            }
             _ => {}
         }
     }
@@ -377,6 +296,7 @@
 
     fn collect(&mut self, now: Millis) {
         let Some(oldest) = self.pending.first() else {
+            self.sealed.clear();
             self.phase = Phase::Idle;
             return;
         };
@@ -388,31 +308,44 @@
 
     /// Commits the waiting commands. `fresh` states that the base was read for them.
     fn commit(&mut self, now: Millis, fresh: bool, outputs: &mut Vec<Output>) {
-        if self.pending.is_empty() {
+        if self.pending.is_empty() && self.sealing.is_none() {
+            self.sealed.clear();
             self.phase = Phase::Idle;
             return;
         }
-        let Some(base) = &self.base else {
+        let Some(base) = self.base.take() else {
             self.read(now, outputs);
             return;
         };
+        if let Some(name) = self.unread_segment(&base.shard) {
+            self.base = Some(base);
+            self.read_segment(now, name, outputs);
+            return;
+        }
+        self.choose_claims_to_seal(now, &base.shard);
+        if self.write_segment(now, outputs) {
+            self.base = Some(base);
+            return;
+        }
         let mut candidate = base.shard.clone();
-        let expected = base.version;
         let answers: Vec<(Ticket, ClaimAnswer)> = self
             .pending
             .iter()
-            .map(|pending| (pending.ticket, candidate.apply(&pending.command)))
+            .map(|pending| (pending.ticket, self.apply(&mut candidate, &pending.command)))
             .collect();
-        if candidate != base.shard {
-            candidate.expire(
-                self.wall_ms,
-                self.settings.retention_ms,
-                self.settings.released_retention_ms,
-            );
+        // The commands come first: a claim that is sealed in this commit is in no segment that was
+        // read for them.
+        self.seal(&mut candidate, outputs);
+        let is_changed = candidate != base.shard;
+        let expected = base.version;
+        self.base = Some(base);
+        if is_changed {
             self.write(now, expected, candidate, answers, outputs);
         } else if fresh {
             self.reply_covered(answers, outputs);
             self.collect(now);
+        } else if self.pending.is_empty() {
+            self.phase = Phase::Idle;
         } else {
             // The base may be out of date, and no write would show that.
             self.read(now, outputs);
@@ -423,10 +356,16 @@
         &mut self,
         now: Millis,
         expected: Option<u64>,
-        candidate: Shard,
+        mut candidate: Shard,
         answers: Vec<(Ticket, ClaimAnswer)>,
         outputs: &mut Vec<Output>,
     ) {
+        let settings = self.settings;
+        let expired = candidate.expire(
+            self.wall_ms,
+            settings.retention_ms,
+            settings.released_retention_ms,
+        );
         let operation = self.take_operation();
         self.counters.writes += 1;
         outputs.push(Output::Write {
@@ -439,6 +378,7 @@
             since: now,
             candidate,
             answers,
+            expired: expired.segments,
         };
     }
 
@@ -475,6 +415,7 @@
         }
         match self.base_of(result) {
             Some(base) => {
+                self.known_version = base.version;
                 self.base = Some(base);
                 self.commit(now, true, outputs);
             }
@@ -484,7 +425,7 @@
 
     /// Returns the base for a read result, or nothing when it must not be used.
     fn base_of(&self, result: ReadResult) -> Option<Base> {
-        let known = self.base.as_ref().and_then(|base| base.version);
+        let known = self.known_version;
         match result {
             ReadResult::Found { version, shard } => {
                 let same_shard =
@@ -519,22 +460,40 @@
         outputs: &mut Vec<Output>,
     ) {
         // A write that was given up has been settled by reading the object.
-        if !matches!(&self.phase, Phase::Writing { operation: current, .. } if *current == operation)
-        {
-            return;
+        match &self.phase {
+            Phase::Writing {
+                operation: current, ..
+            } if *current == operation => {}
+            Phase::WritingSegment {
+                operation: current, ..
+            } if *current == operation => {
+                self.finish_segment_write(now, result, outputs);
+                return;
+            }
+            _ => return,
         }
         let Phase::Writing {
-            candidate, answers, ..
+            candidate,
+            answers,
+            expired,
+            ..
         } = mem::replace(&mut self.phase, Phase::Idle)
         else {
             return;
         };
         match result {
             WriteResult::Written { version } => {
+                self.sealing
+                    .take_if(|sealing| candidate.has_segment(&sealing.name));
+                self.known_version = Some(version);
                 self.base = Some(Base {
                     version: Some(version),
                     shard: candidate,
                 });
+                let unused = expired
+                    .into_iter()
+                    .map(|name| Output::DeleteSegment { name });
+                outputs.extend(unused);
                 self.reply_decided(answers, outputs);
                 self.collect(now);
             }
--- /dev/null
+++ b/crates/coord/src/claim/writer/sealing.rs
@@ -0,0 +1,185 @@
+//! The writer's use of segments.
+
+use crate::claim::command::ClaimAnswer;
+use crate::claim::command::ClaimCommand;
+use crate::claim::messages::Operation;
+use crate::claim::messages::Output;
+use crate::claim::messages::WriteResult;
+use crate::claim::segment::Segment;
+use crate::claim::shard::Shard;
+use crate::claim::writer::Phase;
+use crate::claim::writer::ShardWriter;
+use crate::clock::Millis;
+
+/// Settled claims that are being moved to a segment.
+#[derive(Clone, Debug)]
+pub(super) struct Sealing {
+    pub(super) name: String,
+    pub(super) segment: Segment,
+    pub(super) written: bool,
+    /// Whether content that refers to the segment may have landed.
+    pub(super) referenced: bool,
+}
+
+impl ShardWriter {
+    /// Applies a command to the content, or to the sealed record of its key.
+    pub(super) fn apply(&self, candidate: &mut Shard, command: &ClaimCommand) -> ClaimAnswer {
+        let key = command.key();
+        if candidate.get(key).is_some() {
+            return candidate.apply(command);
+        }
+        let sealed = candidate.segments_with(key).find_map(|name| {
+            let record = self.sealed.get(&(name.to_owned(), key.clone()));
+            record.cloned().flatten()
+        });
+        match sealed {
+            Some(record) => candidate.apply_to_sealed(record, command),
+            None => candidate.apply(command),
+        }
+    }
+
+    /// Returns a segment that may contain the key of a waiting command and was not read for it.
+    pub(super) fn unread_segment(&self, shard: &Shard) -> Option<String> {
+        let keys = self.pending.iter().map(|pending| pending.command.key());
+        let absent = keys.filter(|key| shard.get(key).is_none());
+        absent
+            .flat_map(|key| shard.segments_with(key).map(move |name| (name, key)))
+            .find(|(name, key)| {
+                let entry = ((*name).to_owned(), (*key).clone());
+                !self.sealed.contains_key(&entry)
+            })
+            .map(|(name, _)| name.to_owned())
+    }
+
+    pub(super) fn read_segment(&mut self, now: Millis, name: String, outputs: &mut Vec<Output>) {
+        let operation = self.take_operation();
+        self.counters.reads += 1;
+        outputs.push(Output::ReadSegment {
+            operation,
+            name: name.clone(),
+        });
+        self.phase = Phase::ReadingSegment {
+            operation,
+            since: now,
+            name,
+        };
+    }
+
+    pub(super) fn finish_segment_read(
+        &mut self,
+        now: Millis,
+        operation: Operation,
+        segment: Option<Segment>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let name = match &self.phase {
+            Phase::ReadingSegment {
+                operation: current,
+                name,
+                ..
+            } if *current == operation => name.clone(),
+            _ => return,
+        };
+        let Some(segment) = segment else {
+            // The content may have dropped the segment since it was read.
+            self.base = None;
+            self.wait_after_failure(now);
+            return;
+        };
+        for pending in &self.pending {
+            let key = pending.command.key();
+            let record = segment.get(key).cloned();
+            self.sealed.insert((name.clone(), key.clone()), record);
+        }
+        self.commit(now, false, outputs);
+    }
+
+    pub(super) fn choose_claims_to_seal(&mut self, now: Millis, shard: &Shard) {
+        let is_small = shard.size_bytes() <= self.settings.seal_above_bytes;
+        if is_small || self.sealing.is_some() || now < self.seal_after {
+            return;
+        }
+        let Some(prefix) = &self.segment_prefix else {
+            return;
+        };
+        let Some(segment) = Segment::of_settled(shard, self.settings.seal_above_bytes / 2) else {
+            return;
+        };
+        self.sealing = Some(Sealing {
+            name: format!("{prefix}-{}", self.next_segment),
+            segment,
+            written: false,
+            referenced: false,
+        });
+        self.next_segment += 1;
+    }
+
+    /// Starts to write the segment that is not written yet, and returns whether it did.
+    pub(super) fn write_segment(&mut self, now: Millis, outputs: &mut Vec<Output>) -> bool {
+        if now < self.seal_after {
+            return false;
+        }
+        let Some(sealing) = self.sealing.as_ref().filter(|sealing| !sealing.written) else {
+            return false;
+        };
+        let (name, segment) = (sealing.name.clone(), sealing.segment.clone());
+        let operation = self.take_operation();
+        self.counters.writes += 1;
+        outputs.push(Output::WriteSegment {
+            operation,
+            name,
+            segment,
+        });
+        self.phase = Phase::WritingSegment {
+            operation,
+            since: now,
+        };
+        true
+    }
+
+    pub(super) fn finish_segment_write(
+        &mut self,
+        now: Millis,
+        result: WriteResult,
+        outputs: &mut Vec<Output>,
+    ) {
+        match result {
+            // Nobody else uses the name, so a conflict is an earlier copy of the same write.
+            WriteResult::Written { .. } | WriteResult::Conflict => {
+                if let Some(sealing) = &mut self.sealing {
+                    sealing.written = true;
+                    self.counters.segments += 1;
+                }
+            }
+            WriteResult::NotWritten | WriteResult::Lost => {
+                self.seal_after = now + self.settings.seal_retry_ms;
+            }
+        }
+        if self.pending.is_empty() && now < self.seal_after {
+            self.phase = Phase::Idle;
+            return;
+        }
+        self.commit(now, false, outputs);
+    }
+
+    /// Replaces the claims of a written segment by a reference to it. A segment whose claims
+    /// another writer has sealed is not used.
+    pub(super) fn seal(&mut self, candidate: &mut Shard, outputs: &mut Vec<Output>) {
+        let Some(sealing) = self.sealing.take_if(|sealing| sealing.written) else {
+            return;
+        };
+        if candidate.has_segment(&sealing.name) {
+            return;
+        }
+        if candidate.seal(&sealing.name, &sealing.segment) {
+            // Kept until the content that refers to it is confirmed.
+            self.sealing = Some(Sealing {
+                referenced: true,
+                ..sealing
+            });
+        } else if !sealing.referenced {
+            let name = sealing.name;
+            outputs.push(Output::DeleteSegment { name });
+        }
+    }
+}
--- a/crates/coord/tests/claim_interleavings.rs
+++ b/crates/coord/tests/claim_interleavings.rs
@@ -3,6 +3,8 @@
 
 mod claim_world;
 
+use std::collections::BTreeSet;
+
 use arbutus_coord::claim::ClaimState;
 use arbutus_coord::claim::Shard;
 use claim_world::Ending;
@@ -79,18 +81,20 @@
         faults.push(error.to_string());
     }
     for (key, runs) in &world.runs {
-        let listed = shard.get(key).is_some_and(|record| {
+        let record = world.record(shard, key);
+        let listed = record.is_some_and(|record| {
             runs.contains(&record.attempt) && record.state != ClaimState::Released
         });
         if !listed {
             faults.push(format!("{key} ran but has no record"));
         }
     }
-    for (key, record) in shard.claims() {
-        let ran = world
-            .runs
-            .get(key)
-            .is_some_and(|runs| runs.contains(&record.attempt));
+    let keys: BTreeSet<_> = world.accepted.values().map(|(key, _)| key).collect();
+    let records = keys.into_iter().map(|key| (key, world.record(shard, key)));
+    for (key, record) in records {
+        let Some(record) = record else { continue };
+        let runs = world.runs.get(key);
+        let ran = runs.is_some_and(|runs| runs.contains(&record.attempt));
         match &record.state {
             ClaimState::Claimed => faults.push(format!("{key} is still claimed: {record:?}")),
             ClaimState::Settled { answer, .. } => {
--- a/crates/coord/tests/claim_world/mod.rs
+++ b/crates/coord/tests/claim_world/mod.rs
@@ -3,38 +3,42 @@
 //! The script decides which message is delayed, lost or repeated, when an instance is paused or
 //! killed and when the platform is down. After the script everything is delivered and repaired.
 
+mod event;
+mod node;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::btree_map::Entry;
 
 use arbutus_coord::Millis;
 use arbutus_coord::claim::AttemptId;
-use arbutus_coord::claim::Backlog;
 use arbutus_coord::claim::Claim;
 use arbutus_coord::claim::ClaimCommand;
 use arbutus_coord::claim::ClaimKey;
+use arbutus_coord::claim::ClaimRecord;
 use arbutus_coord::claim::ClaimReply;
 use arbutus_coord::claim::ClaimState;
-use arbutus_coord::claim::DeadHolders;
 use arbutus_coord::claim::Fingerprint;
 use arbutus_coord::claim::Holder;
 use arbutus_coord::claim::Input;
 use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Segment;
 use arbutus_coord::claim::Shard;
-use arbutus_coord::claim::ShardWriter;
 use arbutus_coord::claim::StoredAnswer;
 use arbutus_coord::claim::command::Proposal;
-use arbutus_coord::claim::holder::Confirmed;
 use arbutus_coord::claim::holder::DISPATCH_WINDOW_MS;
-use arbutus_coord::claim::holder::Dispatched;
 use arbutus_coord::claim::holder::NotSent;
 use arbutus_coord::claim::holder::ProposalResult;
 use arbutus_coord::claim::holder::Proposed;
 use arbutus_coord::claim::record::UnknownReason;
-use arbutus_coord::claim::writer::Operation;
 use arbutus_coord::claim::writer::ReadResult;
 use arbutus_coord::claim::writer::Ticket;
 use arbutus_coord::claim::writer::WriteResult;
-use arbutus_coord::claim::writer::WriterSettings;
+pub use event::Ending;
+use event::Event;
+use event::Message;
+use node::Call;
+use node::Node;
 
 const INSTANCES: usize = 3;
 const KEYS: usize = 3;
@@ -42,66 +46,6 @@
 const DETECTION_MS: u64 = 3_000;
 const SETTLING_MS: u64 = 90_000;
 
-/// How a call ended for its caller.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Ending {
-    NotRun,
-    Answer(Option<String>),
-    Unknown,
-    Conflict,
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    /// Something for an instance, void when the instance has been restarted.
-    Instance(usize, u64, Message),
-    ReadArrives(usize, u64, Operation),
-    WriteArrives(usize, u64, Operation, Option<u64>, Shard),
-    CallArrives(usize, u64, ClaimKey, AttemptId),
-}
-
-#[derive(Clone, Debug)]
-enum Message {
-    Writer(Input),
-    Command(usize, u64, ClaimCommand),
-    Reply(ClaimCommand, ClaimReply),
-    ProposalTimeout(AttemptId),
-    Dispatch(AttemptId),
-    TargetAnswer(AttemptId, Option<String>),
-}
-
-enum Call {
-    Proposed(Claim<Proposed>),
-    Confirmed(Claim<Confirmed>),
-    Dispatched(Claim<Dispatched>),
-}
-
-struct Node {
-    boot_id: u64,
-    paused_until: u64,
-    unseen_until: u64,
-    writer: ShardWriter,
-    tickets: BTreeMap<Ticket, (usize, u64, ClaimCommand)>,
-    calls: BTreeMap<AttemptId, Call>,
-    backlog: Backlog,
-    dead_holders: DeadHolders,
-}
-
-impl Node {
-    fn new(boot_id: u64) -> Self {
-        Self {
-            boot_id,
-            paused_until: 0,
-            unseen_until: 0,
-            writer: ShardWriter::new(0, 1, WriterSettings::default()),
-            tickets: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            backlog: Backlog::new(),
-            dead_holders: DeadHolders::new(),
-        }
-    }
-}
-
 pub struct World {
     script: Vec<u16>,
     position: usize,
@@ -111,6 +55,7 @@
     nodes: Vec<Node>,
     object: Option<(u64, Shard)>,
     previous: Option<(u64, Shard)>,
+    segments: BTreeMap<String, Segment>,
     platform_down_until: u64,
     pub accepted: BTreeMap<AttemptId, (ClaimKey, u64)>,
     pub endings: BTreeMap<AttemptId, Ending>,
@@ -132,6 +77,7 @@
                 .collect(),
             object: None,
             previous: None,
+            segments: BTreeMap::new(),
             platform_down_until: 0,
             accepted: BTreeMap::new(),
             endings: BTreeMap::new(),
@@ -346,6 +292,25 @@
                 let input = Input::Write { operation, result };
                 self.send(&Event::Instance(index, boot_id, Message::Writer(input)));
             }
+            Event::SegmentReadArrives(index, boot_id, operation, name) => {
+                let segment = self.segments.get(&name).cloned();
+                let input = Input::Segment { operation, segment };
+                self.send(&Event::Instance(index, boot_id, Message::Writer(input)));
+            }
+            Event::SegmentWriteArrives(index, boot_id, operation, name, segment) => {
+                let result = match self.segments.entry(name) {
+                    Entry::Occupied(_) => WriteResult::Conflict,
+                    Entry::Vacant(entry) => {
+                        entry.insert(segment);
+                        WriteResult::Written { version: 1 }
+                    }
+                };
+                let input = Input::Write { operation, result };
+                self.send(&Event::Instance(index, boot_id, Message::Writer(input)));
+            }
+            Event::SegmentDeleted(name) => {
+                self.segments.remove(&name);
+            }
             Event::CallArrives(index, boot_id, key, attempt) => {
                 self.runs.entry(key).or_default().push(attempt.clone());
                 let broken = self.choose(6) == 1;
@@ -429,6 +394,19 @@
                         index, boot_id, operation, expected, shard,
                     ));
                 }
+                Output::ReadSegment { operation, name } => {
+                    self.send(&Event::SegmentReadArrives(index, boot_id, operation, name));
+                }
+                Output::WriteSegment {
+                    operation,
+                    name,
+                    segment,
+                } => {
+                    let event =
+                        Event::SegmentWriteArrives(index, boot_id, operation, name, segment);
+                    self.send(&event);
+                }
+                Output::DeleteSegment { name } => self.send(&Event::SegmentDeleted(name)),
                 Output::Reply { ticket, reply } => {
                     let origin = self.nodes[index].tickets.remove(&ticket);
                     if let Some((from, from_boot, command)) = origin {
@@ -580,6 +558,13 @@
         self.endings.insert(attempt, ending);
     }
 
+    /// Returns the record of a key, in the shard object or in a segment that it refers to.
+    pub fn record(&self, shard: &Shard, key: &ClaimKey) -> Option<ClaimRecord> {
+        let mut names = shard.segments_with(key);
+        let sealed = names.find_map(|name| self.segments.get(name)?.get(key));
+        shard.get(key).or(sealed).cloned()
+    }
+
     /// Returns whether the instance that accepted a call still runs.
     pub fn is_running(&self, boot_id: u64) -> bool {
         self.nodes.iter().any(|node| node.boot_id == boot_id)
--- a/crates/coord/tests/claim_writer.rs
+++ b/crates/coord/tests/claim_writer.rs
@@ -233,7 +233,7 @@
     let parsed: Shard = serde_json::from_str(&json).expect("the content is valid");
     assert_eq!(parsed, shard);
     let deleted = shard.expire(Millis(86_400_009), Millis(86_400_000), Millis(1));
-    assert_eq!(deleted, accepted.len(), "the retention has passed");
+    assert_eq!(deleted.claims, accepted.len(), "the retention has passed");
 }
 
 #[test]
--- a/crates/daemon/src/claims/operators.rs
+++ b/crates/daemon/src/claims/operators.rs
@@ -25,6 +25,7 @@
 
 const CONTENT_TIMEOUT_MS: Millis = Millis(3_000);
 const STATUS_OK: u16 = 200;
+const HAS_OUTCOME: &str = "the claim has a recorded outcome";
 
 /// Lists the claims without a recorded outcome.
 ///
@@ -62,7 +63,13 @@
         .ok_or("there is no configuration yet")?;
     let shard = content(node, key.shard_index(count)).ok_or("the platform cannot be reached")?;
     let Some(record) = shard.get(&key) else {
-        return Ok(refused("there is no claim with this key"));
+        let look_up = ClaimCommand::LookUp { key };
+        let found = node.claims.submit(node, &look_up, COMMAND_TIMEOUT_MS);
+        return match found.reply {
+            ClaimReply::Decided(ClaimAnswer::Settled { .. }) => Ok(refused(HAS_OUTCOME)),
+            ClaimReply::Decided(_) => Ok(refused("there is no claim with this key")),
+            ClaimReply::Unavailable { .. } => Err("the platform cannot be reached".to_owned()),
+        };
     };
     let command = ClaimCommand::OperatorSettle {
         attempt: record.attempt.clone(),
@@ -77,9 +84,7 @@
             settled: true,
             detail: order.outcome.to_string(),
         }),
-        ClaimReply::Decided(ClaimAnswer::Settled { .. }) => {
-            Ok(refused("the claim has a recorded outcome"))
-        }
+        ClaimReply::Decided(ClaimAnswer::Settled { .. }) => Ok(refused(HAS_OUTCOME)),
         ClaimReply::Decided(ClaimAnswer::Running { holder, .. }) => Ok(refused(&format!(
             "instance {} may be running the request",
             holder.instance
--- a/crates/daemon/src/claims/shards.rs
+++ b/crates/daemon/src/claims/shards.rs
@@ -17,6 +17,7 @@
 use arbutus_coord::claim::Holder;
 use arbutus_coord::claim::Input;
 use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Segment;
 use arbutus_coord::claim::Shard;
 use arbutus_coord::claim::ShardWriter;
 use arbutus_coord::claim::writer::ReadResult;
@@ -27,6 +28,7 @@
 use arbutus_coord::membership::MemberState;
 use log::error;
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::json;
 
 use crate::claims::ReplyTo;
@@ -65,6 +67,7 @@
             operation_timeout_ms: OPERATION_TIMEOUT_MS.times(2),
             ..WriterSettings::default()
         };
+        let prefix = format!("{}-{:x}", node.settings.name, node.boot_id);
         Self {
             node,
             index,
@@ -72,7 +75,7 @@
                 .platform
                 .clone()
                 .with_call_timeout(OPERATION_TIMEOUT_MS),
-            writer: ShardWriter::new(index, claims.shards, settings),
+            writer: ShardWriter::new(index, claims.shards, settings).with_segments(&prefix),
             waiting: BTreeMap::new(),
             next_ticket: 0,
             dead_holders: DeadHolders::new(),
@@ -125,8 +128,25 @@
                     shard,
                 } => Input::Write {
                     operation,
-                    result: self.write(expected, &shard),
+                    result: self.write(&object_key(self.index), expected, &json!(shard)),
                 },
+                Output::ReadSegment { operation, name } => Input::Segment {
+                    operation,
+                    segment: self.read_segment(&name),
+                },
+                Output::WriteSegment {
+                    operation,
+                    name,
+                    segment,
+                } => Input::Write {
+                    operation,
+                    result: self.write(&self.segment_key(&name), None, &json!(segment)),
+                },
+                Output::DeleteSegment { name } => {
+                    // An object that stays behind is not read any more.
+                    drop(self.platform.delete(&self.segment_key(&name)));
+                    continue;
+                }
                 Output::Reply { ticket, reply } => {
                     self.reply(ticket, reply);
                     continue;
@@ -165,12 +185,18 @@
         }
     }
 
-    fn write(&self, expected: Option<u64>, shard: &Shard) -> WriteResult {
+    fn read_segment(&self, name: &str) -> Option<Segment> {
+        let object = self.platform.get(&self.segment_key(name)).ok().flatten()?;
+        Segment::deserialize(object.value).ok()
+    }
+
+    fn segment_key(&self, name: &str) -> String {
+        format!("{}/{name}", object_key(self.index))
+    }
+
+    fn write(&self, key: &str, expected: Option<u64>, content: &Value) -> WriteResult {
         let condition = expected.map_or(Condition::Absent, Condition::Version);
-        let result = self
-            .platform
-            .put(&object_key(self.index), condition, &json!(shard));
-        match result {
+        match self.platform.put(key, condition, content) {
             Ok(version) => WriteResult::Written { version },
             Err(WriteError::Conflict) => WriteResult::Conflict,
             Err(WriteError::NotWritten(_)) => WriteResult::NotWritten,
@@ -210,6 +236,7 @@
         let metrics = &self.node.metrics;
         metrics.count_by("claim_shard_reads", counters.reads - self.counted.reads);
         metrics.count_by("claim_shard_writes", counters.writes - self.counted.writes);
+        metrics.count_by("claim_segments", counters.segments - self.counted.segments);
         metrics.count_by(
             "claim_write_conflicts",
             counters.conflicts - self.counted.conflicts,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -175,6 +175,24 @@
             .map_err(|error| WriteError::Unknown(error.to_string()))
     }
 
+    /// Deletes an object, whatever its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the deletion took no effect or may have taken effect.
+    pub fn delete(&self, key: &str) -> Result<(), WriteError> {
+        let answer = self
+            .agent
+            .delete(format!("{}/v1/objects/{key}", self.base))
+            .header(FAILURE_DOMAIN_HEADER, &self.failure_domain)
+            .config()
+            .timeout_global(Some(self.call_timeout_ms.to_duration()))
+            .build()
+            .call()
+            .map_err(|error| write_error(&error))?;
+        written_status(answer.status().as_u16())
+    }
+
     fn read<T: serde::de::DeserializeOwned>(
         &self,
         url: &str,
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -47,6 +47,24 @@
 
 impl Deployment {
     fn start(name: &str, service_ms: u64) -> Self {
+        let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kamagama");
+        Self::start_with(name, service_ms, examples)
+    }
+
+    /// Starts with one shard, so that it fills soon.
+    fn start_with_one_shard(name: &str) -> Self {
+        let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kamagama");
+        let base = fs::read_to_string(examples.join("base.yaml")).expect("the example exists");
+        assert!(base.contains("shards: 16"), "the example has the default");
+        let directory =
+            env::temp_dir().join(format!("arbutus-{name}-{}-files", std::process::id()));
+        fs::create_dir_all(directory.join("overlays")).expect("the directory can be created");
+        let base = base.replace("shards: 16", "shards: 1");
+        fs::write(directory.join("base.yaml"), base).expect("the file can be written");
+        Self::start_with(name, 1, directory)
+    }
+
+    fn start_with(name: &str, service_ms: u64, configuration: PathBuf) -> Self {
         let binaries = Path::new(env!("CARGO_BIN_EXE_arbutusd"))
             .parent()
             .expect("a program has a directory");
@@ -62,7 +80,7 @@
                 per_failure_domain: 1,
                 options: options.iter().map(ToString::to_string).collect(),
             }],
-            configuration: Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kamagama"),
+            configuration,
         };
         let fleet = Fleet::start(&spec, binaries, &directory).expect("the deployment starts");
         Self { fleet, directory }
@@ -122,6 +140,38 @@
         }
     }
 
+    /// Books with several callers, each at one instance.
+    fn book_concurrently(&self, callers: usize, bookings: usize) {
+        thread::scope(|scope| {
+            for caller in 0..callers {
+                scope.spawn(move || {
+                    for number in 0..bookings {
+                        let key = format!("k{caller}-{number}");
+                        self.book_until(caller % 4, &key, |answer| answer.status == 200);
+                    }
+                });
+            }
+        });
+    }
+
+    /// Returns the sum of a counter of events over all instances.
+    fn count(&self, event: &str) -> usize {
+        let count = |index: usize| {
+            let url = format!("http://{}/metrics", self.address(index));
+            let mut answer = self.fleet.agent().get(url).call().expect("it answers");
+            let text = answer.body_mut().read_to_string().expect("it is text");
+            let is_event = |line: &&str| line.contains(&format!("\"{event}\""));
+            let value = text
+                .lines()
+                .find(is_event)
+                .and_then(|line| line.rsplit(' ').next());
+            value
+                .and_then(|value| value.parse::<usize>().ok())
+                .unwrap_or(0)
+        };
+        (0..self.fleet.instances.len()).map(count).sum()
+    }
+
     fn platform_faults(&self, faults: &Value) {
         let (status, _) = self
             .fleet
@@ -318,41 +368,11 @@
     let deployment = Deployment::start("claims-group", 1);
     // Before that, instances disagree about the writer of a shard, and their writes conflict.
     deployment.wait_until_all_know_each_other();
-    let writes = || {
-        let metric = |index: usize| {
-            let url = format!("http://{}/metrics", deployment.address(index));
-            let mut answer = deployment
-                .fleet
-                .agent()
-                .get(url)
-                .call()
-                .expect("it answers");
-            let text = answer.body_mut().read_to_string().expect("it is text");
-            let of_writes = |line: &&str| line.contains("\"claim_shard_writes\"");
-            let line = text
-                .lines()
-                .find(of_writes)
-                .and_then(|line| line.rsplit(' ').next());
-            line.and_then(|value| value.parse::<usize>().ok())
-                .unwrap_or(0)
-        };
-        (0..4).map(metric).sum::<usize>()
-    };
     let begun = Instant::now();
-    thread::scope(|scope| {
-        for caller in 0..CALLERS {
-            let deployment = &deployment;
-            scope.spawn(move || {
-                for number in 0..BOOKINGS {
-                    let key = format!("k{caller}-{number}");
-                    deployment.book_until(caller % 4, &key, |answer| answer.status == 200);
-                }
-            });
-        }
-    });
+    deployment.book_concurrently(CALLERS, BOOKINGS);
     let elapsed = begun.elapsed();
     let commands = 2 * CALLERS * BOOKINGS;
-    let writes = writes();
+    let writes = deployment.count("claim_shard_writes");
     println!(
         "{commands} commands in {writes} writes within {} ms",
         elapsed.as_millis()
@@ -363,3 +383,25 @@
     );
     deployment.stop();
 }
+
+/// A shard fills, so that claims are refused, or a claim that was moved is run again.
+#[test]
+fn settled_claims_move_to_segments_and_still_answer_resends() {
+    const CALLERS: usize = 32;
+    const BOOKINGS: usize = 32;
+    let deployment = Deployment::start_with_one_shard("claims-seal");
+    deployment.wait_until_all_know_each_other();
+    deployment.book_concurrently(CALLERS, BOOKINGS);
+    let segments = deployment.count("claim_segments");
+    println!("{} bookings in {segments} segments", CALLERS * BOOKINGS);
+    assert!(segments > 0);
+    for caller in 0..CALLERS {
+        let key = format!("k{caller}-0");
+        let answer = deployment
+            .book((caller + 1) % 4, &key)
+            .expect("the instance answers");
+        assert!(answer.status == 200 && answer.replayed, "{key}: {answer:?}");
+        assert_eq!(deployment.executions(&key), 1, "{key}");
+    }
+    deployment.stop();
+}
