--- a/crates/coord/tests/claim_writer.rs
+++ b/crates/coord/tests/claim_writer.rs
@@ -13,6 +13,7 @@
 use arbutus_coord::claim::Holder;
 use arbutus_coord::claim::Input;
 use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Segment;
 use arbutus_coord::claim::Shard;
 use arbutus_coord::claim::ShardWriter;
 use arbutus_coord::claim::StoredAnswer;
@@ -260,3 +261,17 @@
     let done = backlog.resolve(&attempt, &ClaimReply::Decided(ClaimAnswer::Released));
     assert!(matches!(done, Some(ClosingResult::Done)) && backlog.is_empty());
 }
+
+#[test]
+fn seal_leaves_a_key_that_was_claimed_again_after_its_retention() {
+    let mut shard = Shard::new(0, 1);
+    let first = proposal("k", "a1");
+    shard.apply(&ClaimCommand::Propose(first.clone()));
+    shard.apply(&settle(&first, "{}"));
+    let segment = Segment::of_settled(&shard, 1).expect("a settled claim can be sealed");
+    shard.expire(Millis(10), Millis(1), Millis(1));
+    let second = ClaimCommand::Propose(proposal("k", "a2"));
+    assert_eq!(shard.apply(&second), ClaimAnswer::Claimed);
+    assert!(!shard.seal("s", &segment), "the claim runs");
+    assert_eq!(shard.apply(&second), ClaimAnswer::Claimed);
+}
