remote: offer a stage to members that seem dead when no other place is left

After a partition the instances of a drained failure domain learn of the drain at once, but of the live members of other failure domains only by their next introductions. Until then they had no target and no peer, and refused requests as not run. A call without a target in its own failure domain is now also offered to at most two members that seem suspect or dead; a connection that cannot be established is proof that nothing ran. A call that can wait for a local target is not offered to them.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -235,14 +235,16 @@
             Ok(slot) => return Ok(Place::Local(slot)),
             Err(no_slot) => no_slot,
         };
+        let has_local_target = no_slot != NoSlot::NoTarget;
         if !self.call.forwarded
-            && let Some(peer) = choose_peer(self.node, &self.call.service, &self.peers)
+            && let Some(peer) =
+                choose_peer(self.node, &self.call.service, &self.peers, has_local_target)
         {
             // A call that can also wait here does not wait there.
-            let wait_ms = if no_slot == NoSlot::NoTarget {
-                Millis::MAX
-            } else {
+            let wait_ms = if has_local_target {
                 REMOTE_PATIENCE_MS
+            } else {
+                Millis::MAX
             };
             return Ok(Place::Remote(peer, wait_ms));
         }
--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -42,6 +42,9 @@
 use crate::stage::TokenSink;
 
 const STATUS_OK: u16 = 200;
+/// Instances that seem to be dead are tried only below this number of tried instances, as each of
+/// them may cost the time of a connection that is not established.
+const MAX_UNLIKELY_PEERS: usize = 2;
 /// What a forwarded call may take longer than its deadline because of the way back.
 const ANSWER_MARGIN_MS: Millis = Millis(50);
 
@@ -69,8 +72,17 @@
 }
 
 /// Returns an instance of another failure domain that can be expected to run a stage.
+///
+/// A call that has no target here is also offered to instances that seem to be dead, because
+/// after a partition the news of a drain can arrive before that of live members. An instance that
+/// cannot be reached is a proof of `not run`.
 #[must_use]
-pub fn choose_peer(node: &Node, service: &str, excluded: &BTreeSet<String>) -> Option<Member> {
+pub fn choose_peer(
+    node: &Node,
+    service: &str,
+    excluded: &BTreeSet<String>,
+    has_local_target: bool,
+) -> Option<Member> {
     let directory = node.directory();
     let mut domains = BTreeSet::new();
     for (_, entry) in directory.iter() {
@@ -79,13 +91,19 @@
         }
     }
     domains.remove(node.settings.failure_domain.as_str());
-    let candidates: Vec<Member> = node
+    let (alive, others): (Vec<Member>, Vec<Member>) = node
         .members()
         .into_iter()
-        .filter(|member| member.state == MemberState::Alive)
+        .filter(|member| member.state != MemberState::Leaving)
         .filter(|member| domains.contains(member.failure_domain.as_str()))
         .filter(|member| !excluded.contains(&member.name) && !node.is_instance_drained(member))
-        .collect();
+        .partition(|member| member.state == MemberState::Alive);
+    let try_others = !has_local_target && excluded.len() < MAX_UNLIKELY_PEERS;
+    let candidates = if alive.is_empty() && try_others {
+        others
+    } else {
+        alive
+    };
     if candidates.is_empty() {
         return None;
     }
