daemon: report a call's own time limit as timed out

Cause: every time limit but that of connecting was reported as a failed call, so nothing ever counted as timed out. A call that its stage budget cut off counted as a crash of the target, and the second one quarantined the request and its resends.

Found by reading. Time limits are now TimedOut, which counts against the target's breaker as before and not against the request.

--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -313,21 +313,21 @@
 
 fn call_error(error: &Error) -> CallError {
     let text = error.to_string();
-    let not_connected = match error {
-        Error::ConnectionFailed | Error::HostNotFound | Error::Timeout(Timeout::Connect) => true,
-        // These kinds come from connecting only, never from an established connection.
-        Error::Io(error) => matches!(
-            error.kind(),
+    match error {
+        Error::ConnectionFailed | Error::HostNotFound | Error::Timeout(Timeout::Connect) => {
+            CallError::NotConnected(text)
+        }
+        // The caller's own time limit says nothing about why the target did not answer.
+        Error::Timeout(_) => CallError::TimedOut(text),
+        Error::Io(error) => match error.kind() {
+            // These kinds come from connecting only, never from an established connection.
             io::ErrorKind::ConnectionRefused
-                | io::ErrorKind::HostUnreachable
-                | io::ErrorKind::NetworkUnreachable
-        ),
-        _ => false,
-    };
-    if not_connected {
-        CallError::NotConnected(text)
-    } else {
-        CallError::Failed(text)
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => CallError::NotConnected(text),
+            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => CallError::TimedOut(text),
+            _ => CallError::Failed(text),
+        },
+        _ => CallError::Failed(text),
     }
 }
 
