daemon: apply policy, limits and stage times when a configuration is activated

Cause: Node::activate stored the configuration only. Slots::set_policy, StageTimes::replace and LimitGate::replace had no caller, so choice, admission, slow start, prefix affinity and the retry budget kept their defaults whatever the file said, no stage time was ever measured, and no limit held.

Admission of queues that exist already follows a later configuration, too.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -306,6 +306,10 @@
         if generation <= active.generation {
             return false;
         }
+        // Under the lock, so that an older configuration cannot overwrite parts of a newer one.
+        self.slots.set_policy(&deployment.policy);
+        self.stage_times.replace(&deployment);
+        self.limits.replace(&deployment.limits);
         *active = Arc::new(Active {
             generation,
             deployment,
--- a/crates/daemon/src/queue.rs
+++ b/crates/daemon/src/queue.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Switches admission on or off for waiting and later requests.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.admission.set_enabled(enabled);
+    }
+
     /// Returns whether no request waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -203,6 +203,9 @@
         table.settings.slow_start = policy.slow_start;
         table.services.set_policy(policy);
         table.admission = policy.admission;
+        for queue in table.queues.values_mut() {
+            queue.set_enabled(policy.admission);
+        }
     }
 
     /// Returns the settings of grants.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Switches admission on or off for waiting and later requests.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.settings.enabled = enabled;
+    }
+
     /// Puts a request into the queue, or refuses it.
     ///
     /// # Errors
@@ -324,9 +329,7 @@
         share.weight = arrival.weight;
         share.waiting.insert(place, slot_ms);
         self.queued_ms += slot_ms;
-        if self.settings.enabled {
-            self.by_latest_start.insert((latest_start, ticket));
-        }
+        self.by_latest_start.insert((latest_start, ticket));
         let waiting = Waiting {
             organisation: arrival.organisation,
             place,
@@ -348,6 +351,9 @@
 
     fn advance(&mut self, now: Millis) {
         self.throughput.advance(now, !self.waiting.is_empty());
+        if !self.settings.enabled {
+            return;
+        }
         while let Some(&(latest_start, ticket)) = self.by_latest_start.first()
             && latest_start < now
         {
