--- a/crates/coord/tests/claim_writer.rs
+++ b/crates/coord/tests/claim_writer.rs
@@ -3,6 +3,8 @@
 
 use arbutus_coord::Millis;
 use arbutus_coord::claim::AttemptId;
+use arbutus_coord::claim::Backlog;
+use arbutus_coord::claim::Claim;
 use arbutus_coord::claim::ClaimAnswer;
 use arbutus_coord::claim::ClaimCommand;
 use arbutus_coord::claim::ClaimKey;
@@ -11,10 +13,13 @@
 use arbutus_coord::claim::Holder;
 use arbutus_coord::claim::Input;
 use arbutus_coord::claim::Output;
+use arbutus_coord::claim::Segment;
 use arbutus_coord::claim::Shard;
 use arbutus_coord::claim::ShardWriter;
 use arbutus_coord::claim::StoredAnswer;
 use arbutus_coord::claim::command::Proposal;
+use arbutus_coord::claim::holder::ClosingResult;
+use arbutus_coord::claim::holder::Proposed;
 use arbutus_coord::claim::record::UnknownReason;
 use arbutus_coord::claim::shard::CLAIM_LIMIT_BYTES;
 use arbutus_coord::claim::writer::Operation;
@@ -229,5 +234,44 @@
     let parsed: Shard = serde_json::from_str(&json).expect("the content is valid");
     assert_eq!(parsed, shard);
     let deleted = shard.expire(Millis(86_400_009), Millis(86_400_000), Millis(1));
-    assert_eq!(deleted, accepted.len(), "the retention has passed");
+    assert_eq!(deleted.claims, accepted.len(), "the retention has passed");
+}
+
+#[test]
+fn backlog_repeats_until_decided_and_outlives_a_read_that_is_out_of_date() {
+    let mut backlog = Backlog::new();
+    let attempt = AttemptId::from_text("a1");
+    let claim = Claim::<Proposed>::new(Millis(0), proposal("k", "a1"), Millis(1));
+    backlog.push(Millis(0), claim.abandon());
+    assert_eq!(backlog.due(Millis(0)).len(), 1);
+    assert!(
+        backlog.due(Millis(1)).is_empty(),
+        "the next repetition is later"
+    );
+    for reply in [
+        ClaimReply::Unavailable {
+            may_have_landed: false,
+        },
+        ClaimReply::Decided(ClaimAnswer::NotHolder),
+    ] {
+        assert!(backlog.resolve(&attempt, &reply).is_none(), "{reply:?}");
+        assert_eq!(backlog.len(), 1, "{reply:?}");
+    }
+    assert_eq!(backlog.due(Millis(100)).len(), 1);
+    let done = backlog.resolve(&attempt, &ClaimReply::Decided(ClaimAnswer::Released));
+    assert!(matches!(done, Some(ClosingResult::Done)) && backlog.is_empty());
+}
+
+#[test]
+fn seal_leaves_a_key_that_was_claimed_again_after_its_retention() {
+    let mut shard = Shard::new(0, 1);
+    let first = proposal("k", "a1");
+    shard.apply(&ClaimCommand::Propose(first.clone()));
+    shard.apply(&settle(&first, "{}"));
+    let segment = Segment::of_settled(&shard, 1).expect("a settled claim can be sealed");
+    shard.expire(Millis(10), Millis(1), Millis(1));
+    let second = ClaimCommand::Propose(proposal("k", "a2"));
+    assert_eq!(shard.apply(&second), ClaimAnswer::Claimed);
+    assert!(!shard.seal("s", &segment), "the claim runs");
+    assert_eq!(shard.apply(&second), ClaimAnswer::Claimed);
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -239,6 +239,10 @@
         let datagrams = counters.datagrams_sent.load(Ordering::Relaxed);
         let bytes = i64::try_from(counters.bytes_sent()).unwrap_or(i64::MAX);
         self.metrics.peer_bytes_sent.set(bytes);
+        let calls = counters.calls_sent.load(Ordering::Relaxed);
+        self.metrics
+            .peer_calls_sent
+            .set(i64::try_from(calls).unwrap_or(i64::MAX));
         self.metrics
             .peer_datagrams_sent
             .set(i64::try_from(datagrams).unwrap_or(i64::MAX));
@@ -319,6 +323,10 @@
         if generation <= active.generation {
             return false;
         }
+        // Under the lock, so that an older configuration cannot overwrite parts of a newer one.
+        self.slots.set_policy(&deployment.policy);
+        self.stage_times.replace(&deployment);
+        self.limits.replace(&deployment.limits);
         *active = Arc::new(Active {
             generation,
             deployment,
