call: keep accepting a forwarded stream after a long silence

The receiver asked the assembler for a stall with every frame and dropped the event unless the frame was the end of the connection. Asking marks the source as broken, so after a silence of at least the stall time each later frame, `done` included, was ignored, and the caller got an error at the deadline. This hit every stream that another instance had resumed after a stall, since that instance is silent for the stall time. The assembler is now asked only at the end of the connection.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -136,12 +136,14 @@
     pub fn receive(&mut self, frame: Frame) -> ControlFlow<()> {
         let now = (self.now)();
         let source = self.stream.assembler.source();
-        // Silence shows as the end of the connection; the time tells it from a truncated stream.
-        let stalled = self
-            .stream
-            .assembler
-            .tick(now)
-            .filter(|_| frame == Frame::End);
+        // Silence shows as the end of the connection; the time tells it from a truncated stream. A
+        // frame that arrives late continues the stream: the instance that a call was forwarded to
+        // is silent as long as it takes to resume a stalled stream.
+        let stalled = if frame == Frame::End {
+            self.stream.assembler.tick(now)
+        } else {
+            None
+        };
         let events = match stalled {
             Some(event) => vec![event],
             None => self.stream.assembler.push(now, source, frame),
