fleet: choose ports that outgoing connections do not take

A port from the system's range for outgoing connections could be taken by a connection of another process before the started process bound it; a target then ended with "Address already in use" and its deployment did not start (seen once in 6 runs of the failure tests). Ports are now drawn at random below that range.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeSet;
 use std::fs;
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
@@ -19,6 +21,7 @@
 use arbutus_wire::platform::EntryKind;
 use arbutus_wire::platform::EntryState;
 use arbutus_wire::platform::ListEntry;
+use rand::RngExt;
 use serde_json::Value;
 use ureq::Agent;
 
@@ -27,6 +30,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+const PORTS: Range<u16> = 18_000..32_000;
+const PORT_ATTEMPTS: usize = 64;
 
 /// What the targets of a service are started with.
 #[derive(Clone, Debug)]
@@ -389,9 +394,20 @@
 
 /// Returns a loopback address that is free at the moment.
 ///
+/// The port is below those that the system usually gives to outgoing connections, because one of
+/// them could take it before the process that is started binds it.
+///
 /// # Errors
 ///
 /// Returns why no port can be had.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let mut last_error = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..PORT_ATTEMPTS {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::rng().random_range(PORTS)));
+        match TcpListener::bind(address) {
+            Ok(listener) => return listener.local_addr(),
+            Err(error) => last_error = error,
+        }
+    }
+    Err(last_error)
 }
