daemon: test drains and leaving targets on real processes

Calls are read from the targets' counters; every lookup has to be answered, those at the drained failure domain by forwarding.

--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -4,4 +4,5 @@
 //! `cargo build --workspace` has to come before `cargo test -p arbutusd`.
 
 mod deployment;
+mod drains;
 mod streams;
