remote: resume a forwarded stream whose instance falls silent

The instance that forwards a stream waited for the next token until the deadline. When the other instance was paused or cut off in mid-stream, the caller had no token until the deadline and then an error. After the first token the wait is now bounded by three times the stall time of the class; the stream then continues through another instance.

The test forwarded_stream_of_a_paused_instance_is_resumed guards against it: without the bound (the argument of answer.next set back to remaining_ms) the stream stopped after 6 tokens and ended with "the deadline has passed"; with it the stream is whole.

--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -45,6 +45,10 @@
 /// Instances that seem to be dead are tried only below this number of tried instances, as each of
 /// them may cost the time of a connection that is not established.
 const MAX_UNLIKELY_PEERS: usize = 2;
+/// After this multiple of the stall time without a token, a stream that has begun is resumed
+/// elsewhere. The peer needs the stall time itself to notice that its engine is silent, and then
+/// the time until the first token of another engine.
+const PEER_STALL_FACTOR: u64 = 3;
 /// What a forwarded call may take longer than its deadline because of the way back.
 const ANSWER_MARGIN_MS: Millis = Millis(50);
 
@@ -167,10 +171,14 @@
 ) -> RemoteEnd {
     let now = || node.now();
     let mut attempt = stream.attempt(&now, sink);
+    let mut longest_silence_ms = Millis::MAX;
     loop {
         let remaining_ms = call.deadline - node.now() + ANSWER_MARGIN_MS;
-        let frame = match answer.next(remaining_ms) {
-            Ok(PeerReply::Token(TokenFrame { offset, text })) => Frame::Token { offset, text },
+        let frame = match answer.next(remaining_ms.min(longest_silence_ms)) {
+            Ok(PeerReply::Token(TokenFrame { offset, text })) => {
+                longest_silence_ms = Millis(call.stall_ms.0.saturating_mul(PEER_STALL_FACTOR));
+                Frame::Token { offset, text }
+            }
             Ok(PeerReply::StageEnd(end)) => match ended(ids, end) {
                 RemoteEnd::Streamed { tokens } => Frame::Done { tokens },
                 RemoteEnd::Failed { failure, .. } => {
--- a/crates/daemon/tests/failures/streams.rs
+++ b/crates/daemon/tests/failures/streams.rs
@@ -92,15 +92,46 @@
     deployment.stop();
 }
 
-/// A forwarded stream is silent while the other instance resumes it, and is taken for broken.
-#[test]
-fn forwarded_stream_is_resumed_where_it_runs() {
-    let deployment = start("streams-forward");
+/// Lets the second failure domain forward its streams.
+fn drain_engines(deployment: &Deployment) {
     for name in ["hearth-llm-hakata-0", "hearth-llm-hakata-1"] {
         let order = json!({"kind": "target", "name": name, "drained": true});
-        deployment.post(deployment.address(1), "/admin/drain", &order);
+        deployment.post(deployment.address(0), "/admin/drain", &order);
     }
     thread::sleep(BOUND);
+}
+
+/// The instance that a stream was forwarded to is paused, and the caller waits until the deadline.
+#[test]
+fn forwarded_stream_of_a_paused_instance_is_resumed() {
+    let services = vec![targets(ENGINES, 2, ENGINE)];
+    let deployment = Deployment::start("streams-pause", &["arita", "hakata"], 2, services);
+    drain_engines(&deployment);
+    let body = input("pause", 0);
+    let is_busy = |index: &usize| {
+        let status = deployment.status(deployment.address(*index));
+        status.expect("the instance answers")["requests_in_progress"].as_u64() > Some(0)
+    };
+    let paused = thread::scope(|scope| {
+        let caller = scope.spawn(|| deployment.stream(deployment.address(2), &body));
+        eventually(PATIENCE, "tokens flow", || tokens(&deployment) > FLOWING);
+        let paused = [0, 1].into_iter().find(is_busy);
+        let paused = paused.expect("the stream is forwarded");
+        let process = &deployment.fleet.instances[paused].process;
+        process.pause().expect("the signal is sent");
+        caller.join().expect("the caller ends").assert_whole(&body);
+        paused
+    });
+    let process = &deployment.fleet.instances[paused].process;
+    process.resume().expect("the signal is sent");
+    deployment.stop();
+}
+
+/// A forwarded stream is silent while the other instance resumes it, and is taken for broken.
+#[test]
+fn forwarded_stream_is_resumed_where_it_runs() {
+    let deployment = start("streams-forward");
+    drain_engines(&deployment);
     let address = deployment.fleet.targets[0].address;
     deployment.post(address, "/faults", &json!({"stall_after_tokens": CUT_AT}));
     assert_all_whole(&deployment, "forward", || {});
