grant: let an owner follow a change of slow start

Cause: an owner of slots took the setting when it was created, which may be before the first configuration arrives, and kept it.

The setting is handed over with each synchronisation. Found by reading.

--- a/crates/coord/src/grant/owner.rs
+++ b/crates/coord/src/grant/owner.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Switches slow start on or off; grants follow at their next renewal.
+    pub fn set_slow_start(&mut self, enabled: bool) {
+        self.settings.slow_start = enabled;
+        self.slow_start.set_enabled(enabled);
+    }
+
     /// Takes an input and returns the messages to send.
     pub fn handle(&mut self, now: Millis, input: OwnerInput) -> Vec<OwnerOutput> {
         self.detect_pause(now);
--- a/crates/coord/src/grant/slow_start.rs
+++ b/crates/coord/src/grant/slow_start.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Switches slow start on or off.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.settings.slow_start = enabled;
+    }
+
     /// Takes a report, and returns whether it was newer than the last one.
     pub fn on_report(&mut self, now: Millis, report: TargetReport) -> bool {
         let sampled_at = now - report.age_ms;
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -98,6 +98,7 @@
                 grants: GrantOwner::new(now, settings, false),
             });
             owned.entry.clone_from(entry);
+            owned.grants.set_slow_start(settings.slow_start);
             let mut outputs = owned.grants.handle(now, OwnerInput::Closed(*closed));
             for gone in table
                 .instances
