admission: admit a request once, and measure throughput over enough slots

Cause: a request that left the queue to be offered to another failure domain was checked again when it came back, and refused with 429 after its earlier stages had run. The check used a throughput that was measured over 200 ms; an instance with 5 slots of 2 s gives out about one slot in 400 ms, so the measured rate varied between zero and twice the true one.

A request that passed the check of all stages on arrival waits until its deadline cannot be met. A measurement needs 4 slots or 5 s.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -169,6 +169,8 @@
         priority: call.priority,
         deadline: call.deadline,
         expected_ms: call.expected_ms,
+        // The instance that received the request checked all stages before the first one ran.
+        admitted: !call.forwarded,
         ..SlotRequest::for_service(&call.service)
     }
 }
--- a/crates/daemon/src/queue.rs
+++ b/crates/daemon/src/queue.rs
@@ -33,6 +33,8 @@
     pub prefix: Option<u64>,
     /// What admission knows about the request.
     pub arrival: Arrival,
+    /// Whether the request was admitted before, so that only its deadline ends its wait.
+    pub admitted: bool,
 }
 
 /// The queue of one service.
@@ -84,7 +86,11 @@
     ///
     /// Returns the refusal with a delay for a retry.
     pub fn join(&mut self, now: Millis, waiter: Waiter) -> Result<Ticket, Refusal> {
-        let ticket = self.admission.offer(now, waiter.arrival)?;
+        let ticket = if waiter.admitted {
+            self.admission.offer_admitted(now, waiter.arrival)?
+        } else {
+            self.admission.offer(now, waiter.arrival)?
+        };
         self.waiters.insert(ticket, waiter);
         Ok(ticket)
     }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -61,6 +61,8 @@
     pub deadline: Millis,
     /// How long this stage and the later ones take.
     pub expected_ms: Millis,
+    /// Whether the request was admitted when it arrived.
+    pub admitted: bool,
 }
 
 static NO_TARGETS: BTreeSet<Target> = BTreeSet::new();
@@ -79,6 +81,7 @@
             priority: 0,
             deadline: Millis::MAX,
             expected_ms: Millis::ZERO,
+            admitted: false,
         }
     }
 }
@@ -285,6 +288,7 @@
             excluded: request.excluded.clone(),
             prefix: request.prefix,
             arrival: table.arrival(request, time),
+            admitted: request.admitted,
         };
         let ticket = table
             .queue(request.service, time)
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -19,8 +19,13 @@
 use arbutus_coord::Millis;
 use arbutus_coord::entity::Organisation;
 
-/// The busy time after which the throughput is measured anew.
+/// The shortest busy time after which the throughput is measured anew.
 const MEASURE_MS: u64 = 200;
+/// A measurement of fewer slots varies too much: an instance with 5 slots of 2 s gives out one
+/// slot in 400 ms, so spans of 200 ms showed a throughput of zero or of twice the true one.
+const MEASURE_SLOTS: u32 = 4;
+/// The busy time after which the throughput is measured anew although few slots were given out.
+const MAX_MEASURE_MS: u64 = 5_000;
 /// The weight of the newest measurement of the throughput.
 const NEW_WEIGHT: f64 = 0.3;
 
@@ -139,6 +144,7 @@
     last_event: Millis,
     busy_ms: u64,
     taken_ms: u64,
+    taken: u32,
     rate: Option<f64>,
 }
 
@@ -148,7 +154,8 @@
             self.busy_ms += (now - self.last_event).0;
         }
         self.last_event = self.last_event.max(now);
-        if self.busy_ms < MEASURE_MS {
+        let is_enough = self.taken >= MEASURE_SLOTS || self.busy_ms >= MAX_MEASURE_MS;
+        if self.busy_ms < MEASURE_MS || !is_enough {
             return;
         }
         let rate = self.taken_ms as f64 / self.busy_ms as f64;
@@ -156,6 +163,7 @@
         self.rate = Some(old + NEW_WEIGHT * (rate - old));
         self.busy_ms = 0;
         self.taken_ms = 0;
+        self.taken = 0;
     }
 
     /// Returns how long it takes until an amount of slot time has been given out.
@@ -201,10 +209,29 @@
     /// Returns the refusal with a delay for a retry; the request has not run.
     pub fn offer(&mut self, now: Millis, arrival: Arrival) -> Result<Ticket, Refusal> {
         self.check(now, arrival)?;
+        Ok(self.enqueue(arrival))
+    }
+
+    /// Puts a request into the queue that was admitted before, unless the queue is full.
+    ///
+    /// Its earlier stages have run, so it waits as long as it can meet its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with a delay for a retry.
+    pub fn offer_admitted(&mut self, now: Millis, arrival: Arrival) -> Result<Ticket, Refusal> {
+        self.advance(now);
+        if self.waiting.len() >= self.settings.max_waiting {
+            return Err(Refusal::Full(self.settings.max_retry_ms));
+        }
+        Ok(self.enqueue(arrival))
+    }
+
+    fn enqueue(&mut self, arrival: Arrival) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         self.insert(ticket, arrival);
-        Ok(ticket)
+        ticket
     }
 
     /// Checks whether a request would be put into the queue.
@@ -242,6 +269,7 @@
         };
         let waiting = self.remove(ticket)?;
         self.throughput.taken_ms += waiting.slot_ms;
+        self.throughput.taken += 1;
         if let Some(share) = self.shares.get_mut(&waiting.organisation) {
             let weight = f64::from(share.weight.max(1));
             share.virtual_ms += waiting.slot_ms.max(1) as f64 / weight;
@@ -256,6 +284,7 @@
             share.virtual_ms -= arrival.slot_ms.0.max(1) as f64 / weight;
         }
         self.throughput.taken_ms = self.throughput.taken_ms.saturating_sub(arrival.slot_ms.0);
+        self.throughput.taken = self.throughput.taken.saturating_sub(1);
         self.insert(ticket, arrival);
     }
 
