--- a/crates/coord/src/claim/writer/mod.rs
+++ b/crates/coord/src/claim/writer/mod.rs
@@ -22,8 +22,6 @@
 use std::collections::BTreeSet;
 use std::mem;
 
-use sealing::Sealing;
-
 use crate::claim::command::ClaimAnswer;
 use crate::claim::command::ClaimCommand;
 use crate::claim::command::ClaimReply;
@@ -39,6 +37,7 @@
 use crate::claim::record::ClaimRecord;
 use crate::claim::shard::Shard;
 use crate::clock::Millis;
+use sealing::Sealing;
 
 #[derive(Clone, Debug)]
 struct Pending {
--- a/crates/coord/tests/claim_interleavings.rs
+++ b/crates/coord/tests/claim_interleavings.rs
@@ -5,13 +5,14 @@
 
 use std::collections::BTreeSet;
 
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
 use arbutus_coord::claim::ClaimState;
 use arbutus_coord::claim::Shard;
 use claim_world::Ending;
 use claim_world::World;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
-use quickcheck::TestResult;
 
 const DEFAULT_SEED: u64 = 20_261_204;
 const SCRIPT_LENGTH: usize = 600;
--- a/crates/coord/tests/lease_interleavings.rs
+++ b/crates/coord/tests/lease_interleavings.rs
@@ -3,6 +3,10 @@
 
 use std::collections::BTreeMap;
 
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
 use arbutus_coord::Millis;
 use arbutus_coord::claim::Holder;
 use arbutus_coord::lease::Input;
@@ -11,9 +15,6 @@
 use arbutus_coord::lease::LeaseRecord;
 use arbutus_coord::lease::LeaseWrite;
 use arbutus_coord::lease::Output;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
-use quickcheck::TestResult;
 
 const DEFAULT_SEED: u64 = 20_261_204;
 const SCRIPT_LENGTH: usize = 4_000;
--- a/crates/daemon/src/claims/background.rs
+++ b/crates/daemon/src/claims/background.rs
@@ -4,7 +4,6 @@
 use std::sync::mpsc::channel;
 use std::thread;
 
-use arbutus_coord::Millis;
 use log::warn;
 
 use crate::claims::PEER_TIMEOUT_MS;
@@ -13,6 +12,7 @@
 use crate::node::Node;
 use crate::stop::Stop;
 use crate::supervisor::ChildResult;
+use arbutus_coord::Millis;
 
 const POLL_MS: Millis = Millis(20);
 /// How long a shutdown waits for outcomes that are not recorded.
--- a/crates/daemon/src/claims/holder.rs
+++ b/crates/daemon/src/claims/holder.rs
@@ -2,6 +2,9 @@
 
 use std::thread;
 
+use crate::claims::COMMAND_TIMEOUT_MS;
+use crate::claims::is_decided_without_claim;
+use crate::node::Node;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
 use arbutus_coord::claim::AttemptId;
@@ -23,10 +26,6 @@
 use arbutus_coord::claim::holder::Proposed;
 use arbutus_coord::claim::record::SettledBy;
 
-use crate::claims::COMMAND_TIMEOUT_MS;
-use crate::claims::is_decided_without_claim;
-use crate::node::Node;
-
 /// Time between two looks at a claim that another attempt holds.
 const RUNNING_POLL_MS: Millis = Millis(100);
 /// Time before the deadline at which a resend stops to wait for the outcome.
--- a/crates/daemon/src/claims/mod.rs
+++ b/crates/daemon/src/claims/mod.rs
@@ -20,6 +20,8 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 
+use crate::node::Node;
+use crate::peer::PeerError;
 use arbutus_coord::Millis;
 use arbutus_coord::claim::AttemptId;
 use arbutus_coord::claim::Backlog;
@@ -34,9 +36,6 @@
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
 
-use crate::node::Node;
-use crate::peer::PeerError;
-
 /// Time limit of a command at the writer of its shard.
 const PEER_TIMEOUT_MS: Millis = Millis(500);
 /// Time after which a command counts as undecided.
--- a/crates/daemon/src/claims/operators.rs
+++ b/crates/daemon/src/claims/operators.rs
@@ -2,6 +2,10 @@
 
 use std::sync::mpsc::sync_channel;
 
+use crate::claims::COMMAND_TIMEOUT_MS;
+use crate::claims::ShardMessage;
+use crate::node::Node;
+use crate::response::JSON;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
 use arbutus_coord::claim::ClaimAnswer;
@@ -18,11 +22,6 @@
 use arbutus_wire::admin::UnsettledClaim;
 use arbutus_wire::admin::UnsettledState;
 
-use crate::claims::COMMAND_TIMEOUT_MS;
-use crate::claims::ShardMessage;
-use crate::node::Node;
-use crate::response::JSON;
-
 const CONTENT_TIMEOUT_MS: Millis = Millis(3_000);
 const STATUS_OK: u16 = 200;
 const HAS_OUTCOME: &str = "the claim has a recorded outcome";
--- a/crates/daemon/src/claims/shards.rs
+++ b/crates/daemon/src/claims/shards.rs
@@ -9,6 +9,20 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::RecvTimeoutError;
 
+use log::error;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::claims::ReplyTo;
+use crate::claims::ShardMessage;
+use crate::claims::object_key;
+use crate::claims::writer_of;
+use crate::node::Node;
+use crate::platform::Condition;
+use crate::platform::Platform;
+use crate::platform::WriteError;
+use crate::stop::Stop;
 use arbutus_config::deployment::ClaimsSpec;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
@@ -26,20 +40,6 @@
 use arbutus_coord::claim::writer::WriterCounters;
 use arbutus_coord::claim::writer::WriterSettings;
 use arbutus_coord::membership::MemberState;
-use log::error;
-use serde::Deserialize;
-use serde_json::Value;
-use serde_json::json;
-
-use crate::claims::ReplyTo;
-use crate::claims::ShardMessage;
-use crate::claims::object_key;
-use crate::claims::writer_of;
-use crate::node::Node;
-use crate::platform::Condition;
-use crate::platform::Platform;
-use crate::platform::WriteError;
-use crate::stop::Stop;
 
 const IDLE_WAIT_MS: Millis = Millis(500);
 const OPERATION_TIMEOUT_MS: Millis = Millis(400);
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -13,12 +13,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_standins::executions::ExecutionList;
 use arbutus_standins::fleet::Fleet;
 use arbutus_standins::fleet::FleetSpec;
 use arbutus_standins::fleet::ServiceTargets;
-use serde_json::Value;
-use serde_json::json;
 
 const SERVICE: &str = "order-desk";
 const ORGANISATION: &str = "kamagama";
