daemon: divide limits among the instances by demand

Each limit is divided by one live instance, computed by rendezvous hashing of its path. Instances report their demand once a second, only for limits in use, and use an even part until they are answered.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -109,6 +109,11 @@
                     quarantine.merge(now, entry);
                 }
             }
+            Body::LimitDemand(demands) => {
+                let shares = self.node.limits.divide(self.node.now(), sender, &demands);
+                self.node.send(sender, Body::LimitShare(shares));
+            }
+            Body::LimitShare(shares) => self.node.limits.set_shares(shares),
             // Membership messages are handled by the state machine itself.
             Body::Membership(_) => {}
         }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -177,6 +177,7 @@
     {
         Ok(_counted) => pipeline::run(node, request, sink),
         Err(denied) => {
+            node.metrics.count("limit_denied");
             let attempt = unsent_attempt(&request.id);
             let problem = refuse(attempt, Reason::Overloaded, denied.to_string())
                 .with_retry_after(OVERLOAD_RETRY_MS);
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -1,13 +1,24 @@
 //! The limits on requests in progress, as this instance enforces them.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use crate::node::Node;
+use crate::stop::Stop;
+use crate::supervisor::ChildResult;
 use arbutus_config::deployment::LimitEntry;
 use arbutus_config::deployment::LimitsSpec;
 use arbutus_coord::Millis;
+use arbutus_coord::entity::Instance;
+use arbutus_coord::entity::NameTable;
+use arbutus_coord::rendezvous;
+use arbutus_policy::limit_share::LimitDivider;
+use arbutus_policy::limit_share::LimitShareSettings;
 use arbutus_policy::limits::Entry;
+use arbutus_policy::limits::LimitDemand;
 use arbutus_policy::limits::LimitDenied;
 use arbutus_policy::limits::LimitPath;
 use arbutus_policy::limits::LimitRule;
@@ -15,11 +26,25 @@
 use arbutus_policy::limits::LimitTree;
 use arbutus_policy::limits::Limits;
 use arbutus_policy::limits::LimitsSettings;
+use arbutus_wire::datagram::Body;
+use arbutus_wire::datagram::LimitDemandEntry;
+use arbutus_wire::datagram::LimitShareEntry;
+
+/// The entries in a datagram, which keeps it under its size limit.
+const MAX_ENTRIES: usize = 8;
 
 /// The requests in progress and the limits on them.
 #[derive(Debug)]
 pub struct LimitGate {
     limits: Mutex<Limits>,
+    division: Mutex<Division>,
+}
+
+/// The limits that this instance divides among all.
+#[derive(Debug)]
+struct Division {
+    instances: NameTable<Instance>,
+    divider: LimitDivider,
 }
 
 /// A request that counts as in progress until it is dropped.
@@ -40,6 +65,10 @@
         let tree = tree(&LimitsSpec::default()).expect("no limits are valid limits");
         Self {
             limits: Mutex::new(Limits::new(tree, 1)),
+            division: Mutex::new(Division {
+                instances: NameTable::new(),
+                divider: LimitDivider::new(LimitShareSettings::default()),
+            }),
         }
     }
 
@@ -77,6 +106,61 @@
         })
     }
 
+    /// Returns the demand for each limit that has been in use since the last call.
+    #[must_use]
+    pub fn take_demand(&self, now: Millis) -> Vec<LimitDemand> {
+        self.lock().take_demand(now)
+    }
+
+    /// Takes over shares that the instances that divide the limits have assigned.
+    pub fn set_shares(&self, shares: Vec<LimitShareEntry>) {
+        let mut limits = self.lock();
+        for LimitShareEntry {
+            path,
+            share,
+            reported_at,
+            valid_ms,
+        } in shares
+        {
+            limits.set_share(path, share, reported_at, valid_ms);
+        }
+    }
+
+    /// Divides limits for an instance that reports its demand.
+    #[must_use]
+    pub fn divide(
+        &self,
+        now: Millis,
+        instance: &str,
+        demands: &[LimitDemandEntry],
+    ) -> Vec<LimitShareEntry> {
+        let limits = self.lock();
+        let mut division = self.division.lock().unwrap_or_else(PoisonError::into_inner);
+        let instance = division.instances.intern(instance);
+        division.divider.tick(now);
+        let valid_ms = division.divider.valid_ms();
+        demands
+            .iter()
+            .filter_map(
+                |LimitDemandEntry {
+                     demand,
+                     reported_at,
+                 }| {
+                    let share = division
+                        .divider
+                        .on_demand(now, limits.tree(), instance, demand)?;
+                    let path = demand.path.clone();
+                    Some(LimitShareEntry {
+                        path,
+                        share,
+                        reported_at: *reported_at,
+                        valid_ms,
+                    })
+                },
+            )
+            .collect()
+    }
+
     /// Returns use and limit of every level that is in use.
     #[must_use]
     pub fn status(&self, now: Millis) -> Vec<LimitStatus> {
@@ -102,6 +186,45 @@
     }
 }
 
+/// Reports the demand for limits to the instances that divide them, until the stop flag is raised.
+///
+/// # Errors
+///
+/// Never returns an error: without an answer the instance uses an even part of the limit.
+pub fn run_reports(node: &Arc<Node>, stop: &Stop) -> ChildResult {
+    while !stop.wait(LimitShareSettings::default().report_ms) {
+        let reported_at = node.now();
+        let live = node.live_everywhere();
+        let mut by_divider: BTreeMap<String, Vec<LimitDemandEntry>> = BTreeMap::new();
+        for demand in node.limits.take_demand(reported_at) {
+            let path = demand.path.to_string();
+            let members = live.iter().map(String::as_str);
+            let Some(divider) = rendezvous::owner(path.as_bytes(), members) else {
+                continue;
+            };
+            let entry = LimitDemandEntry {
+                demand,
+                reported_at,
+            };
+            by_divider
+                .entry(divider.to_owned())
+                .or_default()
+                .push(entry);
+        }
+        for (divider, demands) in by_divider {
+            if divider == node.settings.name {
+                node.limits
+                    .set_shares(node.limits.divide(reported_at, &divider, &demands));
+                continue;
+            }
+            for demands in demands.chunks(MAX_ENTRIES) {
+                node.send(&divider, Body::LimitDemand(demands.to_vec()));
+            }
+        }
+    }
+    Ok(())
+}
+
 fn tree(spec: &LimitsSpec) -> Option<LimitTree> {
     let settings = LimitsSettings {
         max_in_flight: spec.max_in_flight,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,6 +14,7 @@
 use arbutusd::grants;
 use arbutusd::http;
 use arbutusd::lifecycle::Lifecycle;
+use arbutusd::limits;
 use arbutusd::node::Node;
 use arbutusd::orders;
 use arbutusd::relief::Relief;
@@ -142,6 +143,7 @@
         )
         .with_branch(
             grant_reports(node)
+                .with_task("limits", task(limits::run_reports))
                 .with_task("sync", task(grants::run_sync))
                 .with_task("requests", task(grants::run_requests)),
         )
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -186,6 +186,18 @@
         self.domain_members(|member| member.state != MemberState::Dead)
     }
 
+    /// Returns the names of the live instances of all failure domains.
+    #[must_use]
+    pub fn live_everywhere(&self) -> BTreeSet<String> {
+        self.gossip().read(|gossip| {
+            let members = gossip.members().members();
+            members
+                .filter(|member| member.state == MemberState::Alive)
+                .map(|member| member.name.clone())
+                .collect()
+        })
+    }
+
     /// Returns the number of live instances in all failure domains.
     #[must_use]
     pub fn count_live_instances(&self) -> usize {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -312,6 +312,7 @@
     for (index, stage) in stages.iter().enumerate() {
         let call = stage_call(node, request, index, &Value::Null, None);
         if let Err(NoSlot::Refused { retry_ms }) = check_admission(node, &call) {
+            node.metrics.count("admission_refused");
             return Err(refuse_overloaded(attempt, &stage.service, retry_ms));
         }
     }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,12 +4,15 @@
 //! [`MAX_DATAGRAM_BYTES`], so it is not fragmented on an ordinary network. Malformed input and
 //! other versions give an error value.
 
+use arbutus_policy::limits::LimitDemand;
+use arbutus_policy::limits::LimitPath;
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::PROTOCOL_VERSION;
 use crate::decode_exact;
+use arbutus_coord::Millis;
 use arbutus_coord::drain::DrainEntry;
 use arbutus_coord::grant;
 use arbutus_coord::membership::Brief;
@@ -55,6 +58,32 @@
     GrantReply(Vec<GrantReply>),
     /// Requests that crashed targets.
     Quarantine(Vec<QuarantineEntry>),
+    /// What the sender needs of limits that the receiver divides.
+    LimitDemand(Vec<LimitDemandEntry>),
+    /// The receiver's shares of limits that the sender divides.
+    LimitShare(Vec<LimitShareEntry>),
+}
+
+/// What an instance needs of one limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitDemandEntry {
+    /// The demand.
+    pub demand: LimitDemand,
+    /// The sender's time of the report, which the answer repeats.
+    pub reported_at: Millis,
+}
+
+/// An instance's share of one limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitShareEntry {
+    /// The level.
+    pub path: LimitPath,
+    /// The requests that the instance may have in progress.
+    pub share: u32,
+    /// The time of the report that is answered.
+    pub reported_at: Millis,
+    /// How long the share is valid after the report.
+    pub valid_ms: Millis,
 }
 
 /// A request for slots of one target.
