--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -6,4 +6,5 @@
 mod configuration;
 mod deployment;
 mod drains;
+mod shutdown;
 mod streams;
