daemon: test cold targets on real processes

Guards P2 with a target of cold capacity 1 and callers at all three instances of its failure domain: while it is cold, while its owner is paused, after an owner left and the next one was killed, and after it turned cold under load. The target's own counter of cold failures and its running calls are read.

Seen to fail without the mechanism: with `!report.warm` in SlowStart::next_window taken out, 9 and 22 calls failed in the two tests that existed then. Not seen to fail: with the waiting time of a new owner taken out (GrantOwner::new with first set), the test of leaving and killed owners still passes on real processes.

The resumed owner settles for 2 s and grants nothing new, but it confirms the slots that holders report. A holder that reports its slot to the old owner just before the new owner moves that slot to another instance would keep it, which makes two. This is an analysis, not observed.

--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -3,6 +3,7 @@
 //! The tests run real processes on loopback. They use the programs of the workspace, so
 //! `cargo build --workspace` has to come before `cargo test -p arbutusd`.
 
+mod cold_targets;
 mod configuration;
 mod deployment;
 mod drains;
