--- a/crates/daemon/tests/failures/cold_targets.rs
+++ b/crates/daemon/tests/failures/cold_targets.rs
@@ -5,9 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use arbutus_coord::rendezvous;
-use arbutus_standins::fleet::InstanceProcess;
-use arbutus_wire::target::LoadReport;
 use serde_json::json;
 
 use crate::deployment::BOUND;
@@ -15,6 +12,9 @@
 use crate::deployment::LOOKUPS;
 use crate::deployment::eventually;
 use crate::deployment::targets;
+use arbutus_coord::rendezvous;
+use arbutus_standins::fleet::InstanceProcess;
+use arbutus_wire::target::LoadReport;
 
 const COLD_CAPACITY: u32 = 1;
 const CALLERS_EACH: usize = 3;
--- a/crates/daemon/tests/failures/configuration.rs
+++ b/crates/daemon/tests/failures/configuration.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use arbutus_config::committed::CONFIG_KEY;
 use serde_json::Value;
 use serde_json::json;
 
@@ -19,6 +18,7 @@
 use crate::deployment::eventually;
 use crate::deployment::targets;
 use crate::deployment::write_configuration;
+use arbutus_config::committed::CONFIG_KEY;
 
 /// Longer than a poll of the platform and the spread of news, which take 500 ms each at the most.
 const STALE: Duration = Duration::from_secs(3);
--- a/crates/daemon/tests/failures/deployment.rs
+++ b/crates/daemon/tests/failures/deployment.rs
@@ -17,6 +17,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_standins::executions::ExecutionList;
 use arbutus_standins::fleet::Fleet;
 use arbutus_standins::fleet::FleetSpec;
@@ -24,8 +27,6 @@
 use arbutus_standins::sse;
 use arbutus_standins::target::TargetStats;
 use arbutus_standins::text::Text;
-use serde_json::Value;
-use serde_json::json;
 
 pub const ENGINES: &str = "hearth-llm";
 pub const LOOKUPS: &str = "ship-desk";
--- a/crates/daemon/tests/failures/streams.rs
+++ b/crates/daemon/tests/failures/streams.rs
@@ -4,7 +4,6 @@
 
 use std::thread;
 
-use arbutus_standins::target::TargetStats;
 use serde_json::Value;
 use serde_json::json;
 
@@ -17,6 +16,7 @@
 use crate::deployment::Streamed;
 use crate::deployment::eventually;
 use crate::deployment::targets;
+use arbutus_standins::target::TargetStats;
 
 const STREAMS: usize = 8;
 /// The tokens after which streams count as in progress.
