daemon: test refusals and crashing requests on real processes

A lookup and a booking that crash each target which runs them are sent again twelve times through all instances (bookings under new keys); they are quarantined after two crashes and the other four of six targets go on.

Seen to fail without the mechanism: - only_calls_that_reached_no_target_are_refused_as_not_run, with CallError::Failed treated like NotConnected in dispatch::failed: a booking in progress was refused as not run. - refusals_during_an_outage_and_a_shutdown_are_true, with the call dispatched before the claim is known to be recorded (run_claimed): a booking that was refused as not run had run. - request_that_crashes_targets_is_quarantined, with the check of the quarantine in run_stage taken out: all targets of the service were gone and the refusal was "no target".

--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -7,5 +7,6 @@
 mod configuration;
 mod deployment;
 mod drains;
+mod refusals;
 mod shutdown;
 mod streams;
