--- a/crates/daemon/src/claims/holder.rs
+++ b/crates/daemon/src/claims/holder.rs
@@ -2,6 +2,9 @@
 
 use std::thread;
 
+use crate::claims::COMMAND_TIMEOUT_MS;
+use crate::claims::is_decided_without_claim;
+use crate::node::Node;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
 use arbutus_coord::claim::AttemptId;
@@ -23,10 +26,6 @@
 use arbutus_coord::claim::holder::Proposed;
 use arbutus_coord::claim::record::SettledBy;
 
-use crate::claims::COMMAND_TIMEOUT_MS;
-use crate::claims::is_decided_without_claim;
-use crate::node::Node;
-
 /// Time between two looks at a claim that another attempt holds.
 const RUNNING_POLL_MS: Millis = Millis(100);
 /// Time before the deadline at which a resend stops to wait for the outcome.
@@ -214,7 +213,7 @@
     let timeout = (deadline - now).min(SETTLE_WAIT_MS).min(COMMAND_TIMEOUT_MS);
     let submitted = node.claims.submit(node, closing.command(), timeout);
     match closing.resolve(&submitted.reply) {
-        ClosingResult::Retry(closing) => {
+        ClosingResult::Retry(closing) | ClosingResult::NotHolder(closing) => {
             node.metrics.count("claim_outcome_recorded_later");
             node.claims.close_later(node.now(), closing);
         }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -15,6 +15,16 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::mpsc::SyncSender;
 
+use crate::peer;
+use crate::peer::Blocked;
+use crate::peer::PeerClient;
+use crate::peer::PeerCounters;
+use crate::peer::PeerError;
+use crate::peer::PeerHandler;
+use crate::peer::Replies;
+use crate::peer::lock;
+use crate::stop::Stop;
+use crate::supervisor::ChildResult;
 use arbutus_config::Settings;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
@@ -41,17 +51,6 @@
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
 
-use crate::peer;
-use crate::peer::Blocked;
-use crate::peer::PeerClient;
-use crate::peer::PeerCounters;
-use crate::peer::PeerError;
-use crate::peer::PeerHandler;
-use crate::peer::Replies;
-use crate::peer::lock;
-use crate::stop::Stop;
-use crate::supervisor::ChildResult;
-
 /// The time between two looks at the stop flag while waiting for datagrams or fetches.
 const WAIT_MS: Millis = Millis(100);
 
@@ -408,7 +407,8 @@
         // A failure is counted by the client, and a later digest asks again.
         match fetch {
             Fetch::Members(from) => {
-                let reply = self.call(from, PeerRequest::FetchMembers);
+                let buckets = self.read(|gossip| gossip.members().buckets().to_vec());
+                let reply = self.call(from, PeerRequest::FetchMembers { buckets });
                 if let Ok(PeerReply::Members(members)) = reply {
                     self.input(Input::Members(&members));
                 }
@@ -455,8 +455,8 @@
                 let transfer = self.read(|gossip| gossip.documents().transfer(&kind, held));
                 replies.send(&PeerReply::Document(transfer))
             }
-            PeerRequest::FetchMembers => {
-                let members = self.read(|gossip| gossip.members().members().cloned().collect());
+            PeerRequest::FetchMembers { buckets } => {
+                let members = self.read(|gossip| gossip.members().differing(&buckets));
                 replies.send(&PeerReply::Members(members))
             }
             PeerRequest::ExchangeDrains { entries } => {
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -13,12 +13,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_standins::executions::ExecutionList;
 use arbutus_standins::fleet::Fleet;
 use arbutus_standins::fleet::FleetSpec;
 use arbutus_standins::fleet::ServiceTargets;
-use serde_json::Value;
-use serde_json::json;
 
 const SERVICE: &str = "order-desk";
 const ORGANISATION: &str = "kamagama";
@@ -47,6 +48,24 @@
 
 impl Deployment {
     fn start(name: &str, service_ms: u64) -> Self {
+        let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kamagama");
+        Self::start_with(name, service_ms, examples)
+    }
+
+    /// Starts with one shard, so that it fills soon.
+    fn start_with_one_shard(name: &str) -> Self {
+        let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kamagama");
+        let base = fs::read_to_string(examples.join("base.yaml")).expect("the example exists");
+        assert!(base.contains("shards: 16"), "the example has the default");
+        let directory =
+            env::temp_dir().join(format!("arbutus-{name}-{}-files", std::process::id()));
+        fs::create_dir_all(directory.join("overlays")).expect("the directory can be created");
+        let base = base.replace("shards: 16", "shards: 1");
+        fs::write(directory.join("base.yaml"), base).expect("the file can be written");
+        Self::start_with(name, 1, directory)
+    }
+
+    fn start_with(name: &str, service_ms: u64, configuration: PathBuf) -> Self {
         let binaries = Path::new(env!("CARGO_BIN_EXE_arbutusd"))
             .parent()
             .expect("a program has a directory");
@@ -62,7 +81,7 @@
                 per_failure_domain: 1,
                 options: options.iter().map(ToString::to_string).collect(),
             }],
-            configuration: Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kamagama"),
+            configuration,
         };
         let fleet = Fleet::start(&spec, binaries, &directory).expect("the deployment starts");
         Self { fleet, directory }
@@ -103,6 +122,57 @@
         }
     }
 
+    fn wait_until_all_know_each_other(&self) {
+        let begun = Instant::now();
+        let live = |index: usize| {
+            let status = self.fleet.get(self.address(index), "/admin/status").ok()?;
+            let members = status["members"].as_array()?;
+            Some(
+                members
+                    .iter()
+                    .filter(|member| member["state"] == "live")
+                    .count(),
+            )
+        };
+        let expected = self.fleet.instances.len();
+        while (0..expected).any(|index| live(index) != Some(expected)) {
+            assert!(begun.elapsed() < PATIENCE, "membership does not converge");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Books with several callers, each at one instance.
+    fn book_concurrently(&self, callers: usize, bookings: usize) {
+        thread::scope(|scope| {
+            for caller in 0..callers {
+                scope.spawn(move || {
+                    for number in 0..bookings {
+                        let key = format!("k{caller}-{number}");
+                        self.book_until(caller % 4, &key, |answer| answer.status == 200);
+                    }
+                });
+            }
+        });
+    }
+
+    /// Returns the sum of a counter of events over all instances.
+    fn count(&self, event: &str) -> usize {
+        let count = |index: usize| {
+            let url = format!("http://{}/metrics", self.address(index));
+            let mut answer = self.fleet.agent().get(url).call().expect("it answers");
+            let text = answer.body_mut().read_to_string().expect("it is text");
+            let is_event = |line: &&str| line.contains(&format!("\"{event}\""));
+            let value = text
+                .lines()
+                .find(is_event)
+                .and_then(|line| line.rsplit(' ').next());
+            value
+                .and_then(|value| value.parse::<usize>().ok())
+                .unwrap_or(0)
+        };
+        (0..self.fleet.instances.len()).map(count).sum()
+    }
+
     fn platform_faults(&self, faults: &Value) {
         let (status, _) = self
             .fleet
@@ -290,3 +360,49 @@
     assert_eq!(other_body.status().as_u16(), 422);
     deployment.stop();
 }
+
+/// Every command is written on its own, so that the platform's write rate bounds the bookings.
+#[test]
+fn concurrent_bookings_share_writes() {
+    const CALLERS: usize = 32;
+    const BOOKINGS: usize = 12;
+    let deployment = Deployment::start("claims-group", 1);
+    // Before that, instances disagree about the writer of a shard, and their writes conflict.
+    deployment.wait_until_all_know_each_other();
+    let begun = Instant::now();
+    deployment.book_concurrently(CALLERS, BOOKINGS);
+    let elapsed = begun.elapsed();
+    let commands = 2 * CALLERS * BOOKINGS;
+    let writes = deployment.count("claim_shard_writes");
+    println!(
+        "{commands} commands in {writes} writes within {} ms",
+        elapsed.as_millis()
+    );
+    assert!(
+        writes * 10 < commands * 9,
+        "{writes} writes for {commands} commands"
+    );
+    deployment.stop();
+}
+
+/// A shard fills, so that claims are refused, or a claim that was moved is run again.
+#[test]
+fn settled_claims_move_to_segments_and_still_answer_resends() {
+    const CALLERS: usize = 32;
+    const BOOKINGS: usize = 32;
+    let deployment = Deployment::start_with_one_shard("claims-seal");
+    deployment.wait_until_all_know_each_other();
+    deployment.book_concurrently(CALLERS, BOOKINGS);
+    let segments = deployment.count("claim_segments");
+    println!("{} bookings in {segments} segments", CALLERS * BOOKINGS);
+    assert!(segments > 0);
+    for caller in 0..CALLERS {
+        let key = format!("k{caller}-0");
+        let answer = deployment
+            .book((caller + 1) % 4, &key)
+            .expect("the instance answers");
+        assert!(answer.status == 200 && answer.replayed, "{key}: {answer:?}");
+        assert_eq!(deployment.executions(&key), 1, "{key}");
+    }
+    deployment.stop();
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,9 @@
 //! A connection carries one [`PeerCall`] after another, each answered by [`PeerReply`] frames. A
 //! stage call is answered by any number of tokens and one end; every other call by one frame.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use arbutus_coord::Millis;
 use arbutus_coord::document::DocumentKind;
 use arbutus_coord::document::Transfer;
@@ -10,8 +13,6 @@
 use arbutus_coord::drain::DrainEntry;
 use arbutus_coord::membership::Digests;
 use arbutus_coord::membership::Member;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// One call to another instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,8 +37,12 @@
         /// The version that the caller holds.
         held: Version,
     },
-    /// Asks for all members; used when joining and when digests keep differing.
-    FetchMembers,
+    /// Asks for the members that the caller may lack; used when joining and when digests keep
+    /// differing.
+    FetchMembers {
+        /// The parts of the caller's digest.
+        buckets: Vec<u64>,
+    },
     /// Offers the caller's drains and asks for the receiver's.
     ExchangeDrains {
         /// The entries of the caller.
