admission: admit on arrival while nothing waits

Cause: a request was refused on arrival when the measured time of its stages was longer than its deadline, although nothing waited. Refused requests bring no new measurement, so a service that was slow for a few seconds was refused ever after.

While the queue is empty, arrivals are admitted. An offer to the queue is checked as before.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -208,7 +208,7 @@
     ///
     /// Returns the refusal with a delay for a retry; the request has not run.
     pub fn offer(&mut self, now: Millis, arrival: Arrival) -> Result<Ticket, Refusal> {
-        self.check(now, arrival)?;
+        self.predict(now, arrival)?;
         Ok(self.enqueue(arrival))
     }
 
@@ -243,6 +243,15 @@
     ///
     /// Returns the refusal with a delay for a retry.
     pub fn check(&mut self, now: Millis, arrival: Arrival) -> Result<(), Refusal> {
+        // Without a queue the refusal would rest on earlier measurements alone. They may be those
+        // of a target that was slow then, and only an admitted request brings a newer one.
+        if self.waiting.is_empty() {
+            return Ok(());
+        }
+        self.predict(now, arrival)
+    }
+
+    fn predict(&mut self, now: Millis, arrival: Arrival) -> Result<(), Refusal> {
         self.advance(now);
         let wait_ms = self.predicted_wait(arrival);
         let retry_ms = Millis(wait_ms.min(1e12) as u64)
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -158,3 +158,32 @@
     let admitted = admission.offer(now, of(0, now, 600));
     admitted.expect("the queue takes 400 ms");
 }
+
+/// Guards against a service that was slow for a time and whose requests are refused ever after,
+/// because only an admitted request brings a newer measurement.
+#[test]
+fn old_measurements_alone_refuse_nothing() {
+    let mut admission = Admission::new(Millis::ZERO, AdmissionSettings::default());
+    let slow = Arrival {
+        expected_ms: Millis(60_000),
+        ..arrival(0, 0, Millis(1_000))
+    };
+    assert_eq!(admission.check(Millis(10), slow), Ok(()));
+    let other = arrival(1, 0, Millis(1_000));
+    assert!(admission.offer(Millis(10), other).is_ok());
+    let refused = admission.check(Millis(10), slow);
+    assert!(matches!(refused, Err(Refusal::Deadline(_))), "{refused:?}");
+}
+
+/// Guards against a refusal of a request whose earlier stages have run.
+#[test]
+fn an_admitted_request_returns_to_the_queue() {
+    let mut admission = Admission::new(Millis::ZERO, AdmissionSettings::default());
+    let first = arrival(1, 0, Millis(1_000));
+    assert!(admission.offer(Millis(10), first).is_ok());
+    let late = arrival(0, 0, Millis(60));
+    assert!(admission.offer(Millis(10), late).is_err());
+    assert!(admission.offer_admitted(Millis(10), late).is_ok());
+    assert_eq!(admission.waiting(), 2);
+    assert_eq!(admission.expire(Millis(11)).len(), 1);
+}
