limits: leave a part for instances that have not reported

Cause: the first instance that reported a demand got all of a limit that nobody else had asked for yet, and the second one got nothing until the next report.

--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -82,8 +82,10 @@
 
     /// Takes over the number of instances among which the limits are divided.
     pub fn set_live_instances(&self, live_instances: usize) {
-        self.lock()
-            .set_live_instances(u32::try_from(live_instances).unwrap_or(u32::MAX).max(1));
+        let live_instances = u32::try_from(live_instances).unwrap_or(u32::MAX).max(1);
+        self.lock().set_live_instances(live_instances);
+        let mut division = self.division.lock().unwrap_or_else(PoisonError::into_inner);
+        division.divider.set_live_instances(live_instances);
     }
 
     /// Counts a request if every level allows one more.
--- a/crates/policy/src/limit_share.rs
+++ b/crates/policy/src/limit_share.rs
@@ -48,6 +48,7 @@
 #[derive(Debug)]
 pub struct LimitDivider {
     settings: LimitShareSettings,
+    live_instances: u32,
     reports: BTreeMap<LimitPath, BTreeMap<Instance, Report>>,
 }
 
@@ -57,10 +58,16 @@
     pub fn new(settings: LimitShareSettings) -> Self {
         Self {
             settings,
+            live_instances: 1,
             reports: BTreeMap::new(),
         }
     }
 
+    /// Sets the number of live instances, among which the part is divided that nobody needs.
+    pub fn set_live_instances(&mut self, live_instances: u32) {
+        self.live_instances = live_instances;
+    }
+
     /// Takes a report and returns the instance's share, or nothing without a limit.
     pub fn on_demand(
         &mut self,
@@ -87,7 +94,9 @@
             .map(|(_, report)| report.share.max(report.in_flight))
             .fold(0, u32::saturating_add);
         let wanted: Vec<u32> = reports.values().map(|report| report.wanted).collect();
-        let fair = fair_share(limit, &wanted, demand.wanted.max(demand.in_flight));
+        let mine = demand.wanted.max(demand.in_flight);
+        // An instance that has not reported yet needs its part when its first request arrives.
+        let fair = fair_share(limit, &wanted, mine, self.live_instances);
         let share = fair.min(limit.saturating_sub(others));
         if let Some(report) = reports.get_mut(&instance) {
             report.share = share;
@@ -111,7 +120,7 @@
 }
 
 /// Returns the max-min fair share of one of the demands, with an even part of what is left over.
-fn fair_share(limit: u32, wanted: &[u32], mine: u32) -> u32 {
+fn fair_share(limit: u32, wanted: &[u32], mine: u32, live_instances: u32) -> u32 {
     let mut sorted = wanted.to_vec();
     sorted.sort_unstable();
     let mut left = limit;
@@ -123,5 +132,6 @@
         }
         left -= demand;
     }
-    mine.saturating_add(left / sorted.len().max(1) as u32)
+    let parts = live_instances.max(sorted.len() as u32).max(1);
+    mine.saturating_add(left / parts)
 }
