--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -170,7 +170,7 @@
     };
     assert_eq!(admission.check(Millis(10), slow), Ok(()));
     let other = arrival(1, 0, Millis(1_000));
-    assert!(admission.offer(Millis(10), other).is_ok());
+    admission.offer(Millis(10), other).expect("it is admitted");
     let refused = admission.check(Millis(10), slow);
     assert!(matches!(refused, Err(Refusal::Deadline(_))), "{refused:?}");
 }
@@ -180,10 +180,13 @@
 fn an_admitted_request_returns_to_the_queue() {
     let mut admission = Admission::new(Millis::ZERO, AdmissionSettings::default());
     let first = arrival(1, 0, Millis(1_000));
-    assert!(admission.offer(Millis(10), first).is_ok());
+    admission.offer(Millis(10), first).expect("it is admitted");
     let late = arrival(0, 0, Millis(60));
-    assert!(admission.offer(Millis(10), late).is_err());
-    assert!(admission.offer_admitted(Millis(10), late).is_ok());
+    let refused = admission.offer(Millis(10), late);
+    assert!(matches!(refused, Err(Refusal::Deadline(_))), "{refused:?}");
+    admission
+        .offer_admitted(Millis(10), late)
+        .expect("it was admitted before");
     assert_eq!(admission.waiting(), 2);
     assert_eq!(admission.expire(Millis(11)).len(), 1);
 }
