--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -2,11 +2,6 @@
 
 use std::io;
 
-use arbutus_coord::drain::Subject;
-use arbutus_wire::admin::DrainAnswer;
-use arbutus_wire::admin::DrainKind;
-use arbutus_wire::admin::DrainOrder;
-use arbutus_wire::admin::SettleOrder;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -20,6 +15,11 @@
 use crate::request::read_body;
 use crate::response::Responder;
 use crate::status;
+use arbutus_coord::drain::Subject;
+use arbutus_wire::admin::DrainAnswer;
+use arbutus_wire::admin::DrainKind;
+use arbutus_wire::admin::DrainOrder;
+use arbutus_wire::admin::SettleOrder;
 
 const MAX_ORDER_BYTES: usize = 64 * 1024;
 
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -6,17 +6,6 @@
 use std::ops::ControlFlow;
 use std::sync::PoisonError;
 
-use arbutus_coord::Millis;
-use arbutus_coord::rendezvous::stable_hash;
-use arbutus_policy::attempt::AttemptIds;
-use arbutus_policy::health::CallOutcome;
-use arbutus_policy::quarantine::AttemptHash;
-use arbutus_policy::quarantine::Fingerprint;
-use arbutus_policy::stream::Assembler;
-use arbutus_policy::stream::Event;
-use arbutus_policy::stream::Fault;
-use arbutus_policy::stream::Frame;
-use arbutus_wire::target::GenerateBody;
 use log::info;
 use serde_json::Value;
 
@@ -28,6 +17,17 @@
 use crate::stage::TokenSink;
 use crate::target_client::CallContext;
 use crate::target_client::CallError;
+use arbutus_coord::Millis;
+use arbutus_coord::rendezvous::stable_hash;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::health::CallOutcome;
+use arbutus_policy::quarantine::AttemptHash;
+use arbutus_policy::quarantine::Fingerprint;
+use arbutus_policy::stream::Assembler;
+use arbutus_policy::stream::Event;
+use arbutus_policy::stream::Fault;
+use arbutus_policy::stream::Frame;
+use arbutus_wire::target::GenerateBody;
 
 /// The number of tokens after which the time of the whole stream is estimated.
 const ESTIMATE_TOKENS: u32 = 8;
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -9,14 +9,6 @@
 use std::sync::PoisonError;
 use std::thread;
 
-use arbutus_coord::Millis;
-use arbutus_coord::entity::Target;
-use arbutus_coord::membership::Member;
-use arbutus_policy::attempt::Attempt;
-use arbutus_policy::attempt::AttemptIds;
-use arbutus_policy::attempt::Sent;
-use arbutus_policy::attempt::Unsent;
-use arbutus_policy::quarantine::Fingerprint;
 use serde_json::Value;
 use serde_json::json;
 
@@ -39,6 +31,14 @@
 use crate::stage::StageDone;
 use crate::stage::TokenSink;
 use crate::target_client::CallError;
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Target;
+use arbutus_coord::membership::Member;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Sent;
+use arbutus_policy::attempt::Unsent;
+use arbutus_policy::quarantine::Fingerprint;
 
 /// How long a stage waits for a local slot before it is offered to another failure domain.
 const LOCAL_PATIENCE_MS: Millis = Millis(200);
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -5,6 +5,15 @@
 use std::sync::Arc;
 use std::sync::PoisonError;
 
+use log::error;
+use log::info;
+
+use crate::gossip::GossipEvents;
+use crate::grants;
+use crate::node::Node;
+use crate::peer::Replies;
+use crate::remote;
+use crate::status;
 use arbutus_config::committed::Committed;
 use arbutus_coord::document::Document;
 use arbutus_coord::document::DocumentKind;
@@ -16,15 +25,6 @@
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
 use arbutus_wire::platform::InstanceList;
-use log::error;
-use log::info;
-
-use crate::gossip::GossipEvents;
-use crate::grants;
-use crate::node::Node;
-use crate::peer::Replies;
-use crate::remote;
-use crate::status;
 
 /// Hands news from other instances to the state of the instance.
 pub struct NodeEvents {
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -5,15 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arbutus_coord::Millis;
-use arbutus_coord::entity::Entity;
-use arbutus_coord::entity::Target;
-use arbutus_coord::rendezvous;
-use arbutus_policy::balance::subset;
-use arbutus_wire::datagram::Body;
-use arbutus_wire::datagram::GrantReply;
-use arbutus_wire::datagram::GrantRequest;
-
 use crate::directory::Directory;
 use crate::directory::TargetEntry;
 use crate::node::Node;
@@ -23,6 +14,14 @@
 use crate::slots::UsedTarget;
 use crate::stop::Stop;
 use crate::supervisor::ChildResult;
+use arbutus_coord::Millis;
+use arbutus_coord::entity::Entity;
+use arbutus_coord::entity::Target;
+use arbutus_coord::rendezvous;
+use arbutus_policy::balance::subset;
+use arbutus_wire::datagram::Body;
+use arbutus_wire::datagram::GrantReply;
+use arbutus_wire::datagram::GrantRequest;
 
 /// How often the used and owned targets are computed anew.
 const SYNC_PERIOD_MS: Millis = Millis(100);
--- a/crates/daemon/src/hedge.rs
+++ b/crates/daemon/src/hedge.rs
@@ -8,10 +8,6 @@
 use std::sync::mpsc::Sender;
 use std::thread;
 
-use arbutus_coord::Millis;
-use arbutus_policy::attempt::Attempt;
-use arbutus_policy::attempt::AttemptIds;
-use arbutus_policy::attempt::Sent;
 use serde_json::Value;
 
 use crate::call::call_once;
@@ -22,6 +18,10 @@
 use crate::slots::Slot;
 use crate::stage::StageCall;
 use crate::target_client::CallError;
+use arbutus_coord::Millis;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Sent;
 
 const ATTEMPT_STACK_BYTES: usize = 256 * 1024;
 
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -5,11 +5,6 @@
 use std::sync::Arc;
 use std::thread;
 
-use arbutus_coord::Millis;
-use arbutus_policy::attempt::Attempt;
-use arbutus_policy::attempt::AttemptIds;
-use arbutus_policy::attempt::Unsent;
-use arbutus_wire::header;
 use log::debug;
 use serde_json::json;
 use socket2::Domain;
@@ -39,6 +34,11 @@
 use crate::stage::TokenSink;
 use crate::stop::Stop;
 use crate::supervisor::ChildResult;
+use arbutus_coord::Millis;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Unsent;
+use arbutus_wire::header;
 
 const LISTEN_BACKLOG: i32 = 1024;
 const ACCEPT_POLL_MS: Millis = Millis(100);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,13 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use getopts::Options;
+use log::info;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use tiny_http::Server;
+
 use arbutus_config::Settings;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
@@ -23,12 +30,6 @@
 use arbutusd::supervisor::Supervisor;
 use arbutusd::supervisor::stop_process_on_panic;
 use arbutusd::watcher;
-use getopts::Options;
-use log::info;
-use signal_hook::consts::SIGINT;
-use signal_hook::consts::SIGTERM;
-use signal_hook::iterator::Signals;
-use tiny_http::Server;
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::sync::Arc;
 
-use arbutus_coord::Millis;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -13,6 +12,8 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use arbutus_coord::Millis;
+
 /// Labels of a request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct RequestLabels {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,19 +10,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use arbutus_config::Deployment;
-use arbutus_config::Settings;
-use arbutus_config::deployment::ServiceKind;
-use arbutus_coord::Clock;
-use arbutus_coord::Millis;
-use arbutus_coord::drain::Subject;
-use arbutus_coord::membership::Member;
-use arbutus_coord::membership::MemberState;
-use arbutus_policy::quarantine::Quarantine;
-use arbutus_policy::quarantine::QuarantineEntry;
-use arbutus_policy::quarantine::QuarantineSettings;
-use arbutus_wire::datagram::Body;
-use arbutus_wire::platform::InstanceList;
 use log::info;
 use rand::Rng;
 use rand::SeedableRng;
@@ -42,6 +29,19 @@
 use crate::stage_times::StageTimes;
 use crate::stop::Stop;
 use crate::target_client::TargetClient;
+use arbutus_config::Deployment;
+use arbutus_config::Settings;
+use arbutus_config::deployment::ServiceKind;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_coord::drain::Subject;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
+use arbutus_policy::quarantine::Quarantine;
+use arbutus_policy::quarantine::QuarantineEntry;
+use arbutus_policy::quarantine::QuarantineSettings;
+use arbutus_wire::datagram::Body;
+use arbutus_wire::platform::InstanceList;
 
 /// The configuration in force.
 #[derive(Clone, Debug, Default)]
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -9,16 +9,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use arbutus_coord::Millis;
-use arbutus_coord::claim::Holder;
-use arbutus_coord::lease::Input;
-use arbutus_coord::lease::LeaseClient;
-use arbutus_coord::lease::LeaseRead;
-use arbutus_coord::lease::LeaseWrite;
-use arbutus_coord::lease::Output;
-use arbutus_coord::rendezvous;
-use arbutus_wire::target::Order;
-use arbutus_wire::target::OrderBody;
 use log::info;
 use serde_json::json;
 
@@ -29,6 +19,16 @@
 use crate::supervisor::ChildResult;
 use crate::target_client::ORDER_TIMEOUT_MS;
 use crate::target_client::OrderAnswer;
+use arbutus_coord::Millis;
+use arbutus_coord::claim::Holder;
+use arbutus_coord::lease::Input;
+use arbutus_coord::lease::LeaseClient;
+use arbutus_coord::lease::LeaseRead;
+use arbutus_coord::lease::LeaseWrite;
+use arbutus_coord::lease::Output;
+use arbutus_coord::rendezvous;
+use arbutus_wire::target::Order;
+use arbutus_wire::target::OrderBody;
 
 const LEASE_DURATION_MS: Millis = Millis(10_000);
 const LEASE_POLL_MS: Millis = Millis(200);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -10,6 +10,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use crate::directory::TargetEntry;
 use arbutus_coord::Millis;
 use arbutus_coord::entity::Instance;
 use arbutus_coord::entity::NameTable;
@@ -23,8 +24,6 @@
 use arbutus_coord::grant::TargetReport;
 use arbutus_wire::target::LoadReport;
 
-use crate::directory::TargetEntry;
-
 /// An answer to a holder.
 #[derive(Clone, Debug)]
 pub struct OutgoingReply {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -5,19 +5,6 @@
 
 use std::sync::Arc;
 
-use arbutus_config::deployment::ClassSpec;
-use arbutus_config::deployment::ServiceKind;
-use arbutus_config::deployment::StageSpec;
-use arbutus_coord::Millis;
-use arbutus_coord::claim::StoredAnswer;
-use arbutus_coord::claim::holder::NotRunReason;
-use arbutus_coord::claim::holder::NotSent;
-use arbutus_coord::claim::record::SettledBy;
-use arbutus_policy::attempt::Attempt;
-use arbutus_policy::attempt::AttemptIds;
-use arbutus_policy::attempt::Unsent;
-use arbutus_policy::balance::prefix_key;
-use arbutus_wire::admin::SettleOutcome;
 use serde_json::Value;
 
 use crate::claims::holder;
@@ -40,6 +27,19 @@
 use crate::stage::NoSink;
 use crate::stage::StageCall;
 use crate::stage::TokenSink;
+use arbutus_config::deployment::ClassSpec;
+use arbutus_config::deployment::ServiceKind;
+use arbutus_config::deployment::StageSpec;
+use arbutus_coord::Millis;
+use arbutus_coord::claim::StoredAnswer;
+use arbutus_coord::claim::holder::NotRunReason;
+use arbutus_coord::claim::holder::NotSent;
+use arbutus_coord::claim::record::SettledBy;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Unsent;
+use arbutus_policy::balance::prefix_key;
+use arbutus_wire::admin::SettleOutcome;
 
 /// The field of a caller's JSON whose start engines cache.
 const PROMPT_FIELD: &str = "prompt";
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -5,11 +5,6 @@
 
 use std::net::SocketAddr;
 
-use arbutus_coord::Millis;
-use arbutus_wire::platform::InstanceList;
-use arbutus_wire::platform::Object;
-use arbutus_wire::platform::ObjectList;
-use arbutus_wire::platform::Written;
 use displaydoc::Display;
 use prometheus_client::metrics::counter::Counter;
 use serde_json::Value;
@@ -18,6 +13,12 @@
 use ureq::Timeout;
 use ureq::http::Response;
 
+use arbutus_coord::Millis;
+use arbutus_wire::platform::InstanceList;
+use arbutus_wire::platform::Object;
+use arbutus_wire::platform::ObjectList;
+use arbutus_wire::platform::Written;
+
 /// The header by which the platform tells where a call comes from.
 const FAILURE_DOMAIN_HEADER: &str = "Failure-Domain";
 const CONNECT_TIMEOUT_MS: Millis = Millis(500);
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -3,13 +3,14 @@
 //! `"executed": "no"` is a promise to the caller. It can only be built by [`Problem::not_run`],
 //! which takes the proof that nothing was sent to a target.
 
-use arbutus_coord::Millis;
-use arbutus_policy::attempt::NotRun;
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 use strum::EnumString;
 
+use arbutus_coord::Millis;
+use arbutus_policy::attempt::NotRun;
+
 /// Whether the request has had an effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
 #[serde(rename_all = "snake_case")]
--- a/crates/daemon/src/relief.rs
+++ b/crates/daemon/src/relief.rs
@@ -15,11 +15,10 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use arbutus_coord::Clock;
-use arbutus_coord::Millis;
-
 use crate::stop::Stop;
 use crate::supervisor::ChildResult;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
 
 const BUSY_PERIOD_MS: Millis = Millis(10);
 const IDLE_PERIOD_MS: Millis = Millis(250);
--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -8,21 +8,6 @@
 use std::ops::ControlFlow;
 use std::sync::Arc;
 
-use arbutus_coord::Millis;
-use arbutus_coord::membership::Member;
-use arbutus_coord::membership::MemberState;
-use arbutus_policy::attempt::Attempt;
-use arbutus_policy::attempt::AttemptIds;
-use arbutus_policy::attempt::Echo;
-use arbutus_policy::stream::Frame;
-use arbutus_wire::frame::FrameError;
-use arbutus_wire::peer::NotRunReason;
-use arbutus_wire::peer::PeerReply;
-use arbutus_wire::peer::PeerRequest;
-use arbutus_wire::peer::StageCall as WireCall;
-use arbutus_wire::peer::StageEnd;
-use arbutus_wire::peer::StageOutcome;
-use arbutus_wire::peer::TokenFrame;
 use serde_json::Value;
 
 use crate::call::StreamEnd;
@@ -40,6 +25,21 @@
 use crate::stage::StageCall;
 use crate::stage::StageDone;
 use crate::stage::TokenSink;
+use arbutus_coord::Millis;
+use arbutus_coord::membership::Member;
+use arbutus_coord::membership::MemberState;
+use arbutus_policy::attempt::Attempt;
+use arbutus_policy::attempt::AttemptIds;
+use arbutus_policy::attempt::Echo;
+use arbutus_policy::stream::Frame;
+use arbutus_wire::frame::FrameError;
+use arbutus_wire::peer::NotRunReason;
+use arbutus_wire::peer::PeerReply;
+use arbutus_wire::peer::PeerRequest;
+use arbutus_wire::peer::StageCall as WireCall;
+use arbutus_wire::peer::StageEnd;
+use arbutus_wire::peer::StageOutcome;
+use arbutus_wire::peer::TokenFrame;
 
 const STATUS_OK: u16 = 200;
 /// Instances that seem to be dead are tried only below this number of tried instances, as each of
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -3,15 +3,15 @@
 use std::io::Read;
 use std::sync::Arc;
 
-use arbutus_config::deployment::PipelineSpec;
-use arbutus_coord::Millis;
-use arbutus_coord::rendezvous::stable_hash;
-use arbutus_wire::header;
 use serde_json::Value;
 use tiny_http::Request;
 
 use crate::node::Active;
 use crate::problem::Reason;
+use arbutus_config::deployment::PipelineSpec;
+use arbutus_coord::Millis;
+use arbutus_coord::rendezvous::stable_hash;
+use arbutus_wire::header;
 
 const MAX_NAME_BYTES: usize = 200;
 const LONGEST_DEADLINE_MS: Millis = Millis(60 * 60 * 1_000);
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -6,12 +6,12 @@
 use std::io;
 use std::io::Write;
 
-use arbutus_coord::Millis;
 use serde_json::Value;
 use tiny_http::HTTPVersion;
 use tiny_http::Request;
 
 use crate::problem::Problem;
+use arbutus_coord::Millis;
 
 /// The content type of JSON.
 pub const JSON: &str = "application/json";
--- a/crates/daemon/src/stage.rs
+++ b/crates/daemon/src/stage.rs
@@ -1,9 +1,10 @@
 //! What a stage needs to run, and what comes of it.
 
+use serde_json::Value;
+
 use arbutus_coord::Millis;
 use arbutus_policy::attempt::Attempt;
 use arbutus_policy::attempt::Sent;
-use serde_json::Value;
 
 /// The caller went away, so tokens cannot be delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -5,6 +5,8 @@
 use std::sync::PoisonError;
 use std::thread;
 
+use crate::node::Node;
+use crate::slots::TargetUse;
 use arbutus_coord::Millis;
 use arbutus_coord::drain::DrainEntry;
 use arbutus_coord::drain::Subject;
@@ -23,9 +25,6 @@
 use arbutus_wire::peer::PeerReply;
 use arbutus_wire::peer::PeerRequest;
 
-use crate::node::Node;
-use crate::slots::TargetUse;
-
 /// The members that are asked for their generation at once.
 const MAX_PARALLEL_CALLS: usize = 16;
 const CALL_TIMEOUT_MS: Millis = Millis(500);
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -11,13 +11,13 @@
 use std::thread;
 use std::thread::JoinHandle;
 
-use arbutus_coord::Millis;
 use log::error;
 use log::warn;
 
 use crate::metrics::ChildLabels;
 use crate::metrics::Metrics;
 use crate::stop::Stop;
+use arbutus_coord::Millis;
 
 const FIRST_RESTART_DELAY_MS: Millis = Millis(50);
 const LONGEST_RESTART_DELAY_MS: Millis = Millis(5_000);
--- a/crates/daemon/src/target_client.rs
+++ b/crates/daemon/src/target_client.rs
@@ -10,6 +10,16 @@
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 
+use displaydoc::Display;
+use serde_json::Value;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::RequestBuilder;
+use ureq::Timeout;
+use ureq::http::Response;
+use ureq::typestate::WithBody;
+
 use arbutus_coord::Millis;
 use arbutus_policy::attempt::AttemptIds;
 use arbutus_policy::attempt::Echo;
@@ -23,15 +33,6 @@
 use arbutus_wire::target::LoadReport;
 use arbutus_wire::target::OrderBody;
 use arbutus_wire::target::TokenEvent;
-use displaydoc::Display;
-use serde_json::Value;
-use ureq::Agent;
-use ureq::Body;
-use ureq::Error;
-use ureq::RequestBuilder;
-use ureq::Timeout;
-use ureq::http::Response;
-use ureq::typestate::WithBody;
 
 const CONNECT_TIMEOUT_MS: Millis = Millis(500);
 const REPORT_TIMEOUT_MS: Millis = Millis(400);
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -7,6 +7,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde_json::Value;
+use serde_json::json;
+
+use crate::node::Node;
+use crate::platform::Condition;
+use crate::platform::WriteError;
+use crate::stop::Stop;
+use crate::supervisor::ChildResult;
 use arbutus_config::committed::CONFIG_KEY;
 use arbutus_config::committed::Committed;
 use arbutus_coord::Millis;
@@ -17,14 +25,6 @@
 use arbutus_coord::rendezvous;
 use arbutus_wire::platform::EntryKind;
 use arbutus_wire::platform::InstanceList;
-use serde_json::Value;
-use serde_json::json;
-
-use crate::node::Node;
-use crate::platform::Condition;
-use crate::platform::WriteError;
-use crate::stop::Stop;
-use crate::supervisor::ChildResult;
 
 /// The watchers of each failure domain; with two, the loss of one delays nothing.
 const WATCHERS: usize = 2;
--- a/crates/standins/src/bin/arbutus-bench.rs
+++ b/crates/standins/src/bin/arbutus-bench.rs
@@ -14,13 +14,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hdrhistogram::Histogram;
+use serde_json::json;
+use ureq::Agent;
+
 use arbutus_standins::fleet::Fleet;
 use arbutus_standins::fleet::FleetSpec;
 use arbutus_standins::fleet::ServiceTargets;
 use arbutus_standins::usage::Usage;
-use hdrhistogram::Histogram;
-use serde_json::json;
-use ureq::Agent;
 
 type Outcome<T> = Result<T, Box<dyn Error>>;
 
--- a/crates/standins/src/bin/arbutus-loadgen.rs
+++ b/crates/standins/src/bin/arbutus-loadgen.rs
@@ -7,6 +7,9 @@
 use std::process::ExitCode;
 use std::str::FromStr;
 
+use getopts::Matches;
+use getopts::Options;
+
 use arbutus_coord::Clock;
 use arbutus_standins::loadgen::deployment::Deployment;
 use arbutus_standins::loadgen::event::TimedEvent;
@@ -15,8 +18,6 @@
 use arbutus_standins::report::plot;
 use arbutus_standins::report::summary::Summary;
 use arbutus_standins::report::text::TextReport;
-use getopts::Matches;
-use getopts::Options;
 
 const USAGE: &str = "Usage: arbutus-loadgen --scenario NAME|FILE \
                      (--start DIRECTORY | --instances ADDRESS,.. [--platform ADDRESS]) [options]";
--- a/crates/standins/src/bin/arbutus-platform.rs
+++ b/crates/standins/src/bin/arbutus-platform.rs
@@ -6,9 +6,10 @@
 use std::process::ExitCode;
 use std::thread;
 
-use arbutus_standins::platform::Platform;
 use getopts::Options;
 
+use arbutus_standins::platform::Platform;
+
 const USAGE: &str = "Usage: arbutus-platform --listen ADDRESS";
 
 fn main() -> ExitCode {
--- a/crates/standins/src/bin/arbutus-quickstart.rs
+++ b/crates/standins/src/bin/arbutus-quickstart.rs
@@ -9,6 +9,9 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_config::Deployment;
 use arbutus_config::committed::read_texts;
 use arbutus_config::deployment::ServiceKind;
@@ -17,8 +20,6 @@
 use arbutus_standins::fleet::FleetSpec;
 use arbutus_standins::fleet::ServiceTargets;
 use arbutus_standins::text::Text;
-use serde_json::Value;
-use serde_json::json;
 
 type Outcome<T> = Result<T, Box<dyn Error>>;
 
--- a/crates/standins/src/bin/arbutus-target.rs
+++ b/crates/standins/src/bin/arbutus-target.rs
@@ -7,12 +7,13 @@
 use std::str::FromStr;
 use std::thread;
 
+use getopts::Matches;
+use getopts::Options;
+
 use arbutus_coord::Millis;
 use arbutus_standins::target::Target;
 use arbutus_standins::target::TargetKind;
 use arbutus_standins::target::TargetSpec;
-use getopts::Matches;
-use getopts::Options;
 
 const USAGE: &str = "Usage: arbutus-target --listen ADDRESS --name NAME --service SERVICE \
                      --failure-domain DOMAIN --kind KIND [options]";
--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -9,13 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use arbutus_coord::Millis;
-use arbutus_wire::header;
-use arbutus_wire::target::CallAnswer;
-use arbutus_wire::target::CallBody;
-use arbutus_wire::target::CancelBody;
-use arbutus_wire::target::Order;
-use arbutus_wire::target::OrderBody;
 use serde_json::Value;
 use serde_json::json;
 
@@ -31,6 +24,13 @@
 use crate::target_faults::TargetFaults;
 use crate::target_faults::TargetFaultsUpdate;
 use crate::text;
+use arbutus_coord::Millis;
+use arbutus_wire::header;
+use arbutus_wire::target::CallAnswer;
+use arbutus_wire::target::CallBody;
+use arbutus_wire::target::CancelBody;
+use arbutus_wire::target::Order;
+use arbutus_wire::target::OrderBody;
 
 pub(crate) const MAX_BODY_BYTES: usize = 1024 * 1024;
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -6,9 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use arbutus_wire::target::DoneEvent;
-use arbutus_wire::target::GenerateBody;
-use arbutus_wire::target::TokenEvent;
 use serde_json::json;
 
 use crate::calls::CallContext;
@@ -20,6 +17,9 @@
 use crate::target_faults::TargetFaults;
 use crate::text;
 use crate::text::Text;
+use arbutus_wire::target::DoneEvent;
+use arbutus_wire::target::GenerateBody;
+use arbutus_wire::target::TokenEvent;
 
 /// The largest number of tokens of one stream.
 const MAX_TOKENS: u32 = 65_536;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -14,6 +14,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+use serde_json::Value;
+use ureq::Agent;
+
+use crate::process::Process;
 use arbutus_config::Settings;
 use arbutus_config::committed::CONFIG_KEY;
 use arbutus_config::committed::Committed;
@@ -21,11 +26,6 @@
 use arbutus_wire::platform::EntryKind;
 use arbutus_wire::platform::EntryState;
 use arbutus_wire::platform::ListEntry;
-use rand::RngExt;
-use serde_json::Value;
-use ureq::Agent;
-
-use crate::process::Process;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(20);
--- a/crates/standins/src/loadgen/arrivals.rs
+++ b/crates/standins/src/loadgen/arrivals.rs
@@ -3,7 +3,6 @@
 //! The arrivals are a function of the scenario and the seed, so two deployments receive the same
 //! requests.
 
-use arbutus_coord::Millis;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -15,6 +14,7 @@
 use crate::loadgen::scenario::Scenario;
 use crate::text::MARKER;
 use crate::text::PROMPT;
+use arbutus_coord::Millis;
 
 /// Prompts start with this many characters that depend on the prefix only.
 const PREFIX_CHARS: usize = 48;
--- a/crates/standins/src/loadgen/caller.rs
+++ b/crates/standins/src/loadgen/caller.rs
@@ -5,10 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use arbutus_coord::Millis;
-use arbutus_wire::header;
-use arbutus_wire::target::DoneEvent;
-use arbutus_wire::target::TokenEvent;
 use serde::Serialize;
 use serde_json::Value;
 use strum::Display;
@@ -23,6 +19,10 @@
 use crate::sse::next_event;
 use crate::text::MARKER;
 use crate::text::Text;
+use arbutus_coord::Millis;
+use arbutus_wire::header;
+use arbutus_wire::target::DoneEvent;
+use arbutus_wire::target::TokenEvent;
 
 /// How long a caller waits after its deadline.
 const PATIENCE: Duration = Duration::from_secs(3);
--- a/crates/standins/src/loadgen/event.rs
+++ b/crates/standins/src/loadgen/event.rs
@@ -5,9 +5,6 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use arbutus_wire::platform::EntryKind;
-use arbutus_wire::platform::InstanceList;
-use arbutus_wire::platform::ListEntry;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -16,6 +13,9 @@
 use crate::client::Client;
 use crate::fleet::Fleet;
 use crate::loadgen::deployment::Deployment;
+use arbutus_wire::platform::EntryKind;
+use arbutus_wire::platform::InstanceList;
+use arbutus_wire::platform::ListEntry;
 
 /// An action at a time of the run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/standins/src/loadgen/scenario.rs
+++ b/crates/standins/src/loadgen/scenario.rs
@@ -6,15 +6,15 @@
 use std::io;
 use std::path::Path;
 
-use arbutus_config::Deployment;
-use arbutus_config::committed::read_texts;
-use arbutus_config::deployment::ClassSpec;
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::loadgen::deployment::FleetLoad;
 use crate::loadgen::event::TimedEvent;
+use arbutus_config::Deployment;
+use arbutus_config::committed::read_texts;
+use arbutus_config::deployment::ClassSpec;
+use arbutus_coord::Millis;
 
 /// The largest number of requests of one run.
 pub const MAX_REQUESTS: f64 = 500_000.0;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -13,9 +13,6 @@
 use std::sync::PoisonError;
 use std::thread;
 
-use arbutus_coord::Clock;
-use arbutus_coord::Millis;
-use arbutus_wire::platform::ListEntry;
 use serde_json::Value;
 use serde_json::json;
 
@@ -32,6 +29,9 @@
 use crate::store::InstanceLog;
 use crate::store::Store;
 use crate::store::WriteError;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_wire::platform::ListEntry;
 
 /// The largest value of an object, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
--- a/crates/standins/src/platform_faults.rs
+++ b/crates/standins/src/platform_faults.rs
@@ -1,12 +1,13 @@
 //! Faults of the platform that tests switch on and off.
 
-use arbutus_coord::Millis;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::Serialize;
 
+use arbutus_coord::Millis;
+
 const FAULT_SEED: u64 = 0x6661_756c;
 /// The part of a second's allowance that may be used at once.
 const BURST_SECONDS: f64 = 0.2;
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use serde_json::Value;
+
 use arbutus_coord::Millis;
 use arbutus_wire::platform::InstanceList;
 use arbutus_wire::platform::ListEntry;
 use arbutus_wire::platform::Object;
 use arbutus_wire::platform::ObjectList;
-use serde_json::Value;
 
 const MAX_LOGGED_LISTS: usize = 256;
 
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -20,13 +20,6 @@
 use std::thread;
 use std::time::Duration;
 
-use arbutus_coord::Clock;
-use arbutus_coord::Millis;
-use arbutus_coord::rendezvous::stable_hash;
-use arbutus_wire::platform::EntryKind;
-use arbutus_wire::platform::EntryState;
-use arbutus_wire::platform::ListEntry;
-use arbutus_wire::target::LoadReport;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -43,6 +36,13 @@
 use crate::http::bind;
 use crate::platform::FAILURE_DOMAIN;
 use crate::target_faults::TargetFaults;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_coord::rendezvous::stable_hash;
+use arbutus_wire::platform::EntryKind;
+use arbutus_wire::platform::EntryState;
+use arbutus_wire::platform::ListEntry;
+use arbutus_wire::target::LoadReport;
 
 const MAX_WORKERS: usize = 1_024;
 const SAMPLE_EVERY: Duration = Duration::from_millis(25);
--- a/crates/standins/src/target_faults.rs
+++ b/crates/standins/src/target_faults.rs
@@ -1,9 +1,10 @@
 //! Faults of a target that tests switch on and off.
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 
+use arbutus_coord::Millis;
+
 /// The faults in effect.
 #[derive(Clone, Debug, Serialize)]
 pub struct TargetFaults {
--- a/crates/standins/src/text.rs
+++ b/crates/standins/src/text.rs
@@ -3,9 +3,10 @@
 //! Each stage's output carries the caller's input as `origin`. Token `i` of an engine is a
 //! function of the origin and `i`, so that every engine continues a stream alike.
 
-use arbutus_coord::rendezvous::stable_hash;
 use serde_json::Value;
 
+use arbutus_coord::rendezvous::stable_hash;
+
 /// The field of a stage's output that carries the caller's input.
 pub const ORIGIN: &str = "origin";
 /// The field of a caller's input that identifies the request.
--- a/crates/standins/tests/http.rs
+++ b/crates/standins/tests/http.rs
@@ -8,11 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::json;
+
 use arbutus_standins::http::Exchange;
 use arbutus_standins::http::Handler;
 use arbutus_standins::http::HttpServer;
 use arbutus_standins::http::bind;
-use serde_json::json;
 
 const ROUNDS: usize = 40;
 const BURST: usize = 12;
--- a/crates/standins/tests/loadgen.rs
+++ b/crates/standins/tests/loadgen.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_coord::Millis;
 use arbutus_standins::http::Exchange;
 use arbutus_standins::http::Handler;
@@ -23,8 +26,6 @@
 use arbutus_standins::target::TargetKind;
 use arbutus_standins::target::TargetSpec;
 use arbutus_standins::text::Text;
-use serde_json::Value;
-use serde_json::json;
 
 const SCENARIO: &str = "
 name: test
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_standins::client::Client;
 use arbutus_standins::client::ClientError;
 use arbutus_standins::platform::Platform;
-use serde_json::Value;
-use serde_json::json;
 
 const WRITERS: u64 = 6;
 const INCREMENTS: u64 = 25;
--- a/crates/standins/tests/target.rs
+++ b/crates/standins/tests/target.rs
@@ -3,6 +3,10 @@
 use std::io::BufReader;
 use std::net::SocketAddr;
 
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+
 use arbutus_coord::Millis;
 use arbutus_standins::sse::Event;
 use arbutus_standins::sse::next_event;
@@ -11,9 +15,6 @@
 use arbutus_standins::target::TargetKind;
 use arbutus_standins::target::TargetSpec;
 use arbutus_standins::text::Text;
-use serde_json::Value;
-use serde_json::json;
-use ureq::Agent;
 
 const MAX_TOKENS: u32 = 24;
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,8 +4,6 @@
 //! [`MAX_DATAGRAM_BYTES`], so it is not fragmented on an ordinary network. Malformed input and
 //! other versions give an error value.
 
-use arbutus_policy::limits::LimitDemand;
-use arbutus_policy::limits::LimitPath;
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,6 +18,8 @@
 use arbutus_coord::membership::Member;
 use arbutus_coord::membership::Message;
 use arbutus_coord::membership::Packet;
+use arbutus_policy::limits::LimitDemand;
+use arbutus_policy::limits::LimitPath;
 
 pub use arbutus_policy::quarantine::QuarantineEntry;
 
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -1,12 +1,13 @@
 //! JSON payloads of the platform's object API.
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 use strum::Display;
 use strum::EnumString;
 
+use arbutus_coord::Millis;
+
 /// An object with its version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Object {
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -1,10 +1,11 @@
 //! JSON payloads of the target interface.
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 
+use arbutus_coord::Millis;
+
 /// The body of a call of one stage.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CallBody {
