membership: probe several seeds in the first periods after the start

Cause: an instance that has just started probed one random seed, and the next one after 8 periods (4 s), so in a deployment of four an instance knew one other member 3 s after its start. Both instances of a failure domain then took themselves for the owner of all targets. Ruled out: the platform and the datagram filter, which let nothing through.

An instance now probes up to four seeds in each of its first four periods. The test waits until all members know each other before it cuts them off; its assertions are unchanged.

--- a/crates/coord/src/membership/detector.rs
+++ b/crates/coord/src/membership/detector.rs
@@ -37,6 +37,12 @@
 /// The number of periods between two searches for dead members to forget.
 const FORGET_PERIODS: u64 = 64;
 
+/// The number of periods after the start in which several seeds are probed.
+const STARTUP_PERIODS: u64 = 4;
+
+/// The number of seeds that are probed in each of these periods.
+const STARTUP_SEED_PROBES: u32 = 4;
+
 /// The number of random seeds that are looked at to find one that is not a live member.
 const SEED_TRIES: usize = 8;
 
@@ -420,7 +426,7 @@
             self.probe(now, slot, outputs);
         }
         self.probe_suspects(now, outputs);
-        if self.table.peers() == 0 || self.periods.is_multiple_of(self.spec.reconnect_periods) {
+        for _ in 0..self.seed_probes() {
             self.reconnect(outputs);
         }
         if self.periods.is_multiple_of(FORGET_PERIODS) {
@@ -428,6 +434,18 @@
         }
     }
 
+    /// Returns the number of seeds that are probed in this period.
+    ///
+    /// An instance that has just started knows few members. Until it knows those of its failure
+    /// domain, it takes itself for the owner of targets that others own as well.
+    fn seed_probes(&self) -> u32 {
+        if self.periods <= STARTUP_PERIODS {
+            return STARTUP_SEED_PROBES;
+        }
+        let reconnects = self.periods.is_multiple_of(self.spec.reconnect_periods);
+        u32::from(self.table.peers() == 0 || reconnects)
+    }
+
     fn probe(&mut self, now: Millis, slot: usize, outputs: &mut Vec<Output>) {
         let Some(member) = self.table.get(slot) else {
             return;
--- a/crates/daemon/tests/failures/deployment.rs
+++ b/crates/daemon/tests/failures/deployment.rs
@@ -303,8 +303,25 @@
     }
 
     /// Cuts the instances of the two failure domains off from each other, or connects them again.
+    ///
+    /// An instance can only cut off members that it knows, so all of them have to be known first.
     pub fn partition(&self, cut: bool) {
         let domains = ["arita", "hakata"];
+        let all = self.fleet.instances.len();
+        for instance in &self.fleet.instances {
+            eventually(
+                Duration::from_secs(5),
+                "every instance knows all others",
+                || {
+                    let status = self
+                        .fleet
+                        .get(instance.settings.http_address, "/admin/status");
+                    let members =
+                        status.map(|status| status["members"].as_array().map_or(0, Vec::len));
+                    members.is_ok_and(|members| members == all)
+                },
+            );
+        }
         for instance in &self.fleet.instances {
             let own = instance.settings.failure_domain.as_str();
             let blocked: BTreeSet<&str> = domains
