--- a/crates/daemon/src/claims/background.rs
+++ b/crates/daemon/src/claims/background.rs
@@ -15,6 +15,8 @@
 use arbutus_coord::Millis;
 
 const POLL_MS: Millis = Millis(20);
+/// The first repetition of a command is due after this time.
+const IDLE_POLL_MS: Millis = Millis(100);
 /// How long a shutdown waits for outcomes that are not recorded.
 const SHUTDOWN_LIMIT_MS: Millis = Millis(30_000);
 
@@ -42,7 +44,11 @@
             scope.spawn(move || shard.run(&receiver, threads_stop));
         }
         node.claims.set_shards(senders);
-        while !stop.wait(POLL_MS) {
+        while !stop.wait(if node.claims.undecided() > 0 {
+            POLL_MS
+        } else {
+            IDLE_POLL_MS
+        }) {
             repeat_due(node);
         }
         finish(node);
--- a/crates/daemon/src/claims/shards.rs
+++ b/crates/daemon/src/claims/shards.rs
@@ -41,7 +41,7 @@
 use arbutus_coord::claim::writer::WriterSettings;
 use arbutus_coord::membership::MemberState;
 
-const IDLE_WAIT_MS: Millis = Millis(500);
+const IDLE_WAIT_MS: Millis = Millis(1_000);
 const OPERATION_TIMEOUT_MS: Millis = Millis(400);
 /// Time between two searches of a shard for claims of dead holders.
 const SCAN_PERIOD_MS: Millis = Millis(3_000);
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -55,7 +55,7 @@
 const WAIT_MS: Millis = Millis(100);
 
 /// The longest time between two looks at the next deadline, which a datagram may bring forward.
-const LONGEST_TICK_MS: Millis = Millis(25);
+const LONGEST_TICK_MS: Millis = Millis(50);
 
 /// The time in which a peer has to answer a fetch.
 const FETCH_TIMEOUT_MS: Millis = Millis(1_500);
--- a/crates/daemon/src/relief.rs
+++ b/crates/daemon/src/relief.rs
@@ -21,7 +21,7 @@
 use arbutus_coord::Millis;
 
 const BUSY_PERIOD_MS: Millis = Millis(10);
-const IDLE_PERIOD_MS: Millis = Millis(250);
+const IDLE_PERIOD_MS: Millis = Millis(500);
 /// How long after a new connection others of the same burst may still wait.
 const BUSY_SPAN_MS: Millis = Millis(500);
 const CONNECT_TIMEOUT_MS: Millis = Millis(100);
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -10,6 +10,9 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -392,7 +395,12 @@
         .new_agent()
 }
 
-/// Returns a loopback address that is free at the moment.
+/// The number of ports that this process has tried, which keeps them apart.
+static TRIED_PORTS: AtomicU16 = AtomicU16::new(0);
+/// Where this process begins to look for ports.
+static FIRST_PORT: OnceLock<u16> = OnceLock::new();
+
+/// Returns a loopback address that is free at the moment and was not returned before.
 ///
 /// The port is below those that the system usually gives to outgoing connections, because one of
 /// them could take it before the process that is started binds it.
@@ -401,9 +409,13 @@
 ///
 /// Returns why no port can be had.
 pub fn free_address() -> io::Result<SocketAddr> {
+    let first = *FIRST_PORT.get_or_init(|| rand::rng().random_range(PORTS));
     let mut last_error = io::Error::from(io::ErrorKind::AddrInUse);
     for _ in 0..PORT_ATTEMPTS {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::rng().random_range(PORTS)));
+        let tried = TRIED_PORTS.fetch_add(1, Ordering::Relaxed);
+        let span = PORTS.end - PORTS.start;
+        let port = PORTS.start + (first - PORTS.start + tried % span) % span;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         match TcpListener::bind(address) {
             Ok(listener) => return listener.local_addr(),
             Err(error) => last_error = error,
