--- a/crates/config/src/committed.rs
+++ b/crates/config/src/committed.rs
@@ -10,8 +10,6 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use arbutus_coord::Millis;
-use arbutus_coord::rendezvous::stable_hash;
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,6 +18,8 @@
 use crate::fault::Faults;
 use crate::resolve::Texts;
 use crate::source::Source;
+use arbutus_coord::Millis;
+use arbutus_coord::rendezvous::stable_hash;
 
 /// The key of the platform object that holds the committed configuration.
 pub const CONFIG_KEY: &str = "config";
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -4,12 +4,13 @@
 
 use std::collections::BTreeMap;
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 use strum::EnumString;
 
+use arbutus_coord::Millis;
+
 /// The configuration of a deployment.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -7,12 +7,6 @@
 
 use std::env;
 
-use arbutus_config::Committed;
-use arbutus_config::Deployment;
-use arbutus_config::Source;
-use arbutus_config::Stamp;
-use arbutus_config::Texts;
-use arbutus_config::overlay::merge;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -20,6 +14,13 @@
 use serde_norway::Mapping;
 use serde_norway::Value;
 
+use arbutus_config::Committed;
+use arbutus_config::Deployment;
+use arbutus_config::Source;
+use arbutus_config::Stamp;
+use arbutus_config::Texts;
+use arbutus_config::overlay::merge;
+
 const GEN_SIZE: usize = 40;
 const DEFAULT_SEED: u64 = 0x0c0f;
 const TESTS: u64 = 300;
--- /dev/null
+++ b/crates/config/tests/style.rs
@@ -0,0 +1,204 @@
+//! Guards the house style where neither the formatter nor the linter does: one import a line in
+//! three groups, no absolute paths of a machine, and files of moderate length.
+//!
+//! With `ARBUTUS_STYLE_FIX=1` in the environment the test rewrites faulty import groups.
+
+use std::collections::BTreeSet;
+use std::env;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+const MAX_LINES: usize = 600;
+
+/// Beginnings of paths that exist on one machine only.
+const MACHINE_PATHS: [&str; 5] = ["/home/", "/root/", "/Users/", "/work/", "/tmp/"];
+
+/// Own crates whose names do not begin with `arbutus_`.
+const OWN_ROOTS: [&str; 4] = ["arbutusd", "crate", "self", "super"];
+
+struct RustFile {
+    path: PathBuf,
+    name: String,
+    text: String,
+}
+
+fn rust_files() -> Vec<RustFile> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut files = Vec::new();
+    collect(&root.join("crates"), &root, &mut files);
+    assert!(!files.is_empty(), "no source files were found");
+    files
+}
+
+fn collect(directory: &Path, root: &Path, files: &mut Vec<RustFile>) {
+    let entries = fs::read_dir(directory).expect("the directory is readable");
+    let mut paths: Vec<PathBuf> = entries
+        .map(|entry| entry.expect("the entry is readable").path())
+        .collect();
+    paths.sort();
+    for path in paths {
+        if path.is_dir() && !path.ends_with("target") {
+            collect(&path, root, files);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let name = path.strip_prefix(root).expect("it is below the root");
+            files.push(RustFile {
+                name: name.display().to_string(),
+                text: fs::read_to_string(&path).expect("sources are UTF-8"),
+                path,
+            });
+        }
+    }
+}
+
+/// Returns the path of an import, or `None` when the line is none.
+fn import(line: &str) -> Option<&str> {
+    let line = line.trim_start();
+    let line = match line.strip_prefix("pub") {
+        Some(rest) => rest
+            .trim_start_matches("(crate)")
+            .trim_start_matches("(super)")
+            .trim_start(),
+        None => line,
+    };
+    line.strip_prefix("use ")
+}
+
+/// Returns 0 for the standard library, 1 for external crates, 2 for own code.
+fn group(path: &str, own_modules: &BTreeSet<&str>) -> usize {
+    let root = path
+        .split("::")
+        .next()
+        .unwrap_or_default()
+        .trim_end_matches(';');
+    match root {
+        "std" | "core" | "alloc" => 0,
+        _ if root.starts_with("arbutus_") || OWN_ROOTS.contains(&root) => 2,
+        _ if own_modules.contains(root) => 2,
+        _ => 1,
+    }
+}
+
+fn own_modules(text: &str) -> BTreeSet<&str> {
+    let modules = text.lines().filter_map(|line| {
+        let line = line
+            .strip_prefix("pub ")
+            .or(line.strip_prefix("pub(crate) "))
+            .unwrap_or(line);
+        line.strip_prefix("mod ")?.split([';', ' ']).next()
+    });
+    modules.collect()
+}
+
+/// A run of import lines and blank lines between them, as a range of line indices.
+fn import_blocks(lines: &[&str]) -> Vec<std::ops::Range<usize>> {
+    let mut blocks = Vec::new();
+    let mut index = 0;
+    while index < lines.len() {
+        let is_plain = |line: &str| line.starts_with("use ");
+        if !is_plain(lines[index]) {
+            index += 1;
+            continue;
+        }
+        let start = index;
+        let mut end = index;
+        while index < lines.len() && (is_plain(lines[index]) || lines[index].is_empty()) {
+            if is_plain(lines[index]) {
+                end = index + 1;
+            }
+            index += 1;
+        }
+        blocks.push(start..end);
+    }
+    blocks
+}
+
+fn grouped(lines: &[&str], own_modules: &BTreeSet<&str>) -> Vec<String> {
+    let imports: Vec<&str> = lines
+        .iter()
+        .copied()
+        .filter(|line| !line.is_empty())
+        .collect();
+    let mut result = Vec::new();
+    for wanted in 0..3 {
+        let members = imports
+            .iter()
+            .filter(|line| import(line).is_some_and(|path| group(path, own_modules) == wanted));
+        let members: Vec<String> = members.map(ToString::to_string).collect();
+        if !members.is_empty() && !result.is_empty() {
+            result.push(String::new());
+        }
+        result.extend(members);
+    }
+    result
+}
+
+#[test]
+fn each_import_has_a_line_of_its_own() {
+    let mut offenders = Vec::new();
+    for file in rust_files() {
+        for (index, line) in file.text.lines().enumerate() {
+            let Some(path) = import(line) else { continue };
+            if path.contains('{') || path.contains('*') || !path.ends_with(';') {
+                offenders.push(format!("{}:{}: {}", file.name, index + 1, line.trim()));
+            }
+        }
+    }
+    assert!(offenders.is_empty(), "{}", offenders.join("\n"));
+}
+
+#[test]
+fn imports_are_in_three_groups() {
+    let fix = env::var("ARBUTUS_STYLE_FIX").is_ok();
+    let mut offenders = Vec::new();
+    for file in rust_files() {
+        let lines: Vec<&str> = file.text.lines().collect();
+        let own_modules = own_modules(&file.text);
+        let mut fixed: Vec<String> = lines.iter().map(ToString::to_string).collect();
+        for block in import_blocks(&lines).into_iter().rev() {
+            let expected = grouped(&lines[block.clone()], &own_modules);
+            if lines[block.clone()] != expected {
+                offenders.push(format!("{}:{}", file.name, block.start + 1));
+                fixed.splice(block, expected);
+            }
+        }
+        let text = fixed.join("\n") + "\n";
+        if fix && text != file.text {
+            fs::write(&file.path, text).expect("the file is writable");
+        }
+    }
+    let count = offenders.len();
+    assert!(
+        count == 0,
+        "{count} blocks of imports:\n{}",
+        offenders.join("\n")
+    );
+}
+
+#[test]
+fn no_file_names_a_path_of_a_machine() {
+    let mut offenders = Vec::new();
+    for file in rust_files() {
+        for (index, line) in file.text.lines().enumerate() {
+            let found = MACHINE_PATHS
+                .iter()
+                .any(|path| line.contains(&format!("\"{path}")));
+            if found && !line.starts_with("const MACHINE_PATHS") {
+                offenders.push(format!("{}:{}: {}", file.name, index + 1, line.trim()));
+            }
+        }
+    }
+    assert!(offenders.is_empty(), "{}", offenders.join("\n"));
+}
+
+#[test]
+fn files_are_of_moderate_length() {
+    let mut offenders = Vec::new();
+    for file in rust_files() {
+        let lines = file.text.lines().count();
+        if lines >= MAX_LINES {
+            offenders.push(format!("{}: {lines} lines", file.name));
+        }
+    }
+    assert!(offenders.is_empty(), "{}", offenders.join("\n"));
+}
--- a/crates/config/tests/validation.rs
+++ b/crates/config/tests/validation.rs
@@ -4,11 +4,12 @@
 use std::fs;
 use std::path::Path;
 
+use serde::Deserialize;
+
 use arbutus_config::Fault;
 use arbutus_config::Faults;
 use arbutus_config::Source;
 use arbutus_config::Texts;
-use serde::Deserialize;
 
 const CASES: &str = include_str!("faults.yaml");
 
--- a/crates/ctl/src/archive.rs
+++ b/crates/ctl/src/archive.rs
@@ -10,11 +10,10 @@
 //! [`HISTORY_SLOTS`], so the history is bounded and each slot holds the latest of its
 //! generations.
 
-use arbutus_config::Committed;
-
 use crate::platform::Platform;
 use crate::platform::ReadError;
 use crate::platform::WriteError;
+use arbutus_config::Committed;
 
 /// The number of generations that are kept.
 pub(crate) const HISTORY_SLOTS: u64 = 32;
--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -6,14 +6,6 @@
 use std::thread;
 use std::time::Instant;
 
-use arbutus_config::Committed;
-use arbutus_config::Stamp;
-use arbutus_config::Texts;
-use arbutus_config::committed::read_texts;
-use arbutus_coord::Clock;
-use arbutus_coord::Millis;
-use arbutus_wire::admin::MemberState;
-use arbutus_wire::admin::Status;
 use serde_json::Value;
 use serde_json::json;
 
@@ -30,6 +22,14 @@
 use crate::options::print_text;
 use crate::platform::Current;
 use crate::platform::Platform;
+use arbutus_config::Committed;
+use arbutus_config::Stamp;
+use arbutus_config::Texts;
+use arbutus_config::committed::read_texts;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
+use arbutus_wire::admin::MemberState;
+use arbutus_wire::admin::Status;
 
 const USAGE: &str = "apply --platform ADDR [OPTIONS] DIRECTORY";
 const SUMMARY: &str =
--- a/crates/ctl/src/commands/call.rs
+++ b/crates/ctl/src/commands/call.rs
@@ -8,8 +8,6 @@
 use std::io::Write;
 use std::net::SocketAddr;
 
-use arbutus_coord::Millis;
-use arbutus_wire::header;
 use ureq::Agent;
 use ureq::Body;
 use ureq::Error;
@@ -23,6 +21,8 @@
 use crate::options::CommandLine;
 use crate::options::Outcome;
 use crate::options::print_text;
+use arbutus_coord::Millis;
+use arbutus_wire::header;
 
 const USAGE: &str = "call --instance ADDR --organisation NAME [OPTIONS] PIPELINE [INPUT]";
 const SUMMARY: &str =
--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -2,9 +2,6 @@
 
 use std::path::Path;
 
-use arbutus_config::ConfigError;
-use arbutus_config::Faults;
-use arbutus_config::committed::read_texts;
 use serde::Serialize;
 use serde_json::json;
 
@@ -14,6 +11,9 @@
 use crate::options::Outcome;
 use crate::options::print_json;
 use crate::options::print_text;
+use arbutus_config::ConfigError;
+use arbutus_config::Faults;
+use arbutus_config::committed::read_texts;
 
 const SUMMARY: &str = "Checks base.yaml and overlays/*.yaml in DIRECTORY for every site. Prints all
 faults, each with file, line and path of the field.";
--- a/crates/ctl/src/commands/claims.rs
+++ b/crates/ctl/src/commands/claims.rs
@@ -1,10 +1,5 @@
 //! `claims`: lists and settles non-idempotent requests without a recorded outcome.
 
-use arbutus_wire::admin::SettleAnswer;
-use arbutus_wire::admin::SettleOrder;
-use arbutus_wire::admin::SettleOutcome;
-use arbutus_wire::admin::UnsettledClaim;
-
 use crate::failure::Failure;
 use crate::instance::Instances;
 use crate::options::CommandLine;
@@ -12,6 +7,10 @@
 use crate::options::print_json;
 use crate::options::print_text;
 use crate::options::table;
+use arbutus_wire::admin::SettleAnswer;
+use arbutus_wire::admin::SettleOrder;
+use arbutus_wire::admin::SettleOutcome;
+use arbutus_wire::admin::UnsettledClaim;
 
 const USAGE: &str = "claims --instance ADDR [--instance ADDR ..] [--json]
        arbutusctl claims settle --instance ADDR --organisation NAME --pipeline NAME
--- a/crates/ctl/src/commands/diff.rs
+++ b/crates/ctl/src/commands/diff.rs
@@ -2,9 +2,6 @@
 
 use std::path::Path;
 
-use arbutus_config::committed::read_texts;
-use arbutus_config::difference::Difference;
-use arbutus_config::difference::differences;
 use serde_json::json;
 
 use crate::commands::history;
@@ -14,6 +11,9 @@
 use crate::options::print_json;
 use crate::options::print_text;
 use crate::platform::Platform;
+use arbutus_config::committed::read_texts;
+use arbutus_config::difference::Difference;
+use arbutus_config::difference::differences;
 
 const USAGE: &str = "diff --platform ADDR [--generation N] [--json] DIRECTORY";
 const SUMMARY: &str =
--- a/crates/ctl/src/commands/drain.rs
+++ b/crates/ctl/src/commands/drain.rs
@@ -1,8 +1,5 @@
 //! `drain` and `undrain`: take something out of service, and return it.
 
-use arbutus_wire::admin::DrainAnswer;
-use arbutus_wire::admin::DrainKind;
-use arbutus_wire::admin::DrainOrder;
 use serde_json::json;
 
 use crate::failure::Failure;
@@ -11,6 +8,9 @@
 use crate::options::Outcome;
 use crate::options::print_json;
 use crate::options::print_text;
+use arbutus_wire::admin::DrainAnswer;
+use arbutus_wire::admin::DrainKind;
+use arbutus_wire::admin::DrainOrder;
 
 const DRAIN_USAGE: &str = "drain --instance ADDR [--instance ADDR ..] [--json] KIND NAME";
 const DRAIN_SUMMARY: &str =
--- a/crates/ctl/src/commands/history.rs
+++ b/crates/ctl/src/commands/history.rs
@@ -3,10 +3,6 @@
 use std::fs;
 use std::path::Path;
 
-use arbutus_config::Committed;
-use arbutus_config::schema::is_name;
-use arbutus_coord::Clock;
-use arbutus_coord::Millis;
 use serde::Serialize;
 
 use crate::archive;
@@ -18,6 +14,10 @@
 use crate::options::print_text;
 use crate::options::table;
 use crate::platform::Platform;
+use arbutus_config::Committed;
+use arbutus_config::schema::is_name;
+use arbutus_coord::Clock;
+use arbutus_coord::Millis;
 
 const USAGE: &str = "history --platform ADDR [--limit N] [--json]
        arbutusctl history --platform ADDR --generation N --output DIRECTORY";
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -1,13 +1,12 @@
 //! `status`: what an instance knows about itself, its members and its targets.
 
-use arbutus_wire::admin::Status;
-
 use crate::instance::Instances;
 use crate::options::CommandLine;
 use crate::options::Outcome;
 use crate::options::print_json;
 use crate::options::print_text;
 use crate::options::table;
+use arbutus_wire::admin::Status;
 
 const USAGE: &str = "status --instance ADDR [--instance ADDR ..] [--json]";
 const SUMMARY: &str =
--- a/crates/ctl/src/commit.rs
+++ b/crates/ctl/src/commit.rs
@@ -9,13 +9,12 @@
 use std::thread;
 use std::time::Instant;
 
-use arbutus_config::Committed;
-use arbutus_config::committed::CONFIG_KEY;
-use arbutus_coord::Millis;
-
 use crate::archive;
 use crate::platform::Platform;
 use crate::platform::WriteError;
+use arbutus_config::Committed;
+use arbutus_config::committed::CONFIG_KEY;
+use arbutus_coord::Millis;
 
 const RETRY_DELAY_MS: Millis = Millis(200);
 
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -1,10 +1,11 @@
 //! How a command ends when it does not succeed.
 
-use arbutus_config::ConfigError;
 use displaydoc::Display;
 use getopts::Fail;
 use serde_json::Value;
 
+use arbutus_config::ConfigError;
+
 /// Why a command did not succeed.
 #[derive(Debug, Display)]
 pub(crate) enum Failure {
--- a/crates/ctl/src/instance.rs
+++ b/crates/ctl/src/instance.rs
@@ -2,9 +2,6 @@
 
 use std::net::SocketAddr;
 
-use arbutus_coord::Millis;
-use arbutus_wire::admin::Problem;
-use arbutus_wire::admin::Status;
 use displaydoc::Display;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -13,6 +10,9 @@
 use ureq::http::Response;
 
 use crate::failure::Failure;
+use arbutus_coord::Millis;
+use arbutus_wire::admin::Problem;
+use arbutus_wire::admin::Status;
 
 const CONNECT_TIMEOUT_MS: Millis = Millis(1_000);
 const CALL_TIMEOUT_MS: Millis = Millis(5_000);
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::net::ToSocketAddrs;
 
-use arbutus_coord::Millis;
 use getopts::Matches;
 use getopts::Options;
 use serde::Serialize;
 
 use crate::failure::Failure;
+use arbutus_coord::Millis;
 
 /// The result of a command that did not fail.
 pub(crate) type Outcome = Result<(), Failure>;
--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -5,16 +5,16 @@
 
 use std::net::SocketAddr;
 
-use arbutus_config::Committed;
-use arbutus_config::committed::CONFIG_KEY;
-use arbutus_coord::Millis;
-use arbutus_wire::platform::Object;
 use displaydoc::Display;
 use ureq::Agent;
 use ureq::Error;
 use ureq::Timeout;
 
 use crate::failure::Failure;
+use arbutus_config::Committed;
+use arbutus_config::committed::CONFIG_KEY;
+use arbutus_coord::Millis;
+use arbutus_wire::platform::Object;
 
 const CONNECT_TIMEOUT_MS: Millis = Millis(1_000);
 const CALL_TIMEOUT_MS: Millis = Millis(3_000);
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -11,6 +11,9 @@
 use std::sync::MutexGuard;
 use std::thread;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_config::Committed;
 use arbutus_config::Stamp;
 use arbutus_standins::client::Client;
@@ -19,8 +22,6 @@
 use arbutus_standins::http::HttpServer;
 use arbutus_standins::http::bind;
 use arbutus_standins::platform::Platform;
-use serde_json::Value;
-use serde_json::json;
 use support::Run;
 use support::Scratch;
 use support::closed_address;
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -8,13 +8,14 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use serde_json::Value;
+use serde_json::json;
+
 use arbutus_standins::http::Exchange;
 use arbutus_standins::http::Handler;
 use arbutus_standins::http::HttpServer;
 use arbutus_standins::http::bind;
 use arbutus_standins::platform::Platform;
-use serde_json::Value;
-use serde_json::json;
 use support::Run;
 use support::Scratch;
 use support::closed_address;
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -5,12 +5,13 @@
 //! `POST /admin/claims/settle` takes a [`SettleOrder`] and answers a [`SettleAnswer`]. Refusals
 //! are `application/problem+json` and carry a [`Problem`].
 
-use arbutus_coord::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 use strum::EnumString;
 
+use arbutus_coord::Millis;
+
 /// What an instance knows about itself, its members and its targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
