batch: follow a target's refusals for lack of room

Change: the used part of a target's space shrinks with each refusal and grows slowly; a failed piece whose inputs were reported as read goes back to its request.

--- a/crates/policy/src/serving/batch.rs
+++ b/crates/policy/src/serving/batch.rs
@@ -32,6 +32,12 @@
 const FIRST_PAUSE_MS: u64 = 200;
 /// The longest pause after failed calls.
 const MAX_PAUSE_MS: u64 = 3_200;
+/// What is left of the used part of a target's space after it had no room.
+const ROOM_SHRINK: f64 = 0.85;
+/// What a call without such an answer adds to the used part.
+const ROOM_GROWTH: f64 = 0.02;
+/// The least part of a target's space that is used.
+const LEAST_ROOM_SHARE: f64 = 0.4;
 /// How often the owner sends a piece again by itself before its request decides.
 const MAX_SENDS: u32 = 3;
 
@@ -143,6 +149,8 @@
     result_bytes: u64,
     sends: u32,
     in_call: bool,
+    /// Whether the request was told that the inputs are read; it may have released them.
+    inputs_read: bool,
 }
 
 #[derive(Debug)]
@@ -156,6 +164,8 @@
     slowness: f64,
     /// Results that were not freed: their size and when the target drops them.
     results: BTreeMap<String, (u64, Millis)>,
+    /// The part of the space that is used; sizes are approximate and other instances use it too.
+    room_share: f64,
 }
 
 #[derive(Debug)]
@@ -209,6 +219,7 @@
                 failures: 0,
                 slowness: 1.0,
                 results: BTreeMap::new(),
+                room_share: 1.0,
             });
         }
     }
@@ -234,6 +245,7 @@
                     result_bytes: submission.result_bytes,
                     sends: 0,
                     in_call: false,
+                    inputs_read: false,
                 },
             );
         }
@@ -297,8 +309,13 @@
                     no_room |= result == Err(PieceFailure::NoRoom);
                     self.end_piece(now, target_id, *key, result, &mut delivered, &mut orphaned);
                 }
-                if no_room && let Some(target) = self.targets.get_mut(target_id) {
-                    target.paused_until = now + FULL_PAUSE_MS;
+                if let Some(target) = self.targets.get_mut(target_id) {
+                    if no_room {
+                        target.paused_until = now + FULL_PAUSE_MS;
+                        target.room_share = (target.room_share * ROOM_SHRINK).max(LEAST_ROOM_SHARE);
+                    } else {
+                        target.room_share = (target.room_share + ROOM_GROWTH).min(1.0);
+                    }
                 }
             }
             CallOutcome::Full => {
@@ -350,7 +367,7 @@
             piece.sends = piece.sends.saturating_sub(1);
         }
         let again = matches!(result, Err(PieceFailure::Failed | PieceFailure::NoRoom));
-        if again && piece.sends < MAX_SENDS && piece.deadline > now {
+        if again && !piece.inputs_read && piece.sends < MAX_SENDS && piece.deadline > now {
             piece.in_call = false;
             return;
         }
@@ -366,24 +383,25 @@
     }
 
     /// Returns the pieces whose inputs a target has read, because their call is at its turn.
-    #[must_use]
-    pub fn inputs_read(&self, target: &str) -> Vec<PieceOutcome> {
+    pub fn inputs_read(&mut self, target: &str) -> Vec<PieceOutcome> {
         let call = self
             .targets
             .get(target)
             .and_then(|target| target.call.as_ref());
-        let pieces = call
-            .iter()
-            .flat_map(|call| &call.keys)
-            .filter_map(|key| self.pieces.get(key))
-            .filter(|piece| matches!(piece.source, PieceSource::Inputs(_)));
-        pieces
-            .map(|piece| PieceOutcome {
-                submission: piece.submission,
-                piece: piece.piece,
-                progress: PieceProgress::InputsRead,
-            })
-            .collect()
+        let mut read = Vec::new();
+        for key in call.iter().flat_map(|call| &call.keys) {
+            if let Some(piece) = self.pieces.get_mut(key)
+                && matches!(piece.source, PieceSource::Inputs(_))
+            {
+                piece.inputs_read = true;
+                read.push(PieceOutcome {
+                    submission: piece.submission,
+                    piece: piece.piece,
+                    progress: PieceProgress::InputsRead,
+                });
+            }
+        }
+        read
     }
 
     /// Removes the pieces whose request is given up, and returns them as late.
@@ -503,7 +521,8 @@
             .filter(|&&(_, until)| until > now)
             .map(|&(bytes, _)| bytes)
             .sum();
-        let mut room = self.spec.room_bytes.saturating_sub(used);
+        let usable = (self.spec.room_bytes as f64 * target.room_share) as u64;
+        let mut room = usable.saturating_sub(used);
         let mut keys = Vec::new();
         for (_, _, _, key) in candidates {
             if keys.len() >= self.spec.batch {
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -298,6 +298,17 @@
     let requests: Vec<&str> = requests.into_iter().collect();
     let (label, failed) = match outcome {
         CallOutcome::Answered(results) => {
+            let failures = call.pieces.iter().zip(results);
+            for (piece, failure) in
+                failures.filter_map(|(piece, result)| Some((piece, result.as_ref().err()?)))
+            {
+                info!(
+                    request = piece.request.as_str(), target_id = call.target.as_str(),
+                    stage = piece.stage, piece = piece.piece, reason:% = failure,
+                    remaining_ms = piece.remaining_ms.0;
+                    "a piece was not made"
+                );
+            }
             let failed = results.iter().filter(|result| result.is_err()).count();
             ("answered", failed)
         }
