--- a/crates/policy/src/serving/choice.rs
+++ b/crates/policy/src/serving/choice.rs
@@ -157,7 +157,9 @@
             .iter()
             .enumerate()
             .map(|(index, entry)| {
-                let foreign = if entry.failure_domain == wish.own_domain {
+                // Reading a prompt's beginning again costs more than the way to another domain.
+                let near = entry.failure_domain == wish.own_domain;
+                let foreign = if near || wish.shared_prefix.is_some() {
                     0.0
                 } else {
                     FOREIGN_DOMAIN_LOAD
