--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -498,6 +498,20 @@
     }
 }
 
+/// Returns the failure domain of the target that would be chosen now, where the results of the
+/// stages are wanted.
+#[must_use]
+pub fn expected_domain(context: &RequestContext) -> String {
+    let chosen = context
+        .shared
+        .service(&context.service)
+        .and_then(|service| choose(context, &Progress::default(), &service));
+    chosen.map_or_else(
+        || context.shared.settings.failure_domain.clone(),
+        |entry| entry.failure_domain,
+    )
+}
+
 fn choose(
     context: &RequestContext,
     progress: &Progress,
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::dispatch;
 use crate::dispatch::GivenUp;
 use crate::peer::SubmitMessage;
 use crate::request::RequestContext;
@@ -32,6 +33,8 @@
     client: Rc<StageClient>,
     graph: StageGraph,
     services: Vec<String>,
+    /// The failure domain where results are wanted.
+    failure_domain: String,
     freed: bool,
 }
 
@@ -45,6 +48,11 @@
             client: Rc::clone(client),
             graph: StageGraph::new(stages, &context.client.pieces),
             services: stages.iter().map(|stage| stage.service.clone()).collect(),
+            failure_domain: if stages.is_empty() {
+                String::new()
+            } else {
+                dispatch::expected_domain(context)
+            },
             freed: false,
         }
     }
@@ -151,7 +159,7 @@
             stage: ready.stage as u32,
             pieces: ready.pieces.iter().map(|&piece| piece as u32).collect(),
             source: piece_source(ready.inputs.clone(), key, stage.after.is_empty()),
-            failure_domain: self.shared.settings.failure_domain.clone(),
+            failure_domain: self.failure_domain.clone(),
             due_ms: context.on_time_until() - later_ms - now,
             deadline_ms: context.give_up - now,
             rank: context.rank,
