--- a/crates/policy/src/serving/batch.rs
+++ b/crates/policy/src/serving/batch.rs
@@ -490,6 +490,31 @@
         pauses.chain(waits).filter(|&time| time > now).min()
     }
 
+    /// Returns how long the targets need for the waiting pieces that can still be on time.
+    #[must_use]
+    pub fn backlog_ms(&self, now: Millis) -> Millis {
+        let waiting = self
+            .pieces
+            .values()
+            .filter(|piece| !piece.in_call && piece.due >= now)
+            .count();
+        let usable = self
+            .targets
+            .values()
+            .filter(|target| target.paused_until <= now + FULL_PAUSE_MS);
+        let full_ms = self.spec.call_ms + self.spec.piece_ms * self.spec.batch as f64;
+        let pieces_per_ms: f64 = usable
+            .map(|target| self.spec.batch as f64 / (full_ms * target.slowness))
+            .sum();
+        if waiting == 0 {
+            return Millis::ZERO;
+        }
+        if pieces_per_ms <= 0.0 {
+            return Millis(MAX_PAUSE_MS);
+        }
+        Millis((waiting as f64 / pieces_per_ms) as u64)
+    }
+
     /// Returns the expected time until a new piece of a failure domain is made.
     #[must_use]
     pub fn expected_ms(&self, now: Millis, failure_domain: &str) -> Millis {
--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -3,6 +3,7 @@
 //! All parts are deterministic and without I/O. The model holds the configuration and the targets
 //! as the platform's adapter decodes them.
 
+pub mod admit;
 pub mod batch;
 pub mod budget;
 pub mod choice;
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -76,6 +76,7 @@
     queues: RefCell<BTreeMap<String, UnboundedSender<QueueInput>>>,
     sinks: RefCell<BTreeMap<u64, UnboundedSender<PieceOutcome>>>,
     next_source: RefCell<u64>,
+    backlogs: RefCell<BTreeMap<String, Millis>>,
 }
 
 impl Owners {
@@ -87,6 +88,7 @@
             queues: RefCell::new(BTreeMap::new()),
             sinks: RefCell::new(BTreeMap::new()),
             next_source: RefCell::new(0),
+            backlogs: RefCell::new(BTreeMap::new()),
         })
     }
 
@@ -100,6 +102,12 @@
         (source, receiver)
     }
 
+    /// Returns the backlogs of the own queues.
+    #[must_use]
+    pub fn backlogs(&self) -> BTreeMap<String, Millis> {
+        self.backlogs.borrow().clone()
+    }
+
     /// Drops what a submitting instance waits for.
     pub fn remove_source(&self, source: u64) {
         self.sinks.borrow_mut().remove(&source);
@@ -190,6 +198,7 @@
             for call in queue.start_calls(now) {
                 self.start(call);
             }
+            self.report(queue.backlog_ms(now));
             if self.free_at <= now {
                 self.free();
             }
@@ -214,6 +223,13 @@
         }
     }
 
+    fn report(&self, backlog_ms: Millis) {
+        let owners = &self.owners;
+        owners.shared.set_backlog(&self.service, backlog_ms);
+        let mut backlogs = owners.backlogs.borrow_mut();
+        backlogs.insert(self.service.clone(), backlog_ms);
+    }
+
     /// Follows the list of targets and the configuration.
     fn update(&self, queue: &mut BatchQueue) {
         let shared = &self.owners.shared;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -54,6 +54,11 @@
 /// After this time without a sign of life the connection is given up.
 const SILENCE_MS: Millis = Millis(900);
 
+/// How often backlogs are reported to instances that submit pieces.
+const REPORT_MS: Millis = Millis(200);
+/// Shorter backlogs are not reported: each call has a wait of this order.
+const LEAST_REPORTED_MS: Millis = Millis(150);
+
 /// Pieces of one stage of a request, as they travel to the owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SubmitMessage {
@@ -126,6 +131,13 @@
     Leaving,
     /// Objects of the store.
     Objects(ObjectKind, Snapshot),
+    /// How long the targets of a service need for what waits.
+    Backlog {
+        /// The service.
+        service: String,
+        /// The time.
+        backlog_ms: Millis,
+    },
 }
 
 /// The outgoing connections.
@@ -265,6 +277,10 @@
                 }
             }
             PeerReply::Objects(kind, snapshot) => self.store.offer(kind, snapshot),
+            PeerReply::Backlog {
+                service,
+                backlog_ms,
+            } => self.shared.set_backlog(&service, backlog_ms),
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -361,6 +377,7 @@
             source,
         };
         let mut phase = self.shared.watch_phase();
+        let mut next_report = Instant::now();
         loop {
             let mut replies = Vec::new();
             tokio::select! {
@@ -378,6 +395,10 @@
                         replies.push(piece_reply(outcome));
                     }
                 }
+                () = sleep_until(next_report) => {
+                    next_report = Instant::now() + REPORT_MS.to_duration();
+                    self.report(&mut replies);
+                }
                 _changed = phase.changed() => {
                     if *phase.borrow() == Phase::Leaving {
                         replies.push(PeerReply::Leaving);
@@ -394,6 +415,18 @@
         }
     }
 
+    /// Reports the backlogs that other instances should know of.
+    fn report(&self, replies: &mut Vec<PeerReply>) {
+        for (service, backlog_ms) in self.owners.backlogs() {
+            if backlog_ms >= LEAST_REPORTED_MS {
+                replies.push(PeerReply::Backlog {
+                    service,
+                    backlog_ms,
+                });
+            }
+        }
+    }
+
     fn handle(&self, source: u64, command: PeerCommand, replies: &mut Vec<PeerReply>) {
         let now = self.shared.now();
         match command {
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -28,6 +28,7 @@
 use arbutus_coord::Millis;
 use arbutus_platform::request::ClientRequest;
 use arbutus_policy::quarantine::Fingerprint;
+use arbutus_policy::serving::admit::Admission;
 use arbutus_policy::serving::crashes;
 use arbutus_policy::serving::model::Route;
 use arbutus_policy::serving::model::RouteKind;
@@ -267,6 +268,15 @@
     }
     shared.record_request(&context.service);
     let mut work = RequestStages::new(&context, stages);
+    if let Admission::Refuse { retry_after_ms } = work.admit(&context) {
+        context.record.reason = format!("the stages would be late, back in {retry_after_ms}");
+        return Ok(own_answer(
+            context,
+            OwnAnswer::Refused,
+            Some(retry_after_ms),
+            served,
+        ));
+    }
     if let Err(given_up) = work.complete(&context).await {
         return Ok(given_up_answer(context, given_up, served));
     }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -26,6 +26,9 @@
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::routes::RouteTable;
 
+/// How long a report of a backlog counts; owners repeat it while there is one.
+const BACKLOG_VALID_MS: Millis = Millis(700);
+
 /// The phase of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -62,6 +65,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     instances: RefCell<BTreeMap<String, InstanceEntry>>,
     budgets: RefCell<BTreeMap<String, RepeatBudget>>,
+    /// The backlog of stage services, and when it was reported.
+    backlogs: RefCell<BTreeMap<String, (Millis, Millis)>>,
     /// Reports of crashes that were not sent to other instances yet.
     pub crash_reports: RefCell<Vec<QuarantineEntry>>,
     targets_known: Cell<bool>,
@@ -87,6 +92,7 @@
             table: RefCell::new(None),
             instances: RefCell::new(BTreeMap::new()),
             budgets: RefCell::new(BTreeMap::new()),
+            backlogs: RefCell::new(BTreeMap::new()),
             crash_reports: RefCell::new(Vec::new()),
             targets_known: Cell::new(false),
             phase: watch::Sender::new(Phase::Starting),
@@ -209,6 +215,22 @@
         budget.try_repeat(self.now(), &self.settings.repeats, instances)
     }
 
+    /// Records the backlog of a stage service.
+    pub fn set_backlog(&self, service: &str, backlog_ms: Millis) {
+        let entry = (backlog_ms, self.now());
+        self.backlogs.borrow_mut().insert(service.to_owned(), entry);
+    }
+
+    /// Returns the backlog of a stage service, or nothing where no recent one is known.
+    #[must_use]
+    pub fn backlog_ms(&self, service: &str) -> Millis {
+        let backlogs = self.backlogs.borrow();
+        let known = backlogs.get(service);
+        known
+            .filter(|(_, at)| *at + BACKLOG_VALID_MS >= self.now())
+            .map_or(Millis::ZERO, |&(backlog_ms, _)| backlog_ms)
+    }
+
     /// Returns the phase.
     #[must_use]
     pub fn phase(&self) -> Phase {
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -15,6 +15,9 @@
 use crate::stage_client::Submitted;
 use crate::stage_client::piece_source;
 use arbutus_coord::Millis;
+use arbutus_policy::serving::admit;
+use arbutus_policy::serving::admit::Admission;
+use arbutus_policy::serving::admit::Forecast;
 use arbutus_policy::serving::graph::PieceProgress;
 use arbutus_policy::serving::graph::StageGraph;
 
@@ -180,21 +183,64 @@
 
     /// Returns the expected time from the end of a stage to the first event.
     fn later_ms(&self, context: &RequestContext, stage: usize) -> Millis {
-        let prompt = context.client.tokens.map_or(0, |(prompt, _)| prompt);
-        let mut later_ms = FIRST_EVENT_MS + Millis(prompt / PROMPT_TOKENS_PER_MS);
+        let mut later_ms = first_event_ms(context);
         let mut last = stage;
         for (index, next) in context.route.stages.iter().enumerate() {
             if next.after.contains(&last) {
                 last = index;
-                let service = self.shared.service(&next.service);
-                if let Some(spec) = service.and_then(|service| service.stage) {
-                    let pieces = spec.batch as f64 * TYPICAL_BATCH_SHARE;
-                    later_ms = later_ms + Millis((spec.call_ms + spec.piece_ms * pieces) as u64);
-                }
+                later_ms = later_ms + self.typical_ms(&next.service);
             }
         }
         later_ms
     }
+
+    /// Returns how long a piece of a service takes when it does not wait.
+    fn typical_ms(&self, service: &str) -> Millis {
+        let spec = self.shared.service(service);
+        spec.and_then(|service| service.stage)
+            .map_or(Millis::ZERO, |spec| {
+                let pieces = spec.batch as f64 * TYPICAL_BATCH_SHARE;
+                Millis((spec.call_ms + spec.piece_ms * pieces) as u64)
+            })
+    }
+
+    /// Decides whether the request can be on time.
+    #[must_use]
+    pub fn admit(&self, context: &RequestContext) -> Admission {
+        let stages = &context.route.stages;
+        // The times and waits up to the end of each stage, along the longest way to it.
+        let mut ends: Vec<(Millis, Millis)> = Vec::with_capacity(stages.len());
+        for (index, stage) in stages.iter().enumerate() {
+            let before = stage.after.iter().filter_map(|&before| ends.get(before));
+            let (took, waited) = before.max().copied().unwrap_or_default();
+            let has_pieces = context
+                .client
+                .pieces
+                .get(index)
+                .is_some_and(|&pieces| pieces > 0);
+            ends.push(if has_pieces {
+                (
+                    took + self.typical_ms(&stage.service),
+                    waited + self.shared.backlog_ms(&stage.service),
+                )
+            } else {
+                (took, waited)
+            });
+        }
+        let (took, waited) = ends.into_iter().max().unwrap_or_default();
+        admit::decide(&Forecast {
+            unloaded_ms: took + first_event_ms(context),
+            waiting_ms: waited,
+            objective_ms: context.route.objective_ms,
+            rank: context.route.priority,
+        })
+    }
+}
+
+/// Returns the expected time from the results to the first event.
+fn first_event_ms(context: &RequestContext) -> Millis {
+    let prompt = context.client.tokens.map_or(0, |(prompt, _)| prompt);
+    FIRST_EVENT_MS + Millis(prompt / PROMPT_TOKENS_PER_MS)
 }
 
 impl Drop for RequestStages {
