graph: repair lost inputs once for all pieces that found them lost

Cause: each piece that found its inputs lost counted as a repair, so nine pieces of one stage ended their request at once. Inputs were lost because they were released 120 ms after a call was sent, while the call still waited behind one of another owner of the same target.

Change: one repair serves all pieces; inputs are not released early for 3 s after a sign of another owner.

--- a/crates/policy/src/serving/batch.rs
+++ b/crates/policy/src/serving/batch.rs
@@ -32,6 +32,11 @@
 const FIRST_PAUSE_MS: u64 = 200;
 /// The longest pause after failed calls.
 const MAX_PAUSE_MS: u64 = 3_200;
+/// How long the targets count as used by another owner after a sign of it, and after the beginning
+/// of an ownership: the owner before finishes its calls.
+const CONTENDED_MS: Millis = Millis(3_000);
+/// A call that takes this much longer than expected may have waited behind another one.
+const CONTENDED_EXTRA_MS: f64 = 150.0;
 /// What is left of the used part of a target's space after it had no room.
 const ROOM_SHRINK: f64 = 0.85;
 /// What a call without such an answer adds to the used part.
@@ -184,18 +189,21 @@
     pieces: BTreeMap<u64, QueuedPiece>,
     next_key: u64,
     leaving: bool,
+    /// Until when another owner may use the same targets.
+    contended_until: Millis,
 }
 
 impl BatchQueue {
     /// Creates the empty queue of a service.
     #[must_use]
-    pub fn new(spec: StageServiceSpec) -> Self {
+    pub fn new(now: Millis, spec: StageServiceSpec) -> Self {
         Self {
             spec,
             targets: BTreeMap::new(),
             pieces: BTreeMap::new(),
             next_key: 0,
             leaving: false,
+            contended_until: now + CONTENDED_MS,
         }
     }
 
@@ -328,6 +336,11 @@
                 let newest = took_ms / call.nominal_ms.max(1.0);
                 target.slowness += (newest - target.slowness) * SPEED_WEIGHT;
                 let mut no_room = false;
+                if results.contains(&Err(PieceFailure::InputLost))
+                    || took_ms > call.expected_ms + CONTENDED_EXTRA_MS
+                {
+                    self.contended_until = now + CONTENDED_MS;
+                }
                 for (key, result) in call.keys.iter().zip(results) {
                     no_room |= result == Err(PieceFailure::NoRoom);
                     self.end_piece(now, target_id, *key, result, &mut delivered, &mut orphaned);
@@ -342,6 +355,7 @@
                 }
             }
             CallOutcome::Full => {
+                self.contended_until = now + CONTENDED_MS;
                 target.paused_until = now + FULL_PAUSE_MS;
                 for key in call.keys {
                     if let Some(piece) = self.pieces.get_mut(&key) {
@@ -411,7 +425,11 @@
     }
 
     /// Returns the pieces whose inputs a target has read, because their call is at its turn.
-    pub fn inputs_read(&mut self, target: &str) -> Vec<PieceOutcome> {
+    pub fn inputs_read(&mut self, now: Millis, target: &str) -> Vec<PieceOutcome> {
+        if now < self.contended_until {
+            // The call may wait behind one of another owner.
+            return Vec::new();
+        }
         let call = self
             .targets
             .get(target)
--- a/crates/policy/src/serving/graph.rs
+++ b/crates/policy/src/serving/graph.rs
@@ -179,7 +179,10 @@
             return Err(GraphFailure(failure));
         }
         let mut lost = self.stages[stage].after.clone();
-        if failure != PieceFailure::InputLost {
+        if failure == PieceFailure::InputLost {
+            // Other pieces of the stage may have found the loss before; one repair serves them all.
+            lost.retain(|&before| self.is_complete(before));
+        } else {
             lost.retain(|&before| self.stages[before].released);
         }
         if lost.is_empty() {
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -187,7 +187,7 @@
             return;
         };
         info!(service = self.service.as_str(); "the queue of a stage service is owned here");
-        let mut queue = BatchQueue::new(spec);
+        let mut queue = BatchQueue::new(shared.now(), spec);
         let mut changes = shared.watch_targets();
         let mut phase = shared.watch_phase();
         let mut leaving = shared.phase() == Phase::Leaving;
@@ -254,7 +254,7 @@
                 self.owners.deliver(delivered);
                 self.add_to_free(orphaned);
             }
-            QueueInput::InputsRead(target) => self.owners.deliver(queue.inputs_read(&target)),
+            QueueInput::InputsRead(target) => self.owners.deliver(queue.inputs_read(now, &target)),
             QueueInput::Free(handles) => self.add_to_free(handles),
             QueueInput::Freed { target, handles } => queue.freed(&target, &handles),
         }
