owner: agree on the owners of stage queues while instances restart

Cause: an absent instance of another failure domain made the whole domain count as cut off, so during restarts every domain had an owner of its own for each service (seen in the log: three instances sent calls to each target), and the targets were full or had no room.

Change: a domain counts as cut off when two of its instances are silent; a stopping instance is absent alone. Instances announce when they serve and stop.

--- a/crates/policy/src/serving/batch.rs
+++ b/crates/policy/src/serving/batch.rs
@@ -34,7 +34,7 @@
 const MAX_PAUSE_MS: u64 = 3_200;
 /// How long the targets count as used by another owner after a sign of it, and after the beginning
 /// of an ownership: the owner before finishes its calls.
-const CONTENDED_MS: Millis = Millis(3_000);
+const CONTENDED_MS: Millis = Millis(1_000);
 /// A call that takes this much longer than expected may have waited behind another one.
 const CONTENDED_EXTRA_MS: f64 = 150.0;
 /// What is left of the used part of a target's space after it had no room.
@@ -278,6 +278,11 @@
     /// Calls in progress end as usual. Pieces that are submitted later are sent.
     pub fn leave(&mut self) -> Vec<PieceOutcome> {
         self.leaving = true;
+        self.return_waiting()
+    }
+
+    /// Returns all pieces that were not sent, because another instance owns the service now.
+    pub fn return_waiting(&mut self) -> Vec<PieceOutcome> {
         let waiting: Vec<u64> = self
             .pieces
             .iter()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`request`] (route, key, deadline), [`stages`] (work before it), [`dispatch`] (targets) and
 //! [`stream`] or a whole answer.
 
+pub mod announce;
 pub mod answer;
 pub mod background;
 pub mod connection;
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -61,6 +61,7 @@
         target: String,
         outcome: CallOutcome,
     },
+    HandOver,
     InputsRead(String),
     Free(Vec<String>),
     Freed {
@@ -108,6 +109,17 @@
         self.backlogs.borrow().clone()
     }
 
+    /// Returns the services of the own queues.
+    #[must_use]
+    pub fn services(&self) -> Vec<String> {
+        self.queues.borrow().keys().cloned().collect()
+    }
+
+    /// Returns the waiting pieces of a service, which another instance owns from now on.
+    pub fn hand_over(self: &Rc<Self>, service: &str) {
+        self.tell(service, QueueInput::HandOver);
+    }
+
     /// Drops what a submitting instance waits for.
     pub fn remove_source(&self, source: u64) {
         self.sinks.borrow_mut().remove(&source);
@@ -254,6 +266,11 @@
                 self.owners.deliver(delivered);
                 self.add_to_free(orphaned);
             }
+            QueueInput::HandOver => {
+                let returned = queue.return_waiting();
+                info!(service = self.service.as_str(), pieces = returned.len(); "a stage queue is handed over");
+                self.owners.deliver(returned);
+            }
             QueueInput::InputsRead(target) => self.owners.deliver(queue.inputs_read(now, &target)),
             QueueInput::Free(handles) => self.add_to_free(handles),
             QueueInput::Freed { target, handles } => queue.freed(&target, &handles),
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -190,18 +190,15 @@
             .into_iter()
             .find(|entry| entry.name == peer)
             .map(|entry| entry.address);
-        let reason = match address {
-            Some(address) => match self.exchange(&peer, address, &mut commands).await {
-                Ok(()) => "left".to_owned(),
-                Err(error) => error.to_string(),
-            },
-            None => "unknown address".to_owned(),
+        let ended = match address {
+            Some(address) => self.exchange(&peer, address, &mut commands).await,
+            None => Err(io::ErrorKind::AddrNotAvailable.into()),
         };
         self.links.borrow_mut().remove(&peer);
         drop(commands);
         let client = self.client.borrow().upgrade();
-        if let Some(client) = client {
-            client.lost(&peer, &reason);
+        if let (Some(client), Err(error)) = (client, ended) {
+            client.lost(&peer, &error);
         }
     }
 
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -18,6 +18,7 @@
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
+use crate::announce::Announcer;
 use crate::background;
 use crate::frontend;
 use crate::logging;
@@ -113,7 +114,7 @@
 async fn live(shared: Rc<Shared>, path: &Path, dropped: DroppedLines) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
     let mut reload = signal(SignalKind::hangup()).map_err(StartError::System)?;
-    start(&shared, dropped)?;
+    start(&shared, dropped).await?;
     loop {
         tokio::select! {
             _signal = terminate.recv() => break,
@@ -125,7 +126,7 @@
 }
 
 /// Starts all tasks of an instance.
-fn start(shared: &Rc<Shared>, dropped: DroppedLines) -> Result<(), StartError> {
+async fn start(shared: &Rc<Shared>, dropped: DroppedLines) -> Result<(), StartError> {
     let settings = &shared.settings;
     let peer_address = SocketAddrV4::new(settings.ip, settings.peer_ports.0);
     let clients = listener(settings.client_address)?;
@@ -143,6 +144,15 @@
     let links = PeerLinks::new(Rc::clone(shared), Rc::clone(&store));
     let stages = StageClient::new(Rc::clone(shared), Rc::clone(&owners), Rc::clone(&links));
     links.set_client(&stages);
+    let announcer = Announcer::bind(Rc::clone(shared), Rc::clone(&stages), peer_address)
+        .await
+        .map_err(|cause| StartError::Listen {
+            address: peer_address,
+            cause,
+        })?;
+    let listening = Rc::clone(&announcer);
+    supervise("announcements", move || Rc::clone(&listening).listen());
+    supervise("announcer", move || Rc::clone(&announcer).announce());
     for kind in ObjectKind::ALL {
         let store = Rc::clone(&store);
         supervise("store-watch", move || Rc::clone(&store).follow(kind));
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -1,14 +1,15 @@
 //! Submission of pieces to the owners of stage services.
 //!
 //! The owner of a service is the instance that ranks first by rendezvous hashing among those that
-//! can be reached. An instance in another failure domain that cannot be reached is followed by one
-//! of the own failure domain, since a whole domain may be cut off. A submission whose owner falls
+//! can be reached. Where several instances of another failure domain are silent, the domain counts
+//! as cut off and none of its instances is asked. A submission whose owner falls
 //! silent goes to the next one; a piece may be made twice.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::io;
 use std::rc::Rc;
 
 use log::info;
@@ -32,8 +33,13 @@
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::graph::PieceProgress;
 
-/// How long an instance that could not be reached is not asked again.
+/// How long an instance that could not be reached is not asked again; doubles each time. An
+/// instance that serves again announces itself.
 const UNREACHABLE_MS: Millis = Millis(3_000);
+/// The most doublings of that time.
+const MAX_DOUBLINGS: u32 = 2;
+/// The silent instances after which their failure domain counts as cut off.
+const CUT_OFF: usize = 2;
 /// How long an instance that stops is not asked again; it is back after that or unreachable.
 const LEAVING_MS: Millis = Millis(6_000);
 /// Up to this number of targets, one owner serves the whole service; above it, each failure domain
@@ -49,6 +55,16 @@
     Peer(String),
 }
 
+/// The absence of an instance.
+#[derive(Debug, Default)]
+struct Absence {
+    until: Millis,
+    /// How often it could not be reached since it was there last.
+    failures: u32,
+    /// Whether it did not answer at all, as behind a cut.
+    is_silent: bool,
+}
+
 #[derive(Debug)]
 struct Waiter {
     message: SubmitMessage,
@@ -68,7 +84,7 @@
     local_source: u64,
     next_number: Cell<u64>,
     waiters: RefCell<BTreeMap<u64, Waiter>>,
-    unreachable_until: RefCell<BTreeMap<String, Millis>>,
+    absent: RefCell<BTreeMap<String, Absence>>,
 }
 
 /// Pieces that were submitted; dropping it withdraws those that are not made yet.
@@ -92,7 +108,7 @@
             local_source,
             next_number: Cell::new(1),
             waiters: RefCell::new(BTreeMap::new()),
-            unreachable_until: RefCell::new(BTreeMap::new()),
+            absent: RefCell::new(BTreeMap::new()),
         });
         let receiving = Rc::clone(&client);
         spawn_local(async move {
@@ -169,19 +185,40 @@
 
     /// Submits nothing more to an instance that stops; its calls in progress end there.
     pub fn leaving(&self, peer: &str) {
-        let until = self.shared.now() + LEAVING_MS;
-        self.unreachable_until
-            .borrow_mut()
-            .insert(peer.to_owned(), until);
-        info!(peer; "an owner of stage queues leaves");
+        let now = self.shared.now();
+        let absence = Absence {
+            until: now + LEAVING_MS,
+            failures: 0,
+            is_silent: false,
+        };
+        let known = self.absent.borrow_mut().insert(peer.to_owned(), absence);
+        if known.is_none_or(|known| known.until <= now) {
+            info!(peer; "an instance stops");
+        }
+    }
+
+    /// Submits to an instance again that has begun to serve, and hands over what it owns now.
+    pub fn serving(&self, peer: &str) {
+        self.absent.borrow_mut().remove(peer);
+        info!(peer; "an instance serves");
+        for service in self.owners.services() {
+            if self.route(&service) == OwnerRoute::Peer(peer.to_owned()) {
+                self.owners.hand_over(&service);
+            }
+        }
     }
 
     /// Submits what an instance that cannot be reached still has to the next owner.
-    pub fn lost(self: &Rc<Self>, peer: &str, reason: &str) {
-        let until = self.shared.now() + UNREACHABLE_MS;
-        self.unreachable_until
-            .borrow_mut()
-            .insert(peer.to_owned(), until);
+    pub fn lost(self: &Rc<Self>, peer: &str, error: &io::Error) {
+        let failures = {
+            let mut absent = self.absent.borrow_mut();
+            let absence = absent.entry(peer.to_owned()).or_default();
+            let pause_ms = UNREACHABLE_MS.times(1 << absence.failures.min(MAX_DOUBLINGS));
+            absence.until = self.shared.now() + pause_ms;
+            absence.is_silent = error.kind() == io::ErrorKind::TimedOut;
+            absence.failures += 1;
+            absence.failures
+        };
         let lost = OwnerRoute::Peer(peer.to_owned());
         let numbers: Vec<(u64, String)> = self
             .waiters
@@ -190,7 +227,7 @@
             .filter(|(_, waiter)| waiter.route == lost)
             .map(|(&number, waiter)| (number, waiter.message.service.clone()))
             .collect();
-        info!(peer, reason, submissions = numbers.len(); "an owner of stage queues was lost");
+        info!(peer, error:%, failures, submissions = numbers.len(); "an instance cannot be reached");
         for (number, service) in numbers {
             let route = self.route(&service);
             if let Some(waiter) = self.waiters.borrow_mut().get_mut(&number) {
@@ -227,16 +264,20 @@
         let now = self.shared.now();
         let own = &self.shared.settings;
         let peers = self.shared.peers();
-        let mut unreachable = self.unreachable_until.borrow_mut();
-        unreachable.retain(|_, &mut until| until > now);
+        let absent = self.absent.borrow();
+        let is_absent = |peer: &str| absent.get(peer).is_some_and(|absence| absence.until > now);
         let targets = self.shared.directory.borrow().usable(service).count();
         let domain_only = targets > TARGETS_OF_ONE_OWNER;
-        let lost_domain = peers.iter().any(|peer| {
-            peer.failure_domain != own.failure_domain && unreachable.contains_key(&peer.name)
-        });
+        let mut silent: BTreeMap<&str, usize> = BTreeMap::new();
+        for peer in &peers {
+            if is_absent(&peer.name) && absent[&peer.name].is_silent {
+                *silent.entry(&peer.failure_domain).or_default() += 1;
+            }
+        }
+        let is_cut_off = |domain: &str| silent.get(domain).is_some_and(|&count| count >= CUT_OFF);
         let allowed = |peer: &&InstanceEntry| {
-            !unreachable.contains_key(&peer.name)
-                && (peer.failure_domain == own.failure_domain || !(domain_only || lost_domain))
+            let is_own = peer.failure_domain == own.failure_domain;
+            !is_absent(&peer.name) && (is_own || !(domain_only || is_cut_off(&peer.failure_domain)))
         };
         let key = if domain_only {
             format!("{service}/{}", own.failure_domain)
