cold: only so many instances send to a cold target as it tolerates

Cause: each instance spaced its own sends, but with more instances than a cold target tolerates a second, all first sends could fall into one second.

Change: the instances that rank first for the target send, one request a second each; the others do not. The sum holds for lists that differ by a tenth.

--- a/crates/policy/src/serving/cold.rs
+++ b/crates/policy/src/serving/cold.rs
@@ -1,17 +1,20 @@
 //! The rate at which an instance sends to a cold target.
 //!
-//! A cold target tolerates a number of requests in any second, summed over all instances. Every
-//! instance takes an equal part, as a shortest interval between its own sends. The sum holds
-//! whatever the instances believe about each other, as long as their number is not underestimated.
+//! A cold target tolerates a number of requests in any second, summed over all instances. Only so
+//! many instances send to it, those that rank first for the target by rendezvous hashing, and each
+//! sends at most one request a second. Nothing is exchanged; the bound holds as long as the lists
+//! of instances differ by less than the part of the tolerance that is left unused.
 
 use std::collections::BTreeMap;
 
 use arbutus_coord::Millis;
+use arbutus_coord::rendezvous;
 
-/// The window in which a target's tolerance is counted.
-const WINDOW_MS: u64 = 1_000;
-/// Kept between sends beyond the computed interval, since sends are delayed unevenly on the way.
-const JITTER_MS: u64 = 150;
+/// The shortest interval between two sends of an instance to a cold target: the window in which
+/// its tolerance is counted, and the uneven delays of sends on the way.
+const INTERVAL_MS: Millis = Millis(1_150);
+/// The part of the tolerance that is used; the rest covers instances that are not known yet.
+const USED_SHARE: f64 = 0.8;
 
 /// The cold targets that an instance sent to.
 #[derive(Debug, Default)]
@@ -19,21 +22,27 @@
     last_sent: BTreeMap<String, Millis>,
 }
 
-/// Returns the shortest interval between the sends of one instance to a cold target.
+/// Returns whether an instance is among those that send to a cold target.
 #[must_use]
-pub fn interval_ms(tolerated_per_s: f64, instances: usize) -> Millis {
-    let tolerated = tolerated_per_s.floor().max(1.0);
-    let windows = (instances.max(1) as f64 / tolerated).max(1.0);
-    Millis((windows * WINDOW_MS as f64).ceil() as u64 + JITTER_MS)
+pub fn is_sender<'a>(
+    target: &str,
+    instance: &str,
+    others: impl Iterator<Item = &'a str>,
+    tolerated_per_s: f64,
+) -> bool {
+    let senders = (tolerated_per_s * USED_SHARE).floor().max(1.0) as usize;
+    let own = rendezvous::weight(target.as_bytes(), instance);
+    let before = others.filter(|other| rendezvous::weight(target.as_bytes(), other) > own);
+    before.take(senders).count() < senders
 }
 
 impl ColdSends {
     /// Returns whether a request may be sent to a cold target now.
     #[must_use]
-    pub fn may_send(&self, now: Millis, target: &str, interval_ms: Millis) -> bool {
+    pub fn may_send(&self, now: Millis, target: &str) -> bool {
         self.last_sent
             .get(target)
-            .is_none_or(|&last| now >= last + interval_ms)
+            .is_none_or(|&last| now >= last + INTERVAL_MS)
     }
 
     /// Records a send to any target that may be cold.
--- /dev/null
+++ b/crates/policy/tests/serving/batches.rs
@@ -0,0 +1,266 @@
+//! The pattern: pieces of many requests for few targets whose calls take most of their time
+//! whatever they hold.
+
+use arbutus_coord::Millis;
+use arbutus_policy::serving::batch::BatchQueue;
+use arbutus_policy::serving::batch::Call;
+use arbutus_policy::serving::batch::CallOutcome;
+use arbutus_policy::serving::batch::PieceOutcome;
+use arbutus_policy::serving::batch::PieceSource;
+use arbutus_policy::serving::batch::Submission;
+use arbutus_policy::serving::batch::SubmissionId;
+use arbutus_policy::serving::graph::PieceFailure;
+use arbutus_policy::serving::graph::PieceProgress;
+use arbutus_policy::serving::model::StageServiceSpec;
+use arbutus_policy::serving::model::TargetEntry;
+
+use crate::support::target;
+
+const SPEC: StageServiceSpec = StageServiceSpec {
+    slots: 1,
+    batch: 8,
+    call_ms: 240.0,
+    piece_ms: 26.0,
+    room_bytes: 1_000,
+    keep_ms: Millis(4_000),
+};
+/// A time after the first seconds of an ownership, in which the owner before may still call.
+const LATER: Millis = Millis(20_000);
+
+fn queue(targets: &[TargetEntry]) -> BatchQueue {
+    let mut queue = BatchQueue::new(Millis(0), SPEC);
+    queue.set_targets(targets.iter());
+    queue
+}
+
+fn submission(number: u64, pieces: u32, due: Millis) -> Submission {
+    Submission {
+        id: SubmissionId { source: 0, number },
+        request: format!("r{number}"),
+        stage: 0,
+        pieces: (0..pieces).collect(),
+        source: PieceSource::Inputs(vec!["input".to_owned()]),
+        failure_domain: "x".to_owned(),
+        due,
+        deadline: due + Millis(10_000),
+        rank: 0,
+        result_bytes: 10,
+    }
+}
+
+fn requests(call: &Call) -> Vec<&str> {
+    call.pieces
+        .iter()
+        .map(|piece| piece.request.as_str())
+        .collect()
+}
+
+fn made(call: &Call) -> CallOutcome {
+    let results = call
+        .pieces
+        .iter()
+        .map(|piece| Ok(format!("h{}", piece.key)));
+    CallOutcome::Answered(results.collect())
+}
+
+#[test]
+fn pieces_that_gather_during_a_call_share_the_next_one() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    queue.submit(Millis(0), &submission(0, 1, Millis(900)));
+    let first = queue.start_calls(Millis(0));
+    assert_eq!(first.len(), 1);
+    for number in 1..5 {
+        queue.submit(Millis(10), &submission(number, 2, Millis(900)));
+    }
+    assert_eq!(queue.start_calls(Millis(20)), []);
+    queue.call_ended(Millis(266), "a", made(&first[0]));
+    let second = queue.start_calls(Millis(266));
+    assert_eq!(second[0].pieces.len(), 8);
+}
+
+#[test]
+fn urgent_pieces_go_first_and_late_ones_last() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    let now = Millis(1_000);
+    queue.submit(now, &submission(0, 4, Millis(900)));
+    queue.submit(now, &submission(1, 4, Millis(3_000)));
+    queue.submit(now, &submission(2, 4, Millis(2_000)));
+    let calls = queue.start_calls(now);
+    assert_eq!(
+        requests(&calls[0]),
+        ["r2", "r2", "r2", "r2", "r1", "r1", "r1", "r1"]
+    );
+}
+
+#[test]
+fn a_piece_waits_for_its_own_domain_for_a_short_time_only() {
+    let mut queue = queue(&[target("far", "s", "y"), target("near", "s", "x")]);
+    queue.submit(Millis(0), &submission(0, 8, Millis(900)));
+    let first = queue.start_calls(Millis(0));
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].target, "near");
+    queue.submit(Millis(0), &submission(1, 1, Millis(900)));
+    assert_eq!(queue.start_calls(Millis(50)), []);
+    assert_eq!(queue.next_wakeup(Millis(50)), Some(Millis(120)));
+    assert_eq!(queue.start_calls(Millis(120))[0].target, "far");
+}
+
+#[test]
+fn a_call_holds_no_more_results_than_there_is_room() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    let mut large = submission(0, 8, Millis(900));
+    large.result_bytes = 300;
+    queue.submit(Millis(0), &large);
+    let first = queue.start_calls(Millis(0));
+    assert_eq!(first[0].pieces.len(), 3);
+    queue.call_ended(Millis(300), "a", made(&first[0]));
+    assert_eq!(queue.start_calls(Millis(300)), []);
+    queue.freed("a", &["h0".to_owned(), "h1".to_owned()]);
+    assert_eq!(queue.start_calls(Millis(310))[0].pieces.len(), 2);
+}
+
+#[test]
+fn refusals_for_lack_of_room_shrink_the_next_calls() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    let mut large = submission(0, 8, Millis(60_000));
+    large.result_bytes = 110;
+    queue.submit(Millis(0), &large);
+    let first = queue.start_calls(Millis(0));
+    assert_eq!(first[0].pieces.len(), 8);
+    let refused = vec![Err(PieceFailure::NoRoom); 8];
+    let (delivered, _) = queue.call_ended(Millis(300), "a", CallOutcome::Answered(refused));
+    assert_eq!(delivered, []);
+    let second = queue.start_calls(Millis(400));
+    assert_eq!(second[0].pieces.len(), 7);
+}
+
+#[test]
+fn a_failed_piece_is_sent_again_unless_its_inputs_were_read() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    queue.submit(LATER, &submission(0, 1, LATER + Millis(900)));
+    let failed = || CallOutcome::Answered(vec![Err(PieceFailure::Failed)]);
+    queue.start_calls(LATER);
+    let (delivered, _) = queue.call_ended(LATER + Millis(266), "a", failed());
+    assert_eq!(delivered, []);
+    let again = LATER + Millis(300);
+    assert_eq!(queue.start_calls(again).len(), 1);
+    let read = queue.inputs_read(again + Millis(120), "a");
+    assert_eq!(read[0].progress, PieceProgress::InputsRead);
+    let (delivered, _) = queue.call_ended(again + Millis(266), "a", failed());
+    let outcome = PieceOutcome {
+        submission: SubmissionId {
+            source: 0,
+            number: 0,
+        },
+        piece: 0,
+        progress: PieceProgress::Failed(PieceFailure::Failed),
+    };
+    assert_eq!(delivered, [outcome]);
+}
+
+#[test]
+fn inputs_do_not_count_as_read_while_another_owner_may_call() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    queue.submit(Millis(0), &submission(0, 1, LATER));
+    queue.start_calls(Millis(0));
+    assert_eq!(queue.inputs_read(Millis(120), "a"), []);
+    queue.call_ended(Millis(266), "a", CallOutcome::Full);
+    queue.start_calls(LATER);
+    assert_eq!(queue.inputs_read(LATER + Millis(120), "a").len(), 1);
+    queue.call_ended(LATER + Millis(300), "a", CallOutcome::Full);
+    queue.start_calls(LATER + Millis(400));
+    assert_eq!(queue.inputs_read(LATER + Millis(520), "a"), []);
+}
+
+#[test]
+fn a_broken_target_is_paused_and_its_pieces_go_elsewhere() {
+    let mut queue = queue(&[target("far", "s", "y"), target("near", "s", "x")]);
+    queue.submit(Millis(0), &submission(0, 2, Millis(900)));
+    assert_eq!(queue.start_calls(Millis(0))[0].target, "near");
+    queue.call_ended(Millis(100), "near", CallOutcome::Broken);
+    let calls = queue.start_calls(Millis(100));
+    assert_eq!(calls[0].target, "far");
+    assert_eq!(calls[0].pieces.len(), 2);
+}
+
+#[test]
+fn withdrawn_pieces_are_not_sent_and_their_results_are_freed() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    queue.submit(Millis(0), &submission(0, 1, Millis(900)));
+    queue.submit(Millis(0), &submission(1, 1, Millis(900)));
+    let calls = queue.start_calls(Millis(0));
+    queue.submit(Millis(5), &submission(2, 1, Millis(900)));
+    for number in [1, 2] {
+        queue.cancel(SubmissionId { source: 0, number });
+    }
+    let (delivered, orphaned) = queue.call_ended(Millis(292), "a", made(&calls[0]));
+    assert_eq!(delivered.len(), 1);
+    assert_eq!(orphaned, ["h1"]);
+    assert_eq!(queue.start_calls(Millis(292)), []);
+}
+
+#[test]
+fn an_owner_that_leaves_returns_what_it_did_not_send() {
+    let mut queue = queue(&[target("a", "s", "x")]);
+    queue.submit(Millis(0), &submission(0, 1, Millis(900)));
+    let calls = queue.start_calls(Millis(0));
+    queue.submit(Millis(5), &submission(1, 2, Millis(900)));
+    let returned = queue.leave();
+    assert_eq!(returned.len(), 2);
+    assert!(
+        returned
+            .iter()
+            .all(|outcome| outcome.progress == PieceProgress::Returned)
+    );
+    let (delivered, _) = queue.call_ended(Millis(266), "a", made(&calls[0]));
+    assert_eq!(delivered[0].progress, PieceProgress::Made("h0".to_owned()));
+}
+
+#[test]
+fn pieces_of_requests_that_are_given_up_are_late() {
+    let mut queue = queue(&[]);
+    queue.submit(Millis(0), &submission(0, 2, Millis(0)));
+    assert_eq!(queue.expire(Millis(9_999)), []);
+    let expired = queue.expire(Millis(10_000));
+    assert_eq!(expired.len(), 2);
+    assert_eq!(
+        expired[0].progress,
+        PieceProgress::Failed(PieceFailure::Late)
+    );
+}
+
+/// Two targets get 24 pieces a second, of which single calls would need 3.2 times their time.
+#[test]
+fn common_calls_carry_a_load_that_single_calls_could_not() {
+    let targets = [target("a", "s", "x"), target("b", "s", "x")];
+    let mut queue = queue(&targets);
+    let mut ends: Vec<(u64, Call)> = Vec::new();
+    let mut took = Vec::new();
+    let mut started: Vec<u64> = Vec::new();
+    for now in 0..20_000_u64 {
+        if now % 83 == 0 && now < 18_000 {
+            let number = started.len() as u64;
+            started.push(now);
+            queue.submit(Millis(now), &submission(number, 2, Millis(now + 900)));
+        }
+        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(end, _)| *end == now);
+        ends = running;
+        for (_, call) in ended {
+            let handles: Vec<String> = call.pieces.iter().map(|p| format!("h{}", p.key)).collect();
+            let (delivered, _) = queue.call_ended(Millis(now), &call.target, made(&call));
+            queue.freed(&call.target, &handles);
+            took.extend(
+                delivered
+                    .iter()
+                    .map(|outcome| now - started[outcome.submission.number as usize]),
+            );
+        }
+        for call in queue.start_calls(Millis(now)) {
+            ends.push((now + 240 + 26 * call.pieces.len() as u64, call));
+        }
+    }
+    assert_eq!(took.len(), started.len() * 2, "every piece is made");
+    took.sort_unstable();
+    let worst = took[took.len() * 99 / 100];
+    assert!(worst <= 1_000, "99 of 100 pieces took {worst} ms at most");
+}
--- /dev/null
+++ b/crates/policy/tests/serving/choice.rs
@@ -0,0 +1,94 @@
+//! Guards against work for full, failing or far targets while better ones are there.
+
+use arbutus_coord::Millis;
+use arbutus_policy::serving::choice::TargetOutcome;
+use arbutus_policy::serving::choice::TargetStates;
+use arbutus_policy::serving::choice::Wish;
+use arbutus_policy::serving::model::TargetEntry;
+
+use crate::support::target;
+
+const NOW: Millis = Millis(10_000);
+
+fn wish(shared_prefix: Option<&str>) -> Wish<'_> {
+    Wish {
+        own_domain: "x",
+        shared_prefix,
+        random: 7,
+    }
+}
+
+fn chosen(states: &TargetStates, entries: &[TargetEntry], prefix: Option<&str>) -> String {
+    let candidates: Vec<&TargetEntry> = entries.iter().collect();
+    let index = states
+        .choose(NOW, &candidates, &wish(prefix))
+        .expect("there are candidates");
+    entries[index].id.clone()
+}
+
+#[test]
+fn the_own_domain_is_preferred_until_it_is_loaded() {
+    let entries = [target("far", "s", "y"), target("near", "s", "x")];
+    let mut states = TargetStates::default();
+    assert_eq!(chosen(&states, &entries, None), "near");
+    for _ in 0..3 {
+        states.sent("near");
+    }
+    assert_eq!(chosen(&states, &entries, None), "far");
+}
+
+#[test]
+fn own_sends_count_on_top_of_an_old_report() {
+    let entries = [target("a", "s", "x"), target("b", "s", "x")];
+    let mut states = TargetStates::default();
+    states.reported(NOW, "a", 0, 0);
+    states.reported(NOW, "b", 1, 0);
+    states.sent("a");
+    states.sent("a");
+    assert_eq!(chosen(&states, &entries, None), "b");
+}
+
+#[test]
+fn a_failing_target_is_avoided_and_tried_again_later() {
+    let entries = [target("far", "s", "y"), target("near", "s", "x")];
+    let mut states = TargetStates::default();
+    states.sent("near");
+    states.ended(NOW, "near", TargetOutcome::Broken);
+    assert_eq!(chosen(&states, &entries, None), "far");
+    assert!(!states.is_paused(NOW + Millis(5_000), "near"));
+    // With nothing else left, a failing target is better than none.
+    assert_eq!(chosen(&states, &entries[1..], None), "near");
+}
+
+#[test]
+fn single_failures_of_requests_do_not_pause_a_target() {
+    // A tenth of the requests fails by their own fault at every target.
+    let mut states = TargetStates::default();
+    for request in 0..100 {
+        states.sent("a");
+        let outcome = if request % 7 == 0 {
+            TargetOutcome::Failed
+        } else {
+            TargetOutcome::Answered
+        };
+        states.ended(NOW, "a", outcome);
+        assert!(!states.is_paused(NOW, "a"), "after {request}");
+    }
+}
+
+#[test]
+fn all_instances_choose_the_same_target_for_a_prompts_beginning() {
+    let entries: Vec<TargetEntry> = (0..9)
+        .map(|index| target(&format!("t{index}"), "s", ["x", "y", "z"][index % 3]))
+        .collect();
+    let states = TargetStates::default();
+    let first = chosen(&states, &entries, Some("prefix"));
+    for _ in 0..10 {
+        assert_eq!(chosen(&states, &entries, Some("prefix")), first);
+    }
+    let mut loaded = TargetStates::default();
+    for _ in 0..2 {
+        loaded.sent(&first);
+    }
+    assert_ne!(chosen(&loaded, &entries, Some("prefix")), first);
+}
--- /dev/null
+++ b/crates/policy/tests/serving/directory.rs
@@ -0,0 +1,83 @@
+//! Guards against work for targets that left, are evacuated, or are other ones than expected.
+
+use std::collections::BTreeSet;
+
+use arbutus_coord::Millis;
+use arbutus_policy::serving::directory::TargetChange;
+use arbutus_policy::serving::directory::TargetDirectory;
+
+use crate::support::target;
+
+fn usable(directory: &TargetDirectory, service: &str) -> Vec<String> {
+    let known = directory.usable(service);
+    known.map(|known| known.entry.id.clone()).collect()
+}
+
+#[test]
+fn draining_and_removed_targets_get_nothing() {
+    let mut directory = TargetDirectory::default();
+    let entries = vec![target("a", "s", "x"), target("b", "s", "y")];
+    directory.replace(Millis(0), entries, false);
+    let mut draining = target("a", "s", "x");
+    draining.accepts_work = false;
+    assert_eq!(
+        directory.upsert(Millis(1), draining),
+        Some(TargetChange::Draining("a".to_owned()))
+    );
+    assert_eq!(usable(&directory, "s"), ["b"]);
+    assert!(!directory.may_send("a", Some(1)));
+    assert_eq!(
+        directory.replace(Millis(2), vec![target("a", "s", "x")], false),
+        [TargetChange::Gone("b".to_owned())]
+    );
+    assert!(!directory.may_send("b", Some(1)));
+}
+
+#[test]
+fn a_new_lifetime_under_the_same_name_is_another_target() {
+    let mut directory = TargetDirectory::default();
+    directory.replace(Millis(0), vec![target("a", "s", "x")], false);
+    let mut reborn = target("a", "s", "x");
+    reborn.lifetime = Some(2);
+    reborn.cold_remaining_ms = Millis(3_000);
+    assert_eq!(
+        directory.upsert(Millis(10_000), reborn),
+        Some(TargetChange::Appeared("a".to_owned()))
+    );
+    assert!(!directory.may_send("a", Some(1)));
+    assert!(directory.may_send("a", Some(2)));
+    let known = directory.get("a").expect("it is known");
+    assert!(directory.is_cold(Millis(12_000), known, Millis(3_000)));
+    assert!(!directory.is_cold(Millis(13_000), known, Millis(3_000)));
+}
+
+#[test]
+fn an_evacuated_domain_gets_nothing_and_is_cold_when_it_is_back() {
+    let mut directory = TargetDirectory::default();
+    let entries = vec![target("a", "s", "x"), target("b", "s", "y")];
+    directory.replace(Millis(0), entries, false);
+    directory.set_evacuated(Millis(1_000), BTreeSet::from(["x".to_owned()]));
+    assert_eq!(usable(&directory, "s"), ["b"]);
+    assert!(!directory.may_send("a", Some(1)));
+    let (_, returned) = directory.set_evacuated(Millis(9_000), BTreeSet::new());
+    assert_eq!(returned, ["x"]);
+    let known = directory.get("a").expect("it is known");
+    assert!(directory.is_cold(Millis(10_000), known, Millis(3_000)));
+    assert!(!directory.is_cold(Millis(12_000), known, Millis(3_000)));
+}
+
+#[test]
+fn entries_that_lapse_during_an_outage_are_used_until_the_grace_is_over() {
+    let mut directory = TargetDirectory::default();
+    let entries = vec![target("a", "s", "x"), target("b", "s", "x")];
+    directory.replace(Millis(0), entries, false);
+    // The store is back and has lost both entries; only one target comes back.
+    assert_eq!(directory.replace(Millis(5_000), Vec::new(), true), []);
+    assert_eq!(usable(&directory, "s"), ["a", "b"]);
+    directory.upsert(Millis(6_000), target("a", "s", "x"));
+    assert_eq!(
+        directory.expire(Millis(6_700)),
+        [TargetChange::Gone("b".to_owned())]
+    );
+    assert_eq!(usable(&directory, "s"), ["a"]);
+}
--- /dev/null
+++ b/crates/policy/tests/serving/limits.rs
@@ -0,0 +1,115 @@
+//! Guards against too many repeated sends and too many requests at cold targets, summed over all
+//! instances, which exchange nothing about them.
+
+use arbutus_coord::Millis;
+use arbutus_policy::serving::budget::RepeatBudget;
+use arbutus_policy::serving::budget::RepeatLimits;
+use arbutus_policy::serving::cold;
+use arbutus_policy::serving::cold::ColdSends;
+use arbutus_policy::serving::crashes;
+
+const LIMITS: RepeatLimits = RepeatLimits {
+    ratio: 0.2,
+    slack: 119.0,
+    window_ms: Millis(10_000),
+};
+
+/// Returns the most events in any window of a length.
+fn most_in_window(times: &[Millis], length_ms: u64) -> usize {
+    times
+        .iter()
+        .map(|&start| {
+            let inside = times
+                .iter()
+                .filter(|&&time| time >= start && time < start + Millis(length_ms));
+            inside.count()
+        })
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn repeats_of_all_instances_stay_within_the_bound_when_every_request_fails() {
+    for instances in [1, 17, 126] {
+        let mut repeats = Vec::new();
+        let mut requests = 0;
+        for _ in 0..instances {
+            let mut budget = RepeatBudget::default();
+            for step in 0..300 {
+                let now = Millis(step * 50);
+                if step % 5 == 0 {
+                    budget.record_request(now, &LIMITS);
+                    requests += 1;
+                }
+                if budget.try_repeat(now, &LIMITS, instances) {
+                    repeats.push(now);
+                }
+            }
+        }
+        let requests_in_window = f64::from(requests) * 10.0 / 15.0;
+        let bound = LIMITS.ratio * requests_in_window + LIMITS.slack;
+        let most = most_in_window(&repeats, LIMITS.window_ms.0);
+        assert!(most as f64 <= bound, "{instances}: {most} > {bound}");
+        assert!(most > 0, "{instances}: no repeat at all");
+    }
+}
+
+/// Returns the most requests in a second that a cold target gets from instances that send as often
+/// as they may, where the last `unknown` instances are not in the lists of the others.
+fn most_cold_sends(instances: usize, unknown: usize, tolerated_per_s: f64) -> usize {
+    let names: Vec<String> = (0..instances).map(|index| format!("i{index}")).collect();
+    let mut sent = Vec::new();
+    for (index, name) in names.iter().enumerate() {
+        let known = names[..instances - unknown].iter().map(String::as_str);
+        let others = known.filter(|other| other != name);
+        if !cold::is_sender("cold", name, others, tolerated_per_s) {
+            continue;
+        }
+        let mut sends = ColdSends::default();
+        // Instances begin at different times within a second.
+        for step in 0..2_000_u64 {
+            let now = Millis(step * 5 + index as u64 * 7 % 1_000);
+            if sends.may_send(now, "cold") {
+                sends.record(now, "cold");
+                sent.push(now);
+            }
+        }
+    }
+    most_in_window(&sent, 1_000)
+}
+
+#[test]
+fn a_cold_target_gets_no_more_than_it_tolerates_from_all_instances() {
+    // 8.9 requests a second, times 1.5 and 5 more: the bound of the deployment.
+    let tolerated_per_s = 8.9 * 1.5 + 5.0;
+    for instances in [1, 17, 25, 126, 300] {
+        for unknown in [0, instances / 10] {
+            let most = most_cold_sends(instances, unknown, tolerated_per_s);
+            assert!(most as f64 <= tolerated_per_s, "{instances}: {most}");
+            assert!(most > 0, "{instances}: nobody may send");
+        }
+    }
+}
+
+#[test]
+fn a_request_that_crashed_two_targets_is_quarantined_at_every_instance() {
+    let print = crashes::fingerprint("/x", "bakers", b"body");
+    let mut first = crashes::quarantine();
+    let mut second = crashes::quarantine();
+    let now = Millis(1_000);
+    first.record_failure(now, print, crashes::attempt("one", "a"));
+    assert_eq!(first.remaining(now, print), None);
+    let entry = first
+        .record_failure(now, print, crashes::attempt("two", "b"))
+        .expect("it is shared");
+    second.merge(now, &entry);
+    assert!(first.remaining(now, print).is_some());
+    assert!(second.remaining(now, print).is_some());
+    for other in [
+        crashes::fingerprint("/y", "bakers", b"body"),
+        crashes::fingerprint("/x", "others", b"body"),
+        crashes::fingerprint("/x", "bakers", b"other"),
+    ] {
+        assert_eq!(second.remaining(now, other), None);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/serving/main.rs
@@ -0,0 +1,11 @@
+//! The decisions of the path that serves clients, without network and time.
+
+mod admission;
+mod batches;
+mod choice;
+mod directory;
+mod events;
+mod graph;
+mod limits;
+mod routes;
+mod support;
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -519,17 +519,15 @@
 ) -> Option<TargetEntry> {
     let shared = &context.shared;
     let now = shared.now();
-    let interval_ms = shared.cold_interval_ms(service);
     let share = service.max_connections as usize * CONNECTION_PERCENT / 100;
     let connections = (share / shared.instance_count()).max(1);
     let directory = shared.directory.borrow();
-    let cold_sends = shared.cold_sends.borrow();
     let candidates: Vec<&TargetEntry> = directory
         .usable(&context.service)
         .filter(|known| !progress.tried.contains(&known.entry.id))
         .filter(|known| {
             !directory.is_cold(now, known, service.cold_ms)
-                || cold_sends.may_send(now, &known.entry.id, interval_ms)
+                || shared.may_send_cold(service, &known.entry.id)
         })
         .map(|known| &known.entry)
         .filter(|entry| {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -199,11 +199,15 @@
         self.instances.borrow().len().max(1)
     }
 
-    /// Returns the shortest interval between own sends to a cold target of a service.
+    /// Returns whether this instance may send to a cold target of a service now.
     #[must_use]
-    pub fn cold_interval_ms(&self, service: &ServiceSpec) -> Millis {
+    pub fn may_send_cold(&self, service: &ServiceSpec, target: &str) -> bool {
         let tolerated = service.cold_per_s * self.settings.cold_factor + self.settings.cold_extra;
-        cold::interval_ms(tolerated, self.instance_count())
+        let instances = self.instances.borrow();
+        let own = &self.settings.name;
+        let others = instances.keys().filter(|name| *name != own);
+        cold::is_sender(target, own, others.map(String::as_str), tolerated)
+            && self.cold_sends.borrow().may_send(self.now(), target)
     }
 
     /// Counts a request for a service.
