--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -16,6 +16,7 @@
 pub use crate::serving::batch::types::CallPiece;
 pub use crate::serving::batch::types::PieceOutcome;
 pub use crate::serving::batch::types::PieceSource;
+pub use crate::serving::batch::types::QueueName;
 pub use crate::serving::batch::types::Submission;
 pub use crate::serving::batch::types::SubmissionId;
 use crate::serving::graph::PieceFailure;
--- a/crates/policy/src/serving/batch/types.rs
+++ b/crates/policy/src/serving/batch/types.rs
@@ -1,5 +1,7 @@
 //! What goes into the queue of a stage service and what comes out.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -7,6 +9,22 @@
 use crate::serving::graph::PieceProgress;
 use arbutus_coord::Millis;
 
+/// Names the queue of a stage service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct QueueName {
+    /// The service.
+    pub service: String,
+    /// The failure domain of its targets; none where one queue serves all of them.
+    pub failure_domain: Option<String>,
+}
+
+impl fmt::Display for QueueName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let domain = self.failure_domain.as_deref().unwrap_or("all");
+        write!(f, "{}/{domain}", self.service)
+    }
+}
+
 /// Identifies the pieces that one instance submitted together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SubmissionId {
--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -13,4 +13,5 @@
 pub mod events;
 pub mod graph;
 pub mod model;
+pub mod ownership;
 pub mod routes;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -7,5 +7,6 @@
 mod events;
 mod graph;
 mod limits;
+mod ownership;
 mod routes;
 mod support;
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -37,6 +37,7 @@
 use arbutus_policy::serving::batch::Call;
 use arbutus_policy::serving::batch::CallOutcome;
 use arbutus_policy::serving::batch::PieceOutcome;
+use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::batch::Submission;
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::model::TargetEntry;
@@ -74,10 +75,10 @@
 #[derive(Debug)]
 pub struct Owners {
     shared: Rc<Shared>,
-    queues: RefCell<BTreeMap<String, UnboundedSender<QueueInput>>>,
+    queues: RefCell<BTreeMap<QueueName, UnboundedSender<QueueInput>>>,
     sinks: RefCell<BTreeMap<u64, UnboundedSender<PieceOutcome>>>,
     next_source: RefCell<u64>,
-    backlogs: RefCell<BTreeMap<String, Millis>>,
+    backlogs: RefCell<BTreeMap<QueueName, Millis>>,
 }
 
 impl Owners {
@@ -105,19 +106,19 @@
 
     /// Returns the backlogs of the own queues.
     #[must_use]
-    pub fn backlogs(&self) -> BTreeMap<String, Millis> {
+    pub fn backlogs(&self) -> BTreeMap<QueueName, Millis> {
         self.backlogs.borrow().clone()
     }
 
-    /// Returns the services of the own queues.
+    /// Returns the names of the own queues.
     #[must_use]
-    pub fn services(&self) -> Vec<String> {
+    pub fn names(&self) -> Vec<QueueName> {
         self.queues.borrow().keys().cloned().collect()
     }
 
-    /// Returns the waiting pieces of a service, which another instance owns from now on.
-    pub fn hand_over(self: &Rc<Self>, service: &str) {
-        self.tell(service, QueueInput::HandOver);
+    /// Returns the waiting pieces of a queue, which another instance owns from now on.
+    pub fn hand_over(self: &Rc<Self>, queue: &QueueName) {
+        self.tell(queue, QueueInput::HandOver);
     }
 
     /// Drops what a submitting instance waits for.
@@ -129,24 +130,24 @@
         }
     }
 
-    /// Adds pieces to the queue of a service.
-    pub fn submit(self: &Rc<Self>, service: &str, submission: Submission) {
-        self.tell(service, QueueInput::Submit(submission));
+    /// Adds pieces to a queue.
+    pub fn submit(self: &Rc<Self>, queue: &QueueName, submission: Submission) {
+        self.tell(queue, QueueInput::Submit(submission));
     }
 
-    /// Removes pieces from the queue of a service.
-    pub fn cancel(self: &Rc<Self>, service: &str, submission: SubmissionId) {
-        self.tell(service, QueueInput::Cancel(submission));
+    /// Removes pieces from a queue.
+    pub fn cancel(self: &Rc<Self>, queue: &QueueName, submission: SubmissionId) {
+        self.tell(queue, QueueInput::Cancel(submission));
     }
 
-    /// Frees results of a service.
-    pub fn free(self: &Rc<Self>, service: &str, handles: Vec<String>) {
-        self.tell(service, QueueInput::Free(handles));
+    /// Frees results of a queue's targets.
+    pub fn free(self: &Rc<Self>, queue: &QueueName, handles: Vec<String>) {
+        self.tell(queue, QueueInput::Free(handles));
     }
 
-    fn tell(self: &Rc<Self>, service: &str, input: QueueInput) {
+    fn tell(self: &Rc<Self>, name: &QueueName, input: QueueInput) {
         let mut queues = self.queues.borrow_mut();
-        let input = match queues.get(service) {
+        let input = match queues.get(name) {
             Some(queue) => match queue.send(input) {
                 Ok(()) => return,
                 Err(unsent) => unsent.0,
@@ -155,15 +156,15 @@
         };
         let (sender, receiver) = mpsc::unbounded_channel();
         if sender.send(input).is_ok() {
-            let queue = ServiceQueue {
+            let queue = OwnedQueue {
                 owners: Rc::clone(self),
-                service: service.to_owned(),
+                name: name.clone(),
                 inputs: sender.clone(),
                 to_free: BTreeMap::new(),
                 free_at: Millis::MAX,
             };
             spawn_local(queue.run(receiver));
-            queues.insert(service.to_owned(), sender);
+            queues.insert(name.clone(), sender);
         }
     }
 
@@ -178,9 +179,9 @@
     }
 }
 
-struct ServiceQueue {
+struct OwnedQueue {
     owners: Rc<Owners>,
-    service: String,
+    name: QueueName,
     inputs: UnboundedSender<QueueInput>,
     /// Results to free, by the address of their target.
     to_free: BTreeMap<String, Vec<String>>,
@@ -188,17 +189,17 @@
     free_at: Millis,
 }
 
-impl ServiceQueue {
+impl OwnedQueue {
     async fn run(mut self, mut receiver: UnboundedReceiver<QueueInput>) {
         let shared = Rc::clone(&self.owners.shared);
         let Some(spec) = shared
-            .service(&self.service)
+            .service(&self.name.service)
             .and_then(|service| service.stage)
         else {
-            warn!(service = self.service.as_str(); "pieces for a service that runs no stages");
+            warn!(service = self.name.service.as_str(); "pieces for a service that runs no stages");
             return;
         };
-        info!(service = self.service.as_str(); "the queue of a stage service is owned here");
+        info!(queue:% = self.name; "a stage queue is owned here");
         let mut queue = BatchQueue::new(shared.now(), spec);
         let mut changes = shared.watch_targets();
         let mut phase = shared.watch_phase();
@@ -227,7 +228,7 @@
                 _changed = phase.wait_for(|&phase| phase == Phase::Leaving), if !leaving => {
                     leaving = true;
                     let returned = queue.leave();
-                    info!(service = self.service.as_str(), pieces = returned.len(); "waiting pieces are returned");
+                    info!(queue:% = self.name, pieces = returned.len(); "waiting pieces are returned");
                     self.owners.deliver(returned);
                 }
                 () = sleep(wakeup.min(self.free_at) - now) => {}
@@ -237,22 +238,27 @@
 
     fn report(&self, backlog_ms: Millis) {
         let owners = &self.owners;
-        owners.shared.set_backlog(&self.service, backlog_ms);
+        owners.shared.set_backlog(self.name.clone(), backlog_ms);
         let mut backlogs = owners.backlogs.borrow_mut();
-        backlogs.insert(self.service.clone(), backlog_ms);
+        backlogs.insert(self.name.clone(), backlog_ms);
     }
 
     /// Follows the list of targets and the configuration.
     fn update(&self, queue: &mut BatchQueue) {
         let shared = &self.owners.shared;
         if let Some(spec) = shared
-            .service(&self.service)
+            .service(&self.name.service)
             .and_then(|service| service.stage)
         {
             queue.set_spec(spec);
         }
         let directory = shared.directory.borrow();
-        queue.set_targets(directory.usable(&self.service).map(|known| &known.entry));
+        let domain = self.name.failure_domain.as_deref();
+        let entries = directory
+            .usable(&self.name.service)
+            .map(|known| &known.entry)
+            .filter(|entry| domain.is_none_or(|domain| domain == entry.failure_domain));
+        queue.set_targets(entries);
     }
 
     fn handle(&mut self, queue: &mut BatchQueue, input: QueueInput) {
@@ -268,7 +274,7 @@
             }
             QueueInput::HandOver => {
                 let returned = queue.return_waiting();
-                info!(service = self.service.as_str(), pieces = returned.len(); "a stage queue is handed over");
+                info!(queue:% = self.name, pieces = returned.len(); "a stage queue is handed over");
                 self.owners.deliver(returned);
             }
             QueueInput::InputsRead(target) => self.owners.deliver(queue.inputs_read(now, &target)),
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -41,6 +41,7 @@
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceOutcome;
 use arbutus_policy::serving::batch::PieceSource;
+use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::graph::PieceProgress;
 use arbutus_wire::frame;
@@ -64,8 +65,8 @@
 pub struct SubmitMessage {
     /// The number that the submitting instance chose.
     pub number: u64,
-    /// The service that makes the pieces.
-    pub service: String,
+    /// The queue that the pieces go to.
+    pub queue: QueueName,
     /// The identifier of the request.
     pub request: String,
     /// The position of the stage.
@@ -93,15 +94,15 @@
     Submit(SubmitMessage),
     /// Withdraws pieces.
     Cancel {
-        /// The service of the queue.
-        service: String,
+        /// The queue.
+        queue: QueueName,
         /// The number of the submission.
         number: u64,
     },
     /// Frees results.
     Free {
-        /// The service that made them.
-        service: String,
+        /// The queue of the targets that made them.
+        queue: QueueName,
         /// The results.
         handles: Vec<String>,
     },
@@ -131,10 +132,10 @@
     Leaving,
     /// Objects of the store.
     Objects(ObjectKind, Snapshot),
-    /// How long the targets of a service need for what waits.
+    /// How long the targets of a queue need for what waits.
     Backlog {
-        /// The service.
-        service: String,
+        /// The queue.
+        queue: QueueName,
         /// The time.
         backlog_ms: Millis,
     },
@@ -274,10 +275,7 @@
                 }
             }
             PeerReply::Objects(kind, snapshot) => self.store.offer(kind, snapshot),
-            PeerReply::Backlog {
-                service,
-                backlog_ms,
-            } => self.shared.set_backlog(&service, backlog_ms),
+            PeerReply::Backlog { queue, backlog_ms } => self.shared.set_backlog(queue, backlog_ms),
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -414,12 +412,9 @@
 
     /// Reports the backlogs that other instances should know of.
     fn report(&self, replies: &mut Vec<PeerReply>) {
-        for (service, backlog_ms) in self.owners.backlogs() {
+        for (queue, backlog_ms) in self.owners.backlogs() {
             if backlog_ms >= LEAST_REPORTED_MS {
-                replies.push(PeerReply::Backlog {
-                    service,
-                    backlog_ms,
-                });
+                replies.push(PeerReply::Backlog { queue, backlog_ms });
             }
         }
     }
@@ -437,15 +432,14 @@
                     }));
                     return;
                 }
-                let service = message.service.clone();
+                let queue = message.queue.clone();
                 self.owners
-                    .submit(&service, message.into_submission(now, source));
+                    .submit(&queue, message.into_submission(now, source));
             }
-            PeerCommand::Cancel { service, number } => {
-                self.owners
-                    .cancel(&service, SubmissionId { source, number });
+            PeerCommand::Cancel { queue, number } => {
+                self.owners.cancel(&queue, SubmissionId { source, number });
             }
-            PeerCommand::Free { service, handles } => self.owners.free(&service, handles),
+            PeerCommand::Free { queue, handles } => self.owners.free(&queue, handles),
             PeerCommand::Ping => replies.push(PeerReply::Pong),
             PeerCommand::Objects(known) => {
                 for (kind, revision) in known {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -17,6 +17,7 @@
 use arbutus_platform::store::InstanceEntry;
 use arbutus_policy::quarantine::Quarantine;
 use arbutus_policy::quarantine::QuarantineEntry;
+use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::budget::RepeatBudget;
 use arbutus_policy::serving::choice::TargetStates;
 use arbutus_policy::serving::cold;
@@ -68,8 +69,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     instances: RefCell<BTreeMap<String, InstanceEntry>>,
     budgets: RefCell<BTreeMap<String, RepeatBudget>>,
-    /// The backlog of stage services, and when it was reported.
-    backlogs: RefCell<BTreeMap<String, (Millis, Millis)>>,
+    /// The backlog of stage queues, and when it was reported.
+    backlogs: RefCell<BTreeMap<QueueName, (Millis, Millis)>>,
     /// Reports of crashes that were not sent to other instances yet.
     pub crash_reports: RefCell<Vec<QuarantineEntry>>,
     targets_known: Cell<bool>,
@@ -225,17 +226,17 @@
         budget.try_repeat(self.now(), &self.settings.repeats, instances)
     }
 
-    /// Records the backlog of a stage service.
-    pub fn set_backlog(&self, service: &str, backlog_ms: Millis) {
+    /// Records the backlog of a stage queue.
+    pub fn set_backlog(&self, queue: QueueName, backlog_ms: Millis) {
         let entry = (backlog_ms, self.now());
-        self.backlogs.borrow_mut().insert(service.to_owned(), entry);
+        self.backlogs.borrow_mut().insert(queue, entry);
     }
 
-    /// Returns the backlog of a stage service, or nothing where no recent one is known.
+    /// Returns the backlog of a stage queue, or nothing where no recent one is known.
     #[must_use]
-    pub fn backlog_ms(&self, service: &str) -> Millis {
+    pub fn backlog_ms(&self, queue: &QueueName) -> Millis {
         let backlogs = self.backlogs.borrow();
-        let known = backlogs.get(service);
+        let known = backlogs.get(queue);
         known
             .filter(|(_, at)| *at + BACKLOG_VALID_MS >= self.now())
             .map_or(Millis::ZERO, |&(backlog_ms, _)| backlog_ms)
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -1,9 +1,7 @@
 //! Submission of pieces to the owners of stage services.
 //!
-//! The owner of a service is the instance that ranks first by rendezvous hashing among those that
-//! can be reached. Where several instances of another failure domain are silent, the domain counts
-//! as cut off and none of its instances is asked. A submission whose owner falls
-//! silent goes to the next one; a piece may be made twice.
+//! `arbutus_policy::serving::ownership` decides which instance owns a queue. A submission whose
+//! owner falls silent goes to the next one; a piece may be made twice.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -25,26 +23,16 @@
 use crate::shared::Phase;
 use crate::shared::Shared;
 use arbutus_coord::Millis;
-use arbutus_coord::rendezvous;
-use arbutus_platform::store::InstanceEntry;
+use arbutus_platform::stage;
 use arbutus_policy::serving::batch::PieceOutcome;
 use arbutus_policy::serving::batch::PieceSource;
+use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::batch::Submission;
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::graph::PieceProgress;
-
-/// How long an instance that could not be reached is not asked again; doubles each time. An
-/// instance that serves again announces itself.
-const UNREACHABLE_MS: Millis = Millis(3_000);
-/// The most doublings of that time.
-const MAX_DOUBLINGS: u32 = 2;
-/// The silent instances after which their failure domain counts as cut off.
-const CUT_OFF: usize = 2;
-/// How long an instance that stops is not asked again; it is back after that or unreachable.
-const LEAVING_MS: Millis = Millis(6_000);
-/// Up to this number of targets, one owner serves the whole service; above it, each failure domain
-/// has an owner of its own, so that the work of an owner stays bounded.
-const TARGETS_OF_ONE_OWNER: usize = 8;
+use arbutus_policy::serving::ownership;
+use arbutus_policy::serving::ownership::Absences;
+use arbutus_policy::serving::ownership::Member;
 
 /// A piece's position, and what happened to it.
 pub type PieceResult = (u32, PieceProgress);
@@ -55,16 +43,6 @@
     Peer(String),
 }
 
-/// The absence of an instance.
-#[derive(Debug, Default)]
-struct Absence {
-    until: Millis,
-    /// How often it could not be reached since it was there last.
-    failures: u32,
-    /// Whether it did not answer at all, as behind a cut.
-    is_silent: bool,
-}
-
 #[derive(Debug)]
 struct Waiter {
     message: SubmitMessage,
@@ -84,7 +62,7 @@
     local_source: u64,
     next_number: Cell<u64>,
     waiters: RefCell<BTreeMap<u64, Waiter>>,
-    absent: RefCell<BTreeMap<String, Absence>>,
+    absences: RefCell<Absences>,
 }
 
 /// Pieces that were submitted; dropping it withdraws those that are not made yet.
@@ -108,7 +86,7 @@
             local_source,
             next_number: Cell::new(1),
             waiters: RefCell::new(BTreeMap::new()),
-            absent: RefCell::new(BTreeMap::new()),
+            absences: RefCell::new(Absences::default()),
         });
         let receiving = Rc::clone(&client);
         spawn_local(async move {
@@ -129,7 +107,7 @@
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let (sender, results) = mpsc::unbounded_channel();
-        let route = self.route(&message.service);
+        let route = self.route(&message.queue);
         let mut message = message;
         message.number = number;
         let waiter = Waiter {
@@ -148,17 +126,37 @@
         }
     }
 
-    /// Frees results of a service.
+    /// Returns the queue for work that is wanted in a failure domain.
+    #[must_use]
+    pub fn queue_name(&self, service: &str, wanted_domain: &str) -> QueueName {
+        let directory = self.shared.directory.borrow();
+        let targets = directory.usable(service);
+        let domains = targets.map(|known| known.entry.failure_domain.as_str());
+        ownership::queue_name(service, wanted_domain, domains)
+    }
+
+    /// Frees results of a service, by the owners of the queues of their makers.
     pub fn free(self: &Rc<Self>, service: &str, handles: Vec<String>) {
-        if handles.is_empty() {
-            return;
+        let mut by_queue: BTreeMap<QueueName, Vec<String>> = BTreeMap::new();
+        for handle in handles {
+            let holder = stage::holder_of(&handle);
+            let domain = {
+                let directory = self.shared.directory.borrow();
+                let mut targets = directory.usable(service);
+                let maker = targets.find(|known| known.entry.address.to_string() == holder);
+                maker.map(|known| known.entry.failure_domain.clone())
+            };
+            // The results of a target that has gone are gone too.
+            let Some(domain) = domain else { continue };
+            let queue = self.queue_name(service, &domain);
+            by_queue.entry(queue).or_default().push(handle);
         }
-        match self.route(service) {
-            OwnerRoute::Local => self.owners.free(service, handles),
-            OwnerRoute::Peer(peer) => {
-                let service = service.to_owned();
-                self.links
-                    .send(&peer, PeerCommand::Free { service, handles });
+        for (queue, handles) in by_queue {
+            match self.route(&queue) {
+                OwnerRoute::Local => self.owners.free(&queue, handles),
+                OwnerRoute::Peer(peer) => {
+                    self.links.send(&peer, PeerCommand::Free { queue, handles });
+                }
             }
         }
     }
@@ -186,50 +184,38 @@
     /// Submits nothing more to an instance that stops; its calls in progress end there.
     pub fn leaving(&self, peer: &str) {
         let now = self.shared.now();
-        let absence = Absence {
-            until: now + LEAVING_MS,
-            failures: 0,
-            is_silent: false,
-        };
-        let known = self.absent.borrow_mut().insert(peer.to_owned(), absence);
-        if known.is_none_or(|known| known.until <= now) {
+        if self.absences.borrow_mut().leaving(now, peer) {
             info!(peer; "an instance stops");
         }
     }
 
     /// Submits to an instance again that has begun to serve, and hands over what it owns now.
     pub fn serving(&self, peer: &str) {
-        self.absent.borrow_mut().remove(peer);
+        self.absences.borrow_mut().serving(peer);
         info!(peer; "an instance serves");
-        for service in self.owners.services() {
-            if self.route(&service) == OwnerRoute::Peer(peer.to_owned()) {
-                self.owners.hand_over(&service);
+        for queue in self.owners.names() {
+            if self.route(&queue) == OwnerRoute::Peer(peer.to_owned()) {
+                self.owners.hand_over(&queue);
             }
         }
     }
 
     /// Submits what an instance that cannot be reached still has to the next owner.
     pub fn lost(self: &Rc<Self>, peer: &str, error: &io::Error) {
-        let failures = {
-            let mut absent = self.absent.borrow_mut();
-            let absence = absent.entry(peer.to_owned()).or_default();
-            let pause_ms = UNREACHABLE_MS.times(1 << absence.failures.min(MAX_DOUBLINGS));
-            absence.until = self.shared.now() + pause_ms;
-            absence.is_silent = error.kind() == io::ErrorKind::TimedOut;
-            absence.failures += 1;
-            absence.failures
-        };
+        let is_silent = error.kind() == io::ErrorKind::TimedOut;
+        let now = self.shared.now();
+        let failures = self.absences.borrow_mut().unreachable(now, peer, is_silent);
         let lost = OwnerRoute::Peer(peer.to_owned());
-        let numbers: Vec<(u64, String)> = self
+        let numbers: Vec<(u64, QueueName)> = self
             .waiters
             .borrow()
             .iter()
             .filter(|(_, waiter)| waiter.route == lost)
-            .map(|(&number, waiter)| (number, waiter.message.service.clone()))
+            .map(|(&number, waiter)| (number, waiter.message.queue.clone()))
             .collect();
         info!(peer, error:%, failures, submissions = numbers.len(); "an instance cannot be reached");
-        for (number, service) in numbers {
-            let route = self.route(&service);
+        for (number, queue) in numbers {
+            let route = self.route(&queue);
             if let Some(waiter) = self.waiters.borrow_mut().get_mut(&number) {
                 waiter.route = route.clone();
             }
@@ -251,50 +237,37 @@
         drop(waiters);
         match route {
             OwnerRoute::Local => {
-                let service = message.service.clone();
+                let queue = message.queue.clone();
                 let submission = message.into_submission(now, self.local_source);
-                self.owners.submit(&service, submission);
+                self.owners.submit(&queue, submission);
             }
             OwnerRoute::Peer(peer) => self.links.send(peer, PeerCommand::Submit(message)),
         }
     }
 
-    /// Returns the owner of a service for this instance.
-    fn route(&self, service: &str) -> OwnerRoute {
-        let now = self.shared.now();
+    /// Returns the owner of a queue for this instance.
+    fn route(&self, queue: &QueueName) -> OwnerRoute {
         let own = &self.shared.settings;
         let peers = self.shared.peers();
-        let absent = self.absent.borrow();
-        let is_absent = |peer: &str| absent.get(peer).is_some_and(|absence| absence.until > now);
-        let targets = self.shared.directory.borrow().usable(service).count();
-        let domain_only = targets > TARGETS_OF_ONE_OWNER;
-        let mut silent: BTreeMap<&str, usize> = BTreeMap::new();
-        for peer in &peers {
-            if is_absent(&peer.name) && absent[&peer.name].is_silent {
-                *silent.entry(&peer.failure_domain).or_default() += 1;
-            }
-        }
-        let is_cut_off = |domain: &str| silent.get(domain).is_some_and(|&count| count >= CUT_OFF);
-        let allowed = |peer: &&InstanceEntry| {
-            let is_own = peer.failure_domain == own.failure_domain;
-            !is_absent(&peer.name) && (is_own || !(domain_only || is_cut_off(&peer.failure_domain)))
-        };
-        let key = if domain_only {
-            format!("{service}/{}", own.failure_domain)
-        } else {
-            service.to_owned()
-        };
-        let mut names: Vec<&str> = peers
+        let members: Vec<Member<'_>> = peers
             .iter()
-            .filter(allowed)
-            .map(|peer| peer.name.as_str())
+            .map(|peer| Member {
+                name: &peer.name,
+                failure_domain: &peer.failure_domain,
+            })
             .collect();
-        if names.is_empty() || self.shared.phase() != Phase::Leaving {
-            names.push(&own.name);
-        }
-        match rendezvous::owner(key.as_bytes(), names.into_iter()) {
-            Some(name) if name != own.name => OwnerRoute::Peer(name.to_owned()),
-            _ => OwnerRoute::Local,
+        let itself = Member {
+            name: &own.name,
+            failure_domain: &own.failure_domain,
+        };
+        let is_leaving = self.shared.phase() == Phase::Leaving;
+        let absences = self.absences.borrow();
+        let now = self.shared.now();
+        let owner = ownership::owner(now, queue, itself, is_leaving, &members, &absences);
+        if owner == own.name {
+            OwnerRoute::Local
+        } else {
+            OwnerRoute::Peer(owner.to_owned())
         }
     }
 
@@ -302,18 +275,18 @@
         let Some(waiter) = self.waiters.borrow_mut().remove(&number) else {
             return;
         };
-        let service = waiter.message.service;
+        let queue = waiter.message.queue;
         match waiter.route {
             OwnerRoute::Local => {
                 let id = SubmissionId {
                     source: self.local_source,
                     number,
                 };
-                self.owners.cancel(&service, id);
+                self.owners.cancel(&queue, id);
             }
             OwnerRoute::Peer(peer) => {
                 self.links
-                    .send(&peer, PeerCommand::Cancel { service, number });
+                    .send(&peer, PeerCommand::Cancel { queue, number });
             }
         }
     }
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -188,7 +188,7 @@
         let later_ms = self.later_ms(context, ready.stage);
         SubmitMessage {
             number: 0,
-            service: stage.service.clone(),
+            queue: self.client.queue_name(&stage.service, &self.failure_domain),
             request: context.client.id.clone(),
             stage: ready.stage as u32,
             pieces: ready.pieces.iter().map(|&piece| piece as u32).collect(),
@@ -224,6 +224,11 @@
             })
     }
 
+    fn backlog_ms(&self, service: &str) -> Millis {
+        let queue = self.client.queue_name(service, &self.failure_domain);
+        self.shared.backlog_ms(&queue)
+    }
+
     /// Decides whether the request can be on time.
     #[must_use]
     pub fn admit(&self, context: &RequestContext) -> Admission {
@@ -241,7 +246,7 @@
             ends.push(if has_pieces {
                 (
                     took + self.typical_ms(&stage.service),
-                    waited + self.shared.backlog_ms(&stage.service),
+                    waited + self.backlog_ms(&stage.service),
                 )
             } else {
                 (took, waited)
