pool: give connections to silent targets up after 300 ms

Resumed streams were given up at 60 % of their time while their stages were made again.

Tried and reverted: pieces of a lower rank counting as due 500 ms later a rank.

--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -18,8 +18,8 @@
 /// target may close it at the end.
 const IDLE_PERCENT: u64 = 60;
 /// How long a new connection may take. Within and between failure domains it takes milliseconds;
-/// a first packet that is lost is repeated after one second.
-const CONNECT_MS: Millis = Millis(1_200);
+/// a first packet that is lost is repeated after one second, and another target is tried before.
+const CONNECT_MS: Millis = Millis(300);
 
 #[derive(Debug)]
 struct Idle {
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -43,6 +43,8 @@
     failure_domain: String,
     on_time_until: Millis,
     freed: bool,
+    /// Whether the client already has events, for which it paid with its time.
+    is_resumed: bool,
 }
 
 impl RequestStages {
@@ -62,6 +64,7 @@
             },
             on_time_until: context.on_time_until(),
             freed: false,
+            is_resumed: false,
         }
     }
 
@@ -79,6 +82,7 @@
     pub async fn complete(&mut self, context: &RequestContext) -> Result<(), GivenUp> {
         if self.freed {
             self.freed = false;
+            self.is_resumed = true;
             self.remake()?;
         }
         // Each submission forwards its results, with its stage, to one queue.
@@ -112,6 +116,9 @@
 
     /// Returns how long the request still waits for its stages.
     fn patience_ms(&self, context: &RequestContext) -> Millis {
+        if self.is_resumed {
+            return context.remaining_ms();
+        }
         let whole_ms = context.give_up - context.arrived;
         let until = context.arrived + Millis(whole_ms.0 * STAGES_PERCENT / 100);
         until - self.shared.now()
@@ -151,7 +158,10 @@
             PieceProgress::Returned => self.graph.returned(stage, piece),
             PieceProgress::Failed(failure) => {
                 // Work that is made again for a late request makes others late.
-                if failure == PieceFailure::InputLost && self.shared.now() > self.on_time_until {
+                if failure == PieceFailure::InputLost
+                    && !self.is_resumed
+                    && self.shared.now() > self.on_time_until
+                {
                     return Err(GivenUp::NotRun {
                         reason: "an input was lost, and the request is late".to_owned(),
                     });
