--- a/crates/policy/src/serving/directory.rs
+++ b/crates/policy/src/serving/directory.rs
@@ -62,13 +62,7 @@
             .collect();
         let mut changes = Vec::new();
         for id in missing {
-            if after_outage {
-                if let Some(known) = self.targets.get_mut(&id) {
-                    known.missing_since.get_or_insert(now);
-                }
-            } else {
-                changes.extend(self.remove(&id));
-            }
+            changes.extend(self.remove(now, &id, after_outage));
         }
         for entry in entries {
             changes.extend(self.upsert(now, entry));
@@ -104,8 +98,13 @@
         left.then_some(TargetChange::Draining(id))
     }
 
-    /// Removes an entry.
-    pub fn remove(&mut self, id: &str) -> Option<TargetChange> {
+    /// Removes an entry; after an outage of the store, the target may only have lapsed.
+    pub fn remove(&mut self, now: Millis, id: &str, after_outage: bool) -> Option<TargetChange> {
+        if after_outage {
+            let known = self.targets.get_mut(id)?;
+            known.missing_since.get_or_insert(now);
+            return None;
+        }
         self.targets
             .remove(id)
             .map(|_| TargetChange::Gone(id.to_owned()))
@@ -123,7 +122,8 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        expired.iter().filter_map(|id| self.remove(id)).collect()
+        let gone = expired.iter().filter_map(|id| self.remove(now, id, false));
+        gone.collect()
     }
 
     /// Replaces the set of evacuated failure domains; returns those evacuated and taken back.
--- a/crates/policy/tests/serving/directory.rs
+++ b/crates/policy/tests/serving/directory.rs
@@ -80,3 +80,17 @@
     );
     assert_eq!(usable(&directory, "s"), ["a"]);
 }
+
+#[test]
+fn removals_that_a_watch_reports_after_an_outage_may_be_lapses() {
+    let mut directory = TargetDirectory::default();
+    directory.replace(Millis(0), vec![target("a", "s", "x")], false);
+    assert_eq!(directory.remove(Millis(5_000), "a", true), None);
+    assert_eq!(usable(&directory, "s"), ["a"]);
+    directory.upsert(Millis(6_000), target("a", "s", "x"));
+    assert_eq!(directory.expire(Millis(9_000)), []);
+    assert_eq!(
+        directory.remove(Millis(9_000), "a", false),
+        Some(TargetChange::Gone("a".to_owned()))
+    );
+}
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use log::info;
 use log::warn;
 use rand::seq::IndexedRandom;
 
@@ -16,8 +17,8 @@
 
 /// How often another instance is asked for objects of the store while it is away.
 const ASK_PEERS_MS: Millis = Millis(400);
-/// How often expired connections are closed and counters copied.
-const HOUSEKEEPING_MS: Millis = Millis(500);
+/// How often expired connections are closed, lapsed entries removed and counters copied.
+const HOUSEKEEPING_MS: Millis = Millis(250);
 
 /// Tells all instances of a request that crashes targets.
 pub fn share_crash(shared: &Rc<Shared>, entry: QuarantineEntry) {
@@ -65,7 +66,7 @@
     }
 }
 
-/// Closes expired connections and copies counters.
+/// Closes expired connections, removes lapsed entries and copies counters.
 ///
 /// # Errors
 ///
@@ -74,7 +75,13 @@
     let mut reported = 0;
     loop {
         sleep(HOUSEKEEPING_MS).await;
-        shared.pool.close_expired(shared.now());
+        let now = shared.now();
+        shared.pool.close_expired(now);
+        let expired = shared.directory.borrow_mut().expire(now);
+        if !expired.is_empty() {
+            info!(targets = expired.len(); "lapsed entries did not come back");
+            shared.targets_changed(&expired);
+        }
         let total = dropped.total();
         shared
             .metrics
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -224,11 +224,6 @@
             if answered && self.reachable.borrow().1 == now && now > PROBE_MS + PROBE_MS {
                 info!("the store answers again");
             }
-            let expired = self.shared.directory.borrow_mut().expire(now);
-            if !expired.is_empty() {
-                info!(targets = expired.len(); "lapsed entries did not come back");
-                self.shared.targets_changed(&expired);
-            }
         }
     }
 
@@ -274,6 +269,12 @@
         }
     }
 
+    /// Returns whether entries may have lapsed because the store was away.
+    fn is_after_outage(&self, now: Millis) -> bool {
+        let (reachable, since) = *self.reachable.borrow();
+        !reachable || (since > Millis::ZERO && since + LAPSE_MS > now)
+    }
+
     fn replace(&self, kind: ObjectKind, snapshot: Snapshot) {
         let mut snapshots = self.snapshots.borrow_mut();
         let known = snapshots.entry(kind).or_default();
@@ -286,9 +287,8 @@
         drop(snapshots);
         match kind {
             ObjectKind::Targets => {
-                let (reachable, since) = *self.reachable.borrow();
                 let now = self.shared.now();
-                let after_outage = !reachable || (since > Millis::ZERO && since + LAPSE_MS > now);
+                let after_outage = self.is_after_outage(now);
                 let entries = objects.values().filter_map(target).collect();
                 let changes =
                     self.shared
@@ -328,15 +328,16 @@
 
     fn change_targets(&self, changes: Vec<ObjectChange>) {
         let now = self.shared.now();
+        let after_outage = self.is_after_outage(now);
         let mut directory = self.shared.directory.borrow_mut();
         let effects: Vec<TargetChange> = changes
             .into_iter()
             .filter_map(|change| match change {
-                ObjectChange::Removed(name) => directory.remove(&name),
+                ObjectChange::Removed(name) => directory.remove(now, &name, after_outage),
                 // An entry that cannot be read names no target, also if it did before.
                 ObjectChange::Written(object) => match target(&object) {
                     Some(entry) => directory.upsert(now, entry),
-                    None => directory.remove(&object.name),
+                    None => directory.remove(now, &object.name, false),
                 },
             })
             .collect();
