--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -48,6 +48,8 @@
 const ROOM_SHRINK: f64 = 0.85;
 /// What a call without such an answer adds to the used part.
 const ROOM_GROWTH: f64 = 0.02;
+/// The most of a target's space that is used, since the sizes of results are approximate.
+const MOST_ROOM_SHARE: f64 = 0.9;
 /// The least part of a target's space that is used.
 const LEAST_ROOM_SHARE: f64 = 0.4;
 /// How often the owner sends a piece again by itself before its request decides.
@@ -143,7 +145,7 @@
                 failures: 0,
                 slowness: 1.0,
                 results: BTreeMap::new(),
-                room_share: 1.0,
+                room_share: MOST_ROOM_SHARE,
             });
         }
     }
@@ -269,7 +271,7 @@
                         target.paused_until = now + FULL_PAUSE_MS;
                         target.room_share = (target.room_share * ROOM_SHRINK).max(LEAST_ROOM_SHARE);
                     } else {
-                        target.room_share = (target.room_share + ROOM_GROWTH).min(1.0);
+                        target.room_share = (target.room_share + ROOM_GROWTH).min(MOST_ROOM_SHARE);
                     }
                 }
             }
--- a/crates/policy/src/serving/ownership.rs
+++ b/crates/policy/src/serving/ownership.rs
@@ -9,11 +9,10 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::serving::batch::QueueName;
 use arbutus_coord::Millis;
 use arbutus_coord::rendezvous;
 
-use crate::serving::batch::QueueName;
-
 /// Up to this number of targets, one owner serves the whole service.
 const TARGETS_OF_ONE_OWNER: usize = 8;
 /// How long an instance that could not be reached is not asked again; doubles each time. An
--- a/crates/standins/src/bin/arbutus-quickstart.rs
+++ b/crates/standins/src/bin/arbutus-quickstart.rs
@@ -19,6 +19,10 @@
 use arbutus_standins::fleet::Fleet;
 use arbutus_standins::fleet::FleetSpec;
 use arbutus_standins::fleet::ServiceTargets;
+use arbutus_standins::platform_side::PlatformSide;
+use arbutus_standins::platform_side::client::ClientCall;
+use arbutus_standins::platform_side::example;
+use arbutus_standins::platform_side::instance::InstanceProcess;
 use arbutus_standins::text::Text;
 
 type Outcome<T> = Result<T, Box<dyn Error>>;
@@ -63,6 +67,7 @@
     for example in &EXAMPLES {
         run_example(example, binaries, &scratch.join(example.cluster))?;
     }
+    run_on_platform(binaries, &scratch)?;
     std::fs::remove_dir_all(&scratch)?;
     Ok(())
 }
@@ -116,6 +121,53 @@
     Ok(())
 }
 
+/// Sends each kind of request through instances on a stand-in of the users' platform.
+fn run_on_platform(binaries: &Path, directory: &Path) -> Outcome<()> {
+    let side = PlatformSide::start(&example::TARGETS)?;
+    side.store.put_configuration(&example::configuration(1))?;
+    let mut instances = Vec::new();
+    for domain in ["x", "y", "x", "y"] {
+        let program = binaries.join("arbutusd");
+        let store = side.store.address;
+        instances.push(InstanceProcess::start(&program, directory, store, domain)?);
+    }
+    for instance in &instances {
+        instance.wait_until_ready()?;
+    }
+    let count = instances.len();
+    println!("platform: {count} instances in 2 failure domains are ready");
+    let calls = [
+        ("lookup", ClientCall::new("GET", "/safe/1", "lookup")),
+        ("booking", ClientCall::new("POST", "/unsafe/1", "booking")),
+        ("stream", example::stream("/stream/1", "stream")),
+        (
+            "stream after stages",
+            example::staged_stream("staged", "2,3", "key"),
+        ),
+    ];
+    for ((name, call), instance) in calls.iter().zip(&instances) {
+        let answer = call.call(instance.client_address())?;
+        if answer.status != 200 || !answer.is_complete {
+            return Err(format!("platform: {name}: {answer:?}").into());
+        }
+        let bytes = answer.body.len();
+        println!(
+            "platform: {name}: status {}, {bytes} bytes, complete",
+            answer.status
+        );
+    }
+    for instance in &mut instances {
+        instance.terminate()?;
+    }
+    for instance in &mut instances {
+        if !instance.wait()? {
+            return Err("platform: an instance did not end well".into());
+        }
+    }
+    println!("platform: all instances have shut down gracefully");
+    Ok(())
+}
+
 fn targets(deployment: &Deployment) -> Vec<ServiceTargets> {
     let service_targets = |(service, spec): (&String, &arbutus_config::deployment::ServiceSpec)| {
         let options = [
--- /dev/null
+++ b/crates/standins/src/platform_side/example.rs
@@ -0,0 +1,131 @@
+//! A small configuration with every kind of route, and the targets that it needs.
+
+use std::collections::BTreeMap;
+
+use crate::platform_side::client::ClientCall;
+use crate::platform_side::target::EVENTS;
+use arbutus_coord::Millis;
+use arbutus_platform::names;
+use arbutus_policy::serving::model::ClientLimits;
+use arbutus_policy::serving::model::Configuration;
+use arbutus_policy::serving::model::Destination;
+use arbutus_policy::serving::model::OrganisationSpec;
+use arbutus_policy::serving::model::Route;
+use arbutus_policy::serving::model::RouteKind;
+use arbutus_policy::serving::model::ServiceSpec;
+use arbutus_policy::serving::model::StageServiceSpec;
+use arbutus_policy::serving::model::StageSpec;
+
+/// The identifier, service and failure domain of each target.
+pub const TARGETS: [(&str, &str, &str); 6] = [
+    ("d1", "desk", "x"),
+    ("d2", "desk", "y"),
+    ("e1", "engines", "x"),
+    ("e2", "engines", "y"),
+    ("f1", "first", "x"),
+    ("s1", "second", "y"),
+];
+
+/// Returns a route of the host `a.example`; a stream is resumable where the prefix says so.
+#[must_use]
+pub fn route(path_prefix: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: path_prefix.to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind,
+        destinations: vec![Destination {
+            service: service.to_owned(),
+            weight: 1.0,
+        }],
+        timeout_ms: Millis(3_000),
+        objective_ms: Millis(500),
+        priority: 0,
+        max_attempts: 2,
+        anonymous: false,
+        has_prompts: kind == RouteKind::Stream,
+        resumable: path_prefix.contains("resumable"),
+        stages: Vec::new(),
+    }
+}
+
+fn service(stage: Option<StageServiceSpec>) -> ServiceSpec {
+    ServiceSpec {
+        health_path: "/healthz".to_owned(),
+        max_connections: 100,
+        cold_ms: Millis::ZERO,
+        cold_per_s: 0.0,
+        slots: None,
+        stage,
+    }
+}
+
+/// Returns a configuration with every kind of route.
+#[must_use]
+pub fn configuration(version: u64) -> Configuration {
+    let mut staged = route("/staged-resumable/", RouteKind::Stream, "engines");
+    let stage = |service: &str, after: &[usize]| StageSpec {
+        service: service.to_owned(),
+        after: after.to_vec(),
+        result_bytes: 100,
+    };
+    staged.stages = vec![stage("first", &[]), stage("second", &[0])];
+    let pieces = StageServiceSpec {
+        slots: 1,
+        batch: 8,
+        call_ms: 30.0,
+        piece_ms: 1.0,
+        room_bytes: 1_000_000,
+        keep_ms: Millis(4_000),
+    };
+    let organisation = OrganisationSpec {
+        name: "bakers".to_owned(),
+        priority: None,
+    };
+    Configuration {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Safe, "desk"),
+            route("/unsafe/", RouteKind::Unsafe, "desk"),
+            route("/resumable/", RouteKind::Stream, "engines"),
+            route("/stream/", RouteKind::Stream, "engines"),
+            staged,
+        ],
+        services: BTreeMap::from([
+            ("desk".to_owned(), service(None)),
+            ("engines".to_owned(), service(None)),
+            ("first".to_owned(), service(Some(pieces))),
+            ("second".to_owned(), service(Some(pieces))),
+        ]),
+        organisation_of_key: Some(BTreeMap::from([("key".to_owned(), organisation)])),
+        client_limits: ClientLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 10_000,
+            header_timeout_ms: Millis(500),
+            idle_timeout_ms: Millis(2_000),
+        },
+    }
+}
+
+/// Returns a request for a stream.
+#[must_use]
+pub fn stream(path: &str, id: &str) -> ClientCall {
+    ClientCall::new("POST", path, id)
+        .with_header(names::TOKENS.as_str(), "100,48")
+        .with_header(names::PROMPT_PARTS.as_str(), "aa:50,bb:50")
+}
+
+/// Returns a request for a stream after stages.
+#[must_use]
+pub fn staged_stream(id: &str, pieces: &str, key: &str) -> ClientCall {
+    stream("/staged-resumable/1", id)
+        .with_header(names::PIECES.as_str(), pieces)
+        .with_header(names::PIECE_KEY.as_str(), key)
+}
+
+/// Returns what a client gets of a whole stream.
+#[must_use]
+pub fn all_events() -> String {
+    let events = (1..=EVENTS).map(|event| format!("id: {event}\ndata: token {event}\n\n"));
+    events.collect::<Vec<String>>().concat()
+}
--- a/crates/standins/src/platform_side/mod.rs
+++ b/crates/standins/src/platform_side/mod.rs
@@ -5,6 +5,7 @@
 //! run, and look at what targets have run.
 
 pub mod client;
+pub mod example;
 pub mod instance;
 pub mod store;
 pub mod target;
