role: let one instance of a dozen watch the store for its failure domain

Change: the others follow the watching instance by the connections between instances, with the changes alone where they are kept. An instance whose store does not answer says so and is not followed. Failed calls are repeated ever more seldom. Also mended, found by reading: a connection to a silent instance was not given up while commands were sent to it, since each one counted as a sign of life.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod readiness;
 pub mod request;
+pub mod role;
 pub mod run;
 pub mod shared;
 pub mod stage_client;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -34,7 +34,7 @@
 use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
-use crate::watch::Snapshot;
+use crate::watch::StateUpdate;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
 use arbutus_platform::store::ObjectKind;
@@ -110,6 +110,8 @@
     Ping,
     /// Asks for objects of the store that are newer than those known.
     Objects(Vec<(ObjectKind, u64)>),
+    /// Asks for the same, and for each change from now on.
+    Follow(Vec<(ObjectKind, u64)>),
     /// Tells of a request that crashes targets.
     Crashes(Vec<QuarantineEntry>),
 }
@@ -131,7 +133,9 @@
     /// The instance stops; it finishes the calls in progress and returns all other pieces.
     Leaving,
     /// Objects of the store.
-    Objects(ObjectKind, Snapshot),
+    Objects(ObjectKind, StateUpdate),
+    /// The instance does not know the present state of the store.
+    Blind,
     /// How long the targets of a queue need for what waits.
     Backlog {
         /// The queue.
@@ -222,11 +226,6 @@
             tokio::select! {
                 command = commands.recv() => {
                     let Some(command) = command else { return Ok(()) };
-                    let idle = heard.elapsed() > PING_MS.to_duration();
-                    if idle {
-                        // What was not awaited before cannot have been missed.
-                        heard = Instant::now();
-                    }
                     write_all(&mut writer, command, commands).await?;
                 }
                 reply = replies.recv() => {
@@ -241,12 +240,13 @@
                             client.leaving(peer);
                         }
                     }
-                    self.handle(reply);
+                    self.handle(peer, reply);
                 }
                 () = sleep_until(next_ping) => {
                     next_ping = Instant::now() + PING_MS.to_duration();
                     let client = self.client.borrow().upgrade();
-                    if !client.is_some_and(|client| client.waits_for(peer)) {
+                    let waits = client.is_some_and(|client| client.waits_for(peer));
+                    if !waits && !self.store.follows(peer) {
                         if leaving {
                             return Ok(());
                         }
@@ -262,8 +262,9 @@
         }
     }
 
-    fn handle(&self, reply: PeerReply) {
+    fn handle(&self, peer: &str, reply: PeerReply) {
         match reply {
+            PeerReply::Blind => self.store.set_blind(peer),
             PeerReply::Piece {
                 number,
                 piece,
@@ -274,7 +275,7 @@
                     client.deliver(number, piece, progress);
                 }
             }
-            PeerReply::Objects(kind, snapshot) => self.store.offer(kind, snapshot),
+            PeerReply::Objects(kind, update) => self.store.offer(kind, update),
             PeerReply::Backlog { queue, backlog_ms } => self.shared.set_backlog(queue, backlog_ms),
             PeerReply::Pong | PeerReply::Leaving => {}
         }
@@ -373,14 +374,16 @@
         };
         let mut phase = self.shared.watch_phase();
         let mut next_report = Instant::now();
+        let mut follower = Follower::default();
+        let mut store_changes = self.store.changes();
         loop {
             let mut replies = Vec::new();
             tokio::select! {
                 command = commands.recv() => {
                     let Some(command) = command else { return Ok(()) };
-                    self.handle(source, command, &mut replies);
+                    self.handle(source, command, &mut follower, &mut replies);
                     while let Ok(command) = commands.try_recv() {
-                        self.handle(source, command, &mut replies);
+                        self.handle(source, command, &mut follower, &mut replies);
                     }
                 }
                 outcome = outcomes.recv() => {
@@ -390,6 +393,9 @@
                         replies.push(piece_reply(outcome));
                     }
                 }
+                _changed = store_changes.changed(), if follower.follows => {
+                    self.update(&mut follower, &mut replies);
+                }
                 () = sleep_until(next_report) => {
                     next_report = Instant::now() + REPORT_MS.to_duration();
                     self.report(&mut replies);
@@ -419,7 +425,23 @@
         }
     }
 
-    fn handle(&self, source: u64, command: PeerCommand, replies: &mut Vec<PeerReply>) {
+    /// Sends what is newer than what the other instance knows.
+    fn update(&self, follower: &mut Follower, replies: &mut Vec<PeerReply>) {
+        for (kind, revision) in &mut follower.known {
+            if let Some(update) = self.store.newer_than(*kind, *revision) {
+                *revision = update.revision;
+                replies.push(PeerReply::Objects(*kind, update));
+            }
+        }
+    }
+
+    fn handle(
+        &self,
+        source: u64,
+        command: PeerCommand,
+        follower: &mut Follower,
+        replies: &mut Vec<PeerReply>,
+    ) {
         let now = self.shared.now();
         match command {
             PeerCommand::Submit(message) => {
@@ -442,10 +464,20 @@
             PeerCommand::Free { queue, handles } => self.owners.free(&queue, handles),
             PeerCommand::Ping => replies.push(PeerReply::Pong),
             PeerCommand::Objects(known) => {
-                for (kind, revision) in known {
-                    if let Some(snapshot) = self.store.newer_than(kind, revision) {
-                        replies.push(PeerReply::Objects(kind, snapshot));
-                    }
+                let mut asking = Follower {
+                    follows: false,
+                    known,
+                };
+                self.update(&mut asking, replies);
+            }
+            PeerCommand::Follow(known) => {
+                // Following a follower could end in a circle in which nobody watches the store.
+                follower.follows = self.store.is_watching();
+                follower.known = known;
+                if follower.follows {
+                    self.update(follower, replies);
+                } else {
+                    replies.push(PeerReply::Blind);
                 }
             }
             PeerCommand::Crashes(entries) => {
@@ -459,6 +491,13 @@
     }
 }
 
+/// What another instance knows of the store.
+#[derive(Debug, Default)]
+struct Follower {
+    follows: bool,
+    known: Vec<(ObjectKind, u64)>,
+}
+
 struct SourceGuard {
     owners: Rc<Owners>,
     source: u64,
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -29,6 +29,7 @@
 use crate::peer::PeerLinks;
 use crate::peer::PeerServer;
 use crate::readiness;
+use crate::role;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::watch::StoreState;
@@ -181,13 +182,24 @@
         });
     }
     let accepting = Rc::clone(shared);
+    let submitting = Rc::clone(&stages);
     supervise("clients", move || {
         frontend::run(
             Rc::clone(&accepting),
-            Rc::clone(&stages),
+            Rc::clone(&submitting),
             Rc::clone(&clients),
         )
     });
+    let (choosing, chosen) = (Rc::clone(shared), Rc::clone(&store));
+    let (ranked, told) = (Rc::clone(&stages), Rc::clone(&links));
+    supervise("store-role", move || {
+        role::choose(
+            Rc::clone(&choosing),
+            Rc::clone(&chosen),
+            Rc::clone(&ranked),
+            Rc::clone(&told),
+        )
+    });
     let (asking, asked) = (Rc::clone(shared), Rc::clone(&links));
     supervise("ask-peers", move || {
         background::ask_peers(Rc::clone(&asking), Rc::clone(&store), Rc::clone(&asked))
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -271,6 +271,35 @@
         }
     }
 
+    /// Returns the instance of the own failure domain that ranks first for a key, unless it is this
+    /// one; instances that are excluded count as absent.
+    #[must_use]
+    pub fn first_of_domain(&self, key: &str, is_excluded: impl Fn(&str) -> bool) -> Option<String> {
+        let own = &self.shared.settings;
+        let peers = self.shared.peers();
+        let members: Vec<Member<'_>> = peers
+            .iter()
+            .filter(|peer| !is_excluded(&peer.name))
+            .map(|peer| Member {
+                name: &peer.name,
+                failure_domain: &peer.failure_domain,
+            })
+            .collect();
+        let itself = Member {
+            name: &own.name,
+            failure_domain: &own.failure_domain,
+        };
+        let queue = QueueName {
+            service: key.to_owned(),
+            failure_domain: Some(own.failure_domain.clone()),
+        };
+        let steps_back = self.shared.phase() == Phase::Leaving || is_excluded(&own.name);
+        let absences = self.absences.borrow();
+        let now = self.shared.now();
+        let first = ownership::owner(now, &queue, itself, steps_back, &members, &absences);
+        (first != own.name).then(|| first.to_owned())
+    }
+
     fn withdraw(self: &Rc<Self>, number: u64) {
         let Some(waiter) = self.waiters.borrow_mut().remove(&number) else {
             return;
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -1,12 +1,15 @@
 //! The state of the store that instances follow.
 //!
-//! One task for each kind of objects lists it and then waits for changes. A cheap call each second
-//! shows whether the store answers at all, because a waiting call looks the same when the store has
-//! gone silent. While the store is away, the state of another instance is used if it is newer.
+//! An instance that watches the store has one task for each kind of objects, which lists it and then
+//! waits for changes. A cheap call each second shows whether the store answers at all, because a
+//! waiting call looks the same when the store has gone silent. Other instances follow a watching
+//! one; see [`crate::role`]. While the store is away, the state of another instance is used if it is
+//! newer.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use http::Method;
@@ -18,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::net::sleep;
+use crate::role::StoreRole;
 use crate::shared::Shared;
 use crate::store::StoreClient;
 use crate::store::StoreError;
@@ -45,8 +49,14 @@
 const GATHER_MS: Millis = Millis(120);
 /// The same for the list of instances, which nothing urgent depends on.
 const GATHER_INSTANCES_MS: Millis = Millis(1_000);
-/// The pause after a failed call.
+/// The pause after the first failed call; doubles each time. A call that succeeds ends it.
 const RETRY_MS: Millis = Millis(250);
+/// The longest pause between failed calls.
+const LONGEST_RETRY_MS: Millis = Millis(2_000);
+/// How long an instance that does not know the state of the store is not followed.
+const BLIND_MS: Millis = Millis(3_000);
+/// The changes that are kept for followers; one that lags further gets all objects.
+const KEPT_CHANGES: usize = 64;
 /// The interval of the calls that show whether the store answers.
 const PROBE_MS: Millis = Millis(1_000);
 /// How long such a call may take.
@@ -63,14 +73,47 @@
     pub objects: BTreeMap<String, StoredObject>,
 }
 
+/// What leads from an older state of a kind to a newer one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateUpdate {
+    /// The revision that it leads to.
+    pub revision: u64,
+    /// The changes, or all objects.
+    pub content: UpdateContent,
+    /// Whether missing entries may only have lapsed because the store was away.
+    pub after_outage: bool,
+}
+
+/// The content of an update.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UpdateContent {
+    /// All objects.
+    Objects(BTreeMap<String, StoredObject>),
+    /// The changes since the older state.
+    Changes(Vec<ObjectChange>),
+}
+
+/// Changes that led from one revision to another.
+#[derive(Debug)]
+struct PastChanges {
+    from: u64,
+    to: u64,
+    changes: Vec<ObjectChange>,
+}
+
 /// What an instance knows of the store.
 #[derive(Debug)]
 pub struct StoreState {
     shared: Rc<Shared>,
     client: StoreClient,
     snapshots: RefCell<BTreeMap<ObjectKind, Snapshot>>,
+    history: RefCell<BTreeMap<ObjectKind, VecDeque<PastChanges>>>,
     /// Whether the store answers, and since when.
     reachable: watch::Sender<(bool, Millis)>,
+    role: watch::Sender<StoreRole>,
+    /// Instances that do not know the state of the store, this one included.
+    blind_until: RefCell<BTreeMap<String, Millis>>,
+    changed: watch::Sender<u64>,
 }
 
 impl StoreState {
@@ -81,7 +124,11 @@
             client: StoreClient::new(Rc::clone(&shared)),
             shared,
             snapshots: RefCell::new(BTreeMap::new()),
+            history: RefCell::new(BTreeMap::new()),
             reachable: watch::Sender::new((true, Millis::ZERO)),
+            role: watch::Sender::new(StoreRole::Watcher),
+            blind_until: RefCell::new(BTreeMap::new()),
+            changed: watch::Sender::new(0),
         })
     }
 
@@ -104,29 +151,109 @@
             .collect()
     }
 
-    /// Returns the objects of a kind if they are newer than a revision.
+    /// Returns what leads from a revision of a kind to the present state, if that is newer.
     #[must_use]
-    pub fn newer_than(&self, kind: ObjectKind, revision: u64) -> Option<Snapshot> {
+    pub fn newer_than(&self, kind: ObjectKind, revision: u64) -> Option<StateUpdate> {
         let snapshots = self.snapshots.borrow();
         let snapshot = snapshots.get(&kind)?;
-        (snapshot.revision > revision).then(|| snapshot.clone())
+        if snapshot.revision <= revision {
+            return None;
+        }
+        let history = self.history.borrow();
+        let past = history.get(&kind);
+        let newer = past.map(|past| past.iter().filter(|entry| entry.to > revision));
+        let mut newer = newer.into_iter().flatten().peekable();
+        let is_kept = newer.peek().is_some_and(|first| first.from <= revision);
+        let content = if is_kept {
+            UpdateContent::Changes(newer.flat_map(|entry| entry.changes.clone()).collect())
+        } else {
+            UpdateContent::Objects(snapshot.objects.clone())
+        };
+        Some(StateUpdate {
+            revision: snapshot.revision,
+            content,
+            after_outage: self.is_after_outage(self.shared.now()),
+        })
     }
 
-    /// Takes over the objects that another instance knows, if they are newer.
-    pub fn offer(&self, kind: ObjectKind, snapshot: Snapshot) {
+    /// Takes over what another instance knows, if it is newer and the store is not watched here.
+    pub fn offer(&self, kind: ObjectKind, update: StateUpdate) {
         let known = self
             .snapshots
             .borrow()
             .get(&kind)
             .map_or(0, |known| known.revision);
-        if snapshot.revision <= known || self.is_reachable() {
+        let watches = *self.role.borrow() == StoreRole::Watcher;
+        if update.revision <= known || (watches && self.is_reachable()) {
             return;
         }
-        info!(
-            kind = kind.label(), known, revision = snapshot.revision;
-            "objects were taken over from another instance"
-        );
-        self.replace(kind, snapshot);
+        if watches {
+            info!(
+                kind = kind.label(), known, revision = update.revision;
+                "objects were taken over from another instance"
+            );
+        }
+        match update.content {
+            UpdateContent::Objects(objects) => {
+                let revision = update.revision;
+                let snapshot = Snapshot { revision, objects };
+                self.replace(kind, snapshot, update.after_outage);
+            }
+            UpdateContent::Changes(changes) => {
+                self.change(kind, changes, update.revision, update.after_outage);
+            }
+        }
+    }
+
+    /// Sets the role of the instance; returns whether it is another one.
+    pub fn set_role(&self, role: StoreRole) -> bool {
+        self.role.send_if_modified(|present| {
+            let is_new = *present != role;
+            *present = role;
+            is_new
+        })
+    }
+
+    /// Returns whether the instance follows another one.
+    #[must_use]
+    pub fn follows(&self, peer: &str) -> bool {
+        matches!(&*self.role.borrow(), StoreRole::Follower(name) if name == peer)
+    }
+
+    /// Returns whether the instance watches the store and the store answers.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        *self.role.borrow() == StoreRole::Watcher && self.is_reachable()
+    }
+
+    /// Records that an instance does not know the state of the store.
+    pub fn set_blind(&self, name: &str) {
+        let until = self.shared.now() + BLIND_MS;
+        self.blind_until.borrow_mut().insert(name.to_owned(), until);
+    }
+
+    /// Returns whether an instance did not know the state of the store lately.
+    #[must_use]
+    pub fn is_blind(&self, name: &str) -> bool {
+        let now = self.shared.now();
+        let blind = self.blind_until.borrow();
+        blind.get(name).is_some_and(|&until| until > now)
+    }
+
+    /// Returns a receiver that is told of each change of the known state.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Waits until the instance has, or no longer has, the role of watching the store.
+    async fn watching(&self, expected: bool) {
+        let mut role = self.role.subscribe();
+        let waiting = role.wait_for(|role| (*role == StoreRole::Watcher) == expected);
+        if waiting.await.is_err() {
+            // The sender lives as long as the process.
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Follows one kind of objects.
@@ -135,19 +262,38 @@
     ///
     /// Never returns; the type is that of a supervised task.
     pub async fn follow(self: Rc<Self>, kind: ObjectKind) -> Result<(), String> {
+        loop {
+            self.watching(true).await;
+            tokio::select! {
+                () = self.watching(false) => {}
+                () = self.watch_kind(kind) => {}
+            }
+        }
+    }
+
+    /// Lists a kind and follows its changes, again and again.
+    async fn watch_kind(&self, kind: ObjectKind) {
+        let mut pause_ms = RETRY_MS;
+        let mut reachable = self.reachable.subscribe();
         loop {
             match self.client.list(kind).await {
                 Ok((objects, revision)) => {
+                    pause_ms = RETRY_MS;
                     let objects = objects
                         .into_iter()
                         .map(|object| (object.name.clone(), object))
                         .collect();
-                    self.replace(kind, Snapshot { revision, objects });
+                    let after_outage = self.is_after_outage(self.shared.now());
+                    self.replace(kind, Snapshot { revision, objects }, after_outage);
                     self.follow_changes(kind, revision).await;
                 }
                 Err(error) => {
-                    warn!(kind = kind.label(), error:%; "a list could not be read");
-                    sleep(RETRY_MS).await;
+                    warn!(kind = kind.label(), error:%, pause_ms = pause_ms.0; "a list could not be read");
+                    tokio::select! {
+                        () = sleep(pause_ms) => {}
+                        () = returned(&mut reachable) => {}
+                    }
+                    pause_ms = pause_ms.times(2).min(LONGEST_RETRY_MS);
                 }
             }
         }
@@ -174,7 +320,8 @@
                     }
                     revision = page.revision;
                     if !page.changes.is_empty() {
-                        self.change(kind, page.changes, revision);
+                        let after_outage = self.is_after_outage(self.shared.now());
+                        self.change(kind, page.changes, revision, after_outage);
                         sleep(gather_ms).await;
                     }
                 }
@@ -199,7 +346,11 @@
     pub async fn probe(self: Rc<Self>) -> Result<(), String> {
         let path = stale_list_path(ObjectKind::Evacuations);
         loop {
+            self.watching(true).await;
             sleep(PROBE_MS).await;
+            if *self.role.borrow() != StoreRole::Watcher {
+                continue;
+            }
             let kind = ObjectKind::Evacuations;
             let calling = self
                 .client
@@ -213,6 +364,9 @@
                     false
                 }
             };
+            if !answered {
+                self.set_blind(&self.shared.settings.name);
+            }
             let now = self.shared.now();
             self.reachable.send_if_modified(|state| {
                 let changed = state.0 != answered;
@@ -275,7 +429,7 @@
         !reachable || (since > Millis::ZERO && since + LAPSE_MS > now)
     }
 
-    fn replace(&self, kind: ObjectKind, snapshot: Snapshot) {
+    fn replace(&self, kind: ObjectKind, snapshot: Snapshot, after_outage: bool) {
         let mut snapshots = self.snapshots.borrow_mut();
         let known = snapshots.entry(kind).or_default();
         if snapshot.revision < known.revision {
@@ -285,10 +439,11 @@
         *known = snapshot;
         let objects = known.objects.clone();
         drop(snapshots);
+        self.history.borrow_mut().remove(&kind);
+        self.changed.send_modify(|count| *count += 1);
         match kind {
             ObjectKind::Targets => {
                 let now = self.shared.now();
-                let after_outage = self.is_after_outage(now);
                 let entries = objects.values().filter_map(target).collect();
                 let changes =
                     self.shared
@@ -303,9 +458,16 @@
         }
     }
 
-    fn change(&self, kind: ObjectKind, changes: Vec<ObjectChange>, revision: u64) {
+    fn change(
+        &self,
+        kind: ObjectKind,
+        changes: Vec<ObjectChange>,
+        revision: u64,
+        after_outage: bool,
+    ) {
         let mut snapshots = self.snapshots.borrow_mut();
         let known = snapshots.entry(kind).or_default();
+        let from = known.revision;
         known.revision = known.revision.max(revision);
         for change in &changes {
             match change {
@@ -319,16 +481,27 @@
         }
         let objects = known.objects.clone();
         drop(snapshots);
+        self.remember(kind, from, revision, changes.clone());
         if kind == ObjectKind::Targets {
-            self.change_targets(changes);
+            self.change_targets(changes, after_outage);
         } else {
             self.apply(kind, &objects);
         }
     }
 
-    fn change_targets(&self, changes: Vec<ObjectChange>) {
+    /// Keeps changes for followers.
+    fn remember(&self, kind: ObjectKind, from: u64, to: u64, changes: Vec<ObjectChange>) {
+        let mut history = self.history.borrow_mut();
+        let past = history.entry(kind).or_default();
+        past.push_back(PastChanges { from, to, changes });
+        while past.len() > KEPT_CHANGES {
+            past.pop_front();
+        }
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn change_targets(&self, changes: Vec<ObjectChange>, after_outage: bool) {
         let now = self.shared.now();
-        let after_outage = self.is_after_outage(now);
         let mut directory = self.shared.directory.borrow_mut();
         let effects: Vec<TargetChange> = changes
             .into_iter()
