--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -311,6 +311,45 @@
     assert_ne!(status("/safe/1"), 0);
 }
 
+#[test]
+fn instances_of_a_failure_domain_share_the_calls_to_the_store() {
+    let mut world = world(8);
+    // The instances learn of each other and settle who watches the store.
+    thread::sleep(IN_FORCE + Duration::from_millis(500));
+    let before = world.side.store.calls();
+    thread::sleep(Duration::from_secs(3));
+    let calls = world.side.store.calls() - before;
+    // Two failure domains, each with one instance that asks once a second.
+    assert!(calls <= 2 * 4, "{calls} calls of 8 instances in 3 s");
+    let in_force = |world: &World, path: &str| -> usize {
+        let call = ClientCall::new("GET", path, "f");
+        let answers = world.instances.iter().map(|instance| {
+            let answer = call.call(instance.client_address());
+            answer.expect("the instance takes connections").status
+        });
+        answers.filter(|&status| status == 200).count()
+    };
+    let mut newer = configuration(5);
+    newer.routes.push(route("/new/", RouteKind::Safe, "desk"));
+    world.side.store.put_configuration(&newer).expect("encoded");
+    thread::sleep(IN_FORCE);
+    assert_eq!(in_force(&world, "/new/1"), 8);
+    // Whoever watches the store for a failure domain is among the killed of some round.
+    for version in 6..9 {
+        world.instances.truncate(world.instances.len() - 2);
+        let path = format!("/new{version}/");
+        let mut newest = configuration(version);
+        newest.routes.push(route(&path, RouteKind::Safe, "desk"));
+        world
+            .side
+            .store
+            .put_configuration(&newest)
+            .expect("encoded");
+        thread::sleep(IN_FORCE);
+        assert_eq!(in_force(&world, &path), world.instances.len(), "{version}");
+    }
+}
+
 #[test]
 fn targets_that_drain_or_are_evacuated_get_nothing() {
     let world = world(1);
--- a/crates/standins/src/platform_side/store.rs
+++ b/crates/standins/src/platform_side/store.rs
@@ -34,6 +34,7 @@
     objects: BTreeMap<ObjectKind, BTreeMap<String, StoredObject>>,
     history: Vec<(u64, ObjectKind, ObjectChange)>,
     is_away: bool,
+    calls: usize,
 }
 
 /// The store.
@@ -104,6 +105,12 @@
         self.changed.send_replace(revision);
     }
 
+    /// Returns the number of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.lock().calls
+    }
+
     /// Refuses all calls, or none.
     pub fn set_away(&self, is_away: bool) {
         self.lock().is_away = is_away;
@@ -133,6 +140,7 @@
 ) -> io::Result<Response<Full<Bytes>>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    store.lock().calls += 1;
     if store.lock().is_away {
         return respond(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     }
