--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -224,15 +224,6 @@
         }
     }
 
-    /// Returns the target that made a result, if it is remembered.
-    #[must_use]
-    pub fn maker_of(&self, result: &str) -> Option<&str> {
-        self.targets
-            .iter()
-            .find(|(_, target)| target.results.contains_key(result))
-            .map(|(id, _)| id.as_str())
-    }
-
     /// Records the end of a call and returns what became of its pieces.
     ///
     /// Results of pieces that nobody waits for any more are in the second list.
@@ -454,46 +445,6 @@
         Millis((waiting as f64 / pieces_per_ms) as u64)
     }
 
-    /// Returns the expected time until a new piece of a failure domain is made.
-    #[must_use]
-    pub fn expected_ms(&self, now: Millis, failure_domain: &str) -> Millis {
-        let waiting = self.pieces.values().filter(|piece| !piece.in_call).count();
-        let share = waiting as f64 / self.targets.len().max(1) as f64;
-        let batches = (share / self.spec.batch.max(1) as f64).floor();
-        let full_ms = self.spec.call_ms + self.spec.piece_ms * self.spec.batch as f64;
-        let soonest = self
-            .targets
-            .values()
-            .map(|target| {
-                let busy_ms = target.call.as_ref().map_or(0.0, |call| {
-                    (call.expected_ms - (now - call.started).0 as f64).max(0.0)
-                });
-                let pause_ms = (target.paused_until - now).0 as f64;
-                let foreign_ms = if target.failure_domain == failure_domain {
-                    0.0
-                } else {
-                    DOMAIN_WAIT_MS.0 as f64
-                };
-                busy_ms.max(pause_ms) + foreign_ms + full_ms * target.slowness * 0.75
-            })
-            .min_by(f64::total_cmp);
-        soonest.map_or(Millis::MAX, |soonest| {
-            Millis((soonest + batches * full_ms) as u64)
-        })
-    }
-
-    /// Returns the numbers of waiting pieces and of targets in use.
-    #[must_use]
-    pub fn occupancy(&self) -> (usize, usize) {
-        let waiting = self.pieces.values().filter(|piece| !piece.in_call).count();
-        let busy = self
-            .targets
-            .values()
-            .filter(|target| target.call.is_some())
-            .count();
-        (waiting, busy)
-    }
-
     fn form_call(&mut self, now: Millis, id: &str, own_domain: bool) -> Option<Call> {
         let target = &self.targets[id];
         let mut candidates: Vec<(bool, Millis, u32, u64)> = self
