dispatch: count the targets that may have run a request over its resumed streams

Cause, found by reading: a resumed stream started its count of targets anew, so a request could run on more targets than its route allows, and an answered failure took two repeats from the budget. A refusal after an earlier send that may have run still said that the request had not run (repeatable requests only).

Test: a_stream_runs_on_no_more_targets_than_its_route_allows, 3 runs before, 2 after.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -216,6 +216,25 @@
     assert_eq!(world.runs("broken"), 1);
 }
 
+#[test]
+fn a_stream_runs_on_no_more_targets_than_its_route_allows() {
+    let world = world(1);
+    // A prompt's beginning leads to the same target each time.
+    assert_eq!(world.call(&stream("/resumable/1", "first")).status, 200);
+    let engines = &world.side.targets[2..4];
+    let (first, other) = if engines[0].runs().is_empty() {
+        (&engines[1], &engines[0])
+    } else {
+        (&engines[0], &engines[1])
+    };
+    first.add_fault(Fault::CloseUnanswered);
+    other.add_fault(Fault::BreakAfter(2));
+    let answer = world.call(&stream("/resumable/1", "limited"));
+    // Two targets may have run it; a third run would exceed the route's two.
+    assert_eq!(world.runs("limited"), 2);
+    assert!(!answer.is_complete);
+}
+
 #[test]
 fn work_ends_when_its_client_hangs_up() {
     let world = world(1);
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -155,8 +155,6 @@
 struct Progress {
     tried: BTreeSet<String>,
     sends: u32,
-    /// The sends after which a target may have run the request.
-    may_have_run: u32,
 }
 
 /// How one send ended.
@@ -196,29 +194,27 @@
 ) -> Result<Answered, GivenUp> {
     loop {
         let Some(entry) = wait_for_target(context, progress).await else {
-            return Err(given_up(progress, "no target may take the request"));
+            return Err(given_up(context, "no target may take the request"));
         };
         let is_repeat = progress.sends > 0 || last_event.is_some();
         if is_repeat && !context.shared.try_repeat(&context.service) {
-            return Err(given_up(
-                progress,
-                "the budget of repeated sends is used up",
-            ));
+            return Err(given_up(context, "the budget of repeated sends is used up"));
         }
         progress.sends += 1;
         progress.tried.insert(entry.id.clone());
         context.record.targets.push(entry.id.clone());
         let reason = match send_once(context, stages, &entry, last_event).await {
             SendEnd::Answered(answered) => {
+                context.runs += 1;
                 let retries = !answered.is_success
                     && context.route.may_repeat()
-                    && progress.may_have_run + 1 < context.route.max_attempts
+                    && context.runs < context.route.max_attempts
                     && progress.sends < MAX_SENDS
-                    && has_other_target(context, progress);
-                if !retries || !context.shared.try_repeat(&context.service) {
+                    && has_other_target(context, progress)
+                    && context.shared.has_repeat(&context.service);
+                if !retries {
                     return Ok(*answered);
                 }
-                progress.may_have_run += 1;
                 answered.call.close(TargetOutcome::Failed);
                 continue;
             }
@@ -231,33 +227,35 @@
                 "the target did not run the request".to_owned()
             }
             SendEnd::Broken(reason) => {
-                progress.may_have_run += 1;
-                let may_repeat = context.route.may_repeat()
-                    && progress.may_have_run < context.route.max_attempts;
+                context.runs += 1;
+                let may_repeat =
+                    context.route.may_repeat() && context.runs < context.route.max_attempts;
                 if !may_repeat {
-                    return Err(given_up(progress, &reason));
+                    return Err(given_up(context, &reason));
                 }
                 reason
             }
         };
         info!(
             request = context.client.id.as_str(), target_id = entry.id.as_str(), reason = reason.as_str(),
-            sends = progress.sends, may_have_run = progress.may_have_run,
+            sends = progress.sends, may_have_run = context.runs,
             remaining_ms = context.remaining_ms().0;
             "a send failed"
         );
         if progress.sends >= MAX_SENDS || context.remaining_ms() == Millis::ZERO {
-            return Err(given_up(progress, &reason));
+            return Err(given_up(context, &reason));
         }
     }
 }
 
-fn given_up(progress: &Progress, reason: &str) -> GivenUp {
+fn given_up(context: &RequestContext, reason: &str) -> GivenUp {
     let reason = reason.to_owned();
-    if progress.may_have_run > 0 {
-        GivenUp::MayHaveRun { reason }
-    } else {
+    if context.runs == 0 {
         GivenUp::NotRun { reason }
+    } else if context.remaining_ms() == Millis::ZERO {
+        GivenUp::OutOfTime { reason }
+    } else {
+        GivenUp::MayHaveRun { reason }
     }
 }
 
@@ -281,14 +279,13 @@
             Err(reason) => reason,
         };
         info!(request = context.client.id.as_str(), target_id = target.as_str(), reason = reason.as_str(); "an answer broke off");
-        progress.may_have_run += 1;
         progress.sends += 1;
         progress.tried.insert(target);
         let may_repeat = context.route.kind == RouteKind::Safe
-            && progress.may_have_run < context.route.max_attempts
+            && context.runs < context.route.max_attempts
             && context.remaining_ms() > Millis::ZERO;
         if !may_repeat {
-            return Err(given_up(&progress, &reason));
+            return Err(given_up(context, &reason));
         }
         answered = send_on(context, stages, &mut progress, None).await?;
     }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -71,6 +71,8 @@
     pub arrived: Millis,
     /// When the request is given up.
     pub give_up: Millis,
+    /// The targets that may have run the request, resumed streams included.
+    pub runs: u32,
     /// Identifies the content of the request.
     pub fingerprint: Fingerprint,
     /// The labels of its metrics.
@@ -264,6 +266,7 @@
         body,
         arrived,
         give_up,
+        runs: 0,
         fingerprint,
         labels,
         record,
@@ -328,11 +331,12 @@
     served: ServedGuard,
 ) -> Response<ClientBody> {
     let (answer, retry_after_ms) = match given_up {
-        GivenUp::NotRun { reason } => {
+        GivenUp::NotRun { reason } if context.runs == 0 => {
             context.record.reason = reason;
             (OwnAnswer::Refused, Some(BUSY_RETRY_MS))
         }
-        GivenUp::MayHaveRun { reason } => {
+        // What was given up last was not run, but an earlier send may have been.
+        GivenUp::NotRun { reason } | GivenUp::MayHaveRun { reason } => {
             context.record.reason = reason;
             (OwnAnswer::Lost, None)
         }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -242,6 +242,15 @@
             .map_or(Millis::ZERO, |&(backlog_ms, _)| backlog_ms)
     }
 
+    /// Returns whether a repeated send to a service is left in the budget.
+    #[must_use]
+    pub fn has_repeat(&self, service: &str) -> bool {
+        let instances = self.instance_count();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.has_repeat(self.now(), &self.settings.repeats, instances)
+    }
+
     /// Returns the phase.
     #[must_use]
     pub fn phase(&self) -> Phase {
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -48,7 +48,6 @@
             context,
             stages,
             sender,
-            sends: 1,
         };
         relay.run(answered).await;
     });
@@ -61,7 +60,6 @@
     stages: RequestStages,
     splitter: EventSplitter,
     sender: Sender<io::Result<Bytes>>,
-    sends: u32,
 }
 
 /// How the stream of one target ended.
@@ -92,11 +90,12 @@
             };
             info!(
                 request = self.context.client.id.as_str(), target_id = target.as_str(),
-                reason = reason.as_str(), events = self.splitter.events(), sends = self.sends,
+                reason = reason.as_str(), events = self.splitter.events(), runs = self.context.runs,
                 resumable = self.context.route.resumable;
                 "a stream broke off"
             );
-            if !self.context.route.resumable || self.sends >= self.context.route.max_attempts {
+            if !self.context.route.resumable || self.context.runs >= self.context.route.max_attempts
+            {
                 self.break_off(&reason).await;
                 return;
             }
@@ -113,7 +112,6 @@
     /// Continues the stream at another target.
     async fn resume(&mut self) -> Result<Answered, String> {
         self.splitter.resume();
-        self.sends += 1;
         let complete = self.stages.complete(&self.context).await;
         complete.map_err(|given_up| format!("not resumed: {given_up:?}"))?;
         let last_event = Some(self.splitter.last_id().unwrap_or(0));
