--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -339,7 +339,10 @@
     thread::sleep(Duration::from_secs(3));
     let calls = world.side.store.calls() - before;
     // Two failure domains, each with one instance that asks twice a second.
-    assert!(calls <= 2 * (2 * 3 + 1), "{calls} calls of 8 instances in 3 s");
+    assert!(
+        calls <= 2 * (2 * 3 + 1),
+        "{calls} calls of 8 instances in 3 s"
+    );
     let in_force = |world: &World, path: &str| -> usize {
         let call = ClientCall::new("GET", path, "f");
         let answers = world.instances.iter().map(|instance| {
