--- a/crates/policy/src/serving/routes.rs
+++ b/crates/policy/src/serving/routes.rs
@@ -4,7 +4,6 @@
 //! it in one step.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::serving::model::Configuration;
 use crate::serving::model::OrganisationSpec;
@@ -91,16 +90,6 @@
             organisation,
         }
     }
-
-    /// Returns the services whose targets run stages.
-    #[must_use]
-    pub fn stage_services(&self) -> BTreeSet<&str> {
-        let services = self.configuration.services.iter();
-        services
-            .filter(|(_, service)| service.stage.is_some())
-            .map(|(name, _)| name.as_str())
-            .collect()
-    }
 }
 
 /// Returns the service of a route for a random number between 0 and 1.
