watch: keep the way to the state of the store until the next one confirms

Cause: an instance that chose another one to follow stopped watching the store at once, and ignored the answer that the other one does not watch. After an outage every instance counts as blind for 3 s to some others, so views differ, and instances moved from one to the next, each for up to 900 ms.

Ruled out: store calls that wait (they end when the store returns).

Change: serving::following decides the role without I/O. A candidate is asked first and followed once it confirms; a refusal or a lost connection makes the instance watch by itself at once; the own blind mark ends when the store answers. The test of the asked instance fails with the former order.

--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod crashes;
 pub mod directory;
 pub mod events;
+pub mod following;
 pub mod graph;
 pub mod model;
 pub mod ownership;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod directory;
 mod events;
+mod following;
 mod graph;
 mod limits;
 mod ownership;
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -55,7 +55,7 @@
 ) -> Result<(), String> {
     loop {
         sleep(ASK_PEERS_MS).await;
-        if store.is_reachable() {
+        if store.is_reachable() || !store.watches() {
             continue;
         }
         let peers = shared.peers();
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -205,6 +205,7 @@
         };
         self.links.borrow_mut().remove(&peer);
         drop(commands);
+        self.store.refused(&peer, ended.is_err());
         let client = self.client.borrow().upgrade();
         if let (Some(client), Err(error)) = (client, ended) {
             client.lost(&peer, &error);
@@ -250,7 +251,7 @@
                     next_ping = Instant::now() + PING_MS.to_duration();
                     let client = self.client.borrow().upgrade();
                     let waits = client.is_some_and(|client| client.waits_for(peer));
-                    if !waits && !self.store.follows(peer) {
+                    if !waits && !self.store.asks(peer) {
                         if leaving {
                             return Ok(());
                         }
@@ -269,7 +270,8 @@
     fn handle(&self, peer: &str, reply: PeerReply) {
         match reply {
             PeerReply::Followed => self.store.confirmed(peer),
-            PeerReply::Blind => self.store.set_blind(peer),
+            PeerReply::Blind => self.store.refused(peer, true),
+            PeerReply::NotWatching => self.store.refused(peer, false),
             PeerReply::Piece {
                 number,
                 piece,
@@ -282,7 +284,7 @@
             }
             PeerReply::Objects(kind, update) => self.store.offer(kind, update),
             PeerReply::Backlog { queue, backlog_ms } => self.shared.set_backlog(queue, backlog_ms),
-            PeerReply::Pong | PeerReply::Leaving | PeerReply::NotWatching => {}
+            PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
 }
--- a/crates/serving/src/watch/following.rs
+++ b/crates/serving/src/watch/following.rs
@@ -4,93 +4,87 @@
 use tokio::sync::watch;
 
 use crate::peer::PeerReply;
-use crate::role::StoreRole;
 use crate::watch::StoreState;
-use arbutus_coord::Millis;
+use arbutus_policy::serving::following::Following;
+use arbutus_policy::serving::following::StoreRole;
 
-/// How long an instance that does not know the state of the store is not followed.
-const BLIND_MS: Millis = Millis(3_000);
-/// A followed instance confirms within this time that it watches the store. Changes have to be in
-/// force within 2 s.
-const CONFIRMED_MS: Millis = Millis(900);
 impl StoreState {
-    /// Sets the role of the instance; returns whether it is another one.
-    pub fn set_role(&self, role: StoreRole) -> bool {
-        self.role.send_if_modified(|present| {
-            let is_new = *present != role;
-            *present = role;
-            if is_new {
-                self.confirmed_at.set(self.shared.now());
-                self.is_confirmed.set(false);
-            }
-            is_new
-        })
+    /// Chooses the instance to follow, if any, and returns those to be asked whether they may be
+    /// followed.
+    pub fn choose_followed(&self, candidate: Option<&str>) -> Vec<String> {
+        let now = self.shared.now();
+        self.change_following(|following| following.choose(now, candidate))
+    }
+
+    /// Records that an instance watches the store, which answers it.
+    pub fn confirmed(&self, peer: &str) {
+        let now = self.shared.now();
+        self.change_following(|following| following.confirmed(now, peer));
+    }
+
+    /// Records that an instance cannot be followed.
+    pub fn refused(&self, peer: &str, is_blind: bool) {
+        let now = self.shared.now();
+        self.change_following(|following| following.refused(now, peer, is_blind));
     }
 
-    /// Returns whether the instance follows another one.
+    /// Returns whether the instance follows another one or has asked whether it may.
     #[must_use]
-    pub fn follows(&self, peer: &str) -> bool {
-        matches!(&*self.role.borrow(), StoreRole::Follower(name) if name == peer)
+    pub fn asks(&self, peer: &str) -> bool {
+        self.following.borrow().asks(peer)
+    }
+
+    /// Returns whether the store did not answer an instance lately.
+    #[must_use]
+    pub fn is_blind(&self, name: &str) -> bool {
+        self.following.borrow().is_blind(self.shared.now(), name)
     }
 
     /// Returns whether the instance watches the store and the store answers.
     #[must_use]
     pub fn is_watching(&self) -> bool {
-        *self.role.borrow() == StoreRole::Watcher && self.is_reachable()
+        self.watches() && self.is_reachable() && self.has_answered.get()
     }
 
     /// Returns why the instance cannot be followed.
     #[must_use]
     pub fn not_watching(&self) -> PeerReply {
-        if *self.role.borrow() == StoreRole::Watcher {
+        if self.watches() && !self.is_reachable() {
             PeerReply::Blind
         } else {
             PeerReply::NotWatching
         }
     }
 
-    /// Returns whether the followed instance has confirmed since it is followed.
+    /// Returns a receiver that is told of each change of the known state.
     #[must_use]
-    pub fn is_confirmed(&self) -> bool {
-        self.is_confirmed.get()
-    }
-
-    /// Records that the followed instance watches the store.
-    pub fn confirmed(&self, peer: &str) {
-        if self.follows(peer) {
-            self.confirmed_at.set(self.shared.now());
-            self.is_confirmed.set(true);
-        }
-    }
-
-    /// Stops to follow an instance that does not confirm in time that it watches the store.
-    pub fn check_followed(&self, now: Millis) {
-        let role = self.role.borrow().clone();
-        if let StoreRole::Follower(peer) = role
-            && self.confirmed_at.get() + CONFIRMED_MS < now
-        {
-            info!(peer = peer.as_str(); "a followed instance does not confirm that it watches the store");
-            self.set_blind(&peer);
-        }
-    }
-
-    /// Records that an instance does not know the state of the store.
-    pub fn set_blind(&self, name: &str) {
-        let until = self.shared.now() + BLIND_MS;
-        self.blind_until.borrow_mut().insert(name.to_owned(), until);
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
     }
 
-    /// Returns whether an instance did not know the state of the store lately.
+    /// Returns whether the instance watches the store itself.
     #[must_use]
-    pub fn is_blind(&self, name: &str) -> bool {
-        let now = self.shared.now();
-        let blind = self.blind_until.borrow();
-        blind.get(name).is_some_and(|&until| until > now)
+    pub fn watches(&self) -> bool {
+        *self.role.borrow() == StoreRole::Watcher
     }
 
-    /// Returns a receiver that is told of each change of the known state.
-    #[must_use]
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changed.subscribe()
+    /// Changes the way to the state of the store; those that follow this instance are told at once.
+    pub(super) fn change_following<T>(&self, change: impl FnOnce(&mut Following) -> T) -> T {
+        let mut following = self.following.borrow_mut();
+        let result = change(&mut following);
+        let role = following.role().clone();
+        drop(following);
+        let is_new = self.role.send_if_modified(|present| {
+            let is_new = *present != role;
+            *present = role.clone();
+            is_new
+        });
+        if is_new {
+            info!(role:? = role; "the way to the state of the store changed");
+            // What the store answered before does not show that it answers now.
+            self.has_answered.set(false);
+            self.changed.send_modify(|count| *count += 1);
+        }
+        result
     }
 }
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -22,7 +22,6 @@
 use tokio::sync::watch;
 
 use crate::net::sleep;
-use crate::role::StoreRole;
 use crate::shared::Shared;
 use crate::store::StoreClient;
 use crate::store::StoreError;
@@ -44,6 +43,8 @@
 use arbutus_platform::store::object_path;
 use arbutus_platform::store::stale_list_path;
 use arbutus_policy::serving::directory::TargetChange;
+use arbutus_policy::serving::following::Following;
+use arbutus_policy::serving::following::StoreRole;
 use arbutus_policy::serving::model::TargetEntry;
 use arbutus_policy::serving::routes::RouteTable;
 
@@ -77,12 +78,11 @@
     history: RefCell<BTreeMap<ObjectKind, VecDeque<PastChanges>>>,
     /// Whether the store answers, and since when.
     reachable: watch::Sender<(bool, Millis)>,
+    following: RefCell<Following>,
+    /// The role in `following`, for those that wait for a change of it.
     role: watch::Sender<StoreRole>,
-    /// When the followed instance confirmed last that it watches the store.
-    confirmed_at: Cell<Millis>,
-    is_confirmed: Cell<bool>,
-    /// Instances that do not know the state of the store, this one included.
-    blind_until: RefCell<BTreeMap<String, Millis>>,
+    /// Whether the store answered a call since the role changed.
+    has_answered: Cell<bool>,
     changed: watch::Sender<u64>,
 }
 
@@ -92,14 +92,13 @@
     pub fn new(shared: Rc<Shared>) -> Rc<Self> {
         Rc::new(Self {
             client: StoreClient::new(Rc::clone(&shared)),
+            following: RefCell::new(Following::new(&shared.settings.name)),
             shared,
             snapshots: RefCell::new(BTreeMap::new()),
             history: RefCell::new(BTreeMap::new()),
             reachable: watch::Sender::new((true, Millis::ZERO)),
             role: watch::Sender::new(StoreRole::Watcher),
-            confirmed_at: Cell::new(Millis::ZERO),
-            is_confirmed: Cell::new(false),
-            blind_until: RefCell::new(BTreeMap::new()),
+            has_answered: Cell::new(false),
             changed: watch::Sender::new(0),
         })
     }
@@ -155,7 +154,7 @@
             .borrow()
             .get(&kind)
             .map_or(0, |known| known.revision);
-        let watches = *self.role.borrow() == StoreRole::Watcher;
+        let watches = self.watches();
         if update.revision <= known || (watches && self.is_reachable()) {
             return;
         }
@@ -210,6 +209,7 @@
             match self.client.list(kind).await {
                 Ok((objects, revision)) => {
                     pause_ms = RETRY_MS;
+                    self.set_answering(true);
                     let objects = objects
                         .into_iter()
                         .map(|object| (object.name.clone(), object))
@@ -280,10 +280,6 @@
         let path = stale_list_path(ObjectKind::Evacuations);
         loop {
             self.watching(true).await;
-            sleep(PROBE_MS).await;
-            if *self.role.borrow() != StoreRole::Watcher {
-                continue;
-            }
             let kind = ObjectKind::Evacuations;
             let calling = self
                 .client
@@ -297,20 +293,18 @@
                     false
                 }
             };
-            if self.set_answering(answered) && answered {
-                info!("the store answers again");
-            }
+            self.set_answering(answered);
+            sleep(PROBE_MS).await;
         }
     }
 
-    /// Records whether the store answered a call; returns whether that changed.
+    /// Records whether the store answered a call.
     ///
-    /// Followers are told at once, so that they follow another instance.
-    fn set_answering(&self, answers: bool) -> bool {
+    /// Followers are told of a change at once, so that they follow another instance.
+    fn set_answering(&self, answers: bool) {
         let now = self.shared.now();
-        if !answers {
-            self.set_blind(&self.shared.settings.name);
-        }
+        self.change_following(|following| following.store_answers(now, answers));
+        self.has_answered.set(answers);
         let has_changed = self.is_reachable() != answers;
         // Only the return of the store wakes those that wait for it.
         self.reachable.send_if_modified(|state| {
@@ -320,9 +314,11 @@
             has_changed && answers
         });
         if has_changed {
+            if answers {
+                info!("the store answers again");
+            }
             self.changed.send_modify(|count| *count += 1);
         }
-        has_changed
     }
 
     /// Enters the own instance into the list of instances.
