dispatch: answer a request that waits for a target when the process ends

Cause: a request whose send had failed waited for another target for up to two fifths of its objective, also when the process was about to end.

Ruled out: the wait for the answer of a target, which ends in time.

The new test of a stopping instance gets a closed connection without the change and 502 with it.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_platform::store::ObjectKind;
 use arbutus_policy::serving::batch::PieceSource;
@@ -434,3 +435,31 @@
     assert_eq!(slow.join().expect("the caller ends").status, 200);
     assert!(world.instances[0].wait().expect("it ends"), "exit status");
 }
+
+#[test]
+fn a_stopping_instance_answers_a_request_that_waits_for_another_target() {
+    // Guards against a closed connection instead of an answer when the process ends while a request
+    // waits for a target that it has not been sent to yet.
+    let mut world = world(1);
+    let mut changed = configuration(2);
+    let mut patient = route("/patient/", RouteKind::Safe, "desk");
+    patient.objective_ms = Millis(4_000);
+    patient.timeout_ms = Millis(8_000);
+    patient.max_attempts = 4;
+    changed.routes.push(patient);
+    world
+        .side
+        .store
+        .put_configuration(&changed)
+        .expect("it is encoded");
+    thread::sleep(IN_FORCE);
+    world.add_fault("desk", Fault::Hang(Duration::from_secs(9)));
+    world.instances[0].terminate().expect("it is signalled");
+    let answer = world.call(
+        &ClientCall::new("GET", "/patient/1", "waits")
+            .with_header(names::DEADLINE.as_str(), "9000"),
+    );
+    assert_eq!(answer.status, 502);
+    assert!(answer.is_complete);
+    assert!(world.instances[0].wait().expect("it ends"), "exit status");
+}
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -242,7 +242,8 @@
             remaining_ms = context.remaining_ms().0;
             "a send failed"
         );
-        if progress.sends >= MAX_SENDS || context.remaining_ms() == Millis::ZERO {
+        let is_over = context.remaining_ms() == Millis::ZERO || context.shared.is_ending();
+        if progress.sends >= MAX_SENDS || is_over {
             return Err(given_up(context, &reason));
         }
     }
@@ -488,7 +489,7 @@
         if let Some(entry) = choose(context, progress, &service) {
             return Some(entry);
         }
-        if shared.now() >= until {
+        if shared.now() >= until || shared.is_ending() {
             return None;
         }
         sleep(LOOK_AGAIN_MS).await;
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -280,8 +280,19 @@
             // The sender lives as long as the process.
             std::future::pending::<()>().await;
         }
-        let answers_ms = self.settings.shutdown_grace_ms - ENDING_MARGIN_MS;
-        sleep(answers_ms - self.leaving_ms().unwrap_or_default()).await;
+        sleep(self.answering_ms() - self.leaving_ms().unwrap_or_default()).await;
+    }
+
+    /// Returns whether requests in progress have to be answered because the process ends.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
+        self.leaving_ms()
+            .is_some_and(|leaving_ms| leaving_ms >= self.answering_ms())
+    }
+
+    /// Returns how long after the request to stop answers are still waited for.
+    fn answering_ms(&self) -> Millis {
+        self.settings.shutdown_grace_ms - ENDING_MARGIN_MS
     }
 
     /// Begins the shutdown.
