stages: make a stage where the fewest bytes cross failure domains

Cause: every piece of a stage reads all results of the stages before, and was placed where the request's last results are wanted.

Ruled out: results that the model engine reads (they were near it).

Change: placement::domain weighs the inputs of all pieces against their results. Targets are found by address in one place.

--- a/crates/policy/src/serving/directory.rs
+++ b/crates/policy/src/serving/directory.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 
 use crate::serving::model::TargetEntry;
 use arbutus_coord::Millis;
@@ -147,6 +148,13 @@
         self.targets.get(id)
     }
 
+    /// Returns the target at an address.
+    #[must_use]
+    pub fn at(&self, address: &str) -> Option<&KnownTarget> {
+        let address: SocketAddrV4 = address.parse().ok()?;
+        self.iter().find(|known| known.entry.address == address)
+    }
+
     /// Returns the targets of a service that may get work.
     pub fn usable<'a>(
         &'a self,
--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -15,4 +15,5 @@
 pub mod graph;
 pub mod model;
 pub mod ownership;
+pub mod placement;
 pub mod routes;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod graph;
 mod limits;
 mod ownership;
+mod placement;
 mod room;
 mod routes;
 mod support;
--- /dev/null
+++ b/crates/policy/tests/serving/placement.rs
@@ -0,0 +1,28 @@
+//! The pattern: stages whose pieces each read all results of the stage before. Placed beside the
+//! reader of their own small results, they moved megabytes between failure domains.
+
+use arbutus_policy::serving::placement::StageBytes;
+use arbutus_policy::serving::placement::domain;
+
+#[test]
+fn pieces_are_made_where_fewest_bytes_cross_domains() {
+    let near = [("y", 60_000); 8];
+    let mixed = [("x", 60_000), ("y", 60_000), ("y", 60_000)];
+    let cases: [(&[(&str, u64)], u64, &str); 5] = [
+        (&near, 6_000, "y"),
+        (&mixed, 6_000, "y"),
+        // A large result is made where it is read.
+        (&near, 800_000, "x"),
+        (&[("x", 100), ("y", 100)], 0, "x"),
+        // A stage that comes after none has no inputs.
+        (&[], 8_000, "x"),
+    ];
+    for (inputs, result_bytes, expected) in cases {
+        let stage = StageBytes {
+            inputs,
+            pieces: 6,
+            result_bytes,
+        };
+        assert_eq!(domain(&stage, "x"), expected, "{inputs:?} {result_bytes}");
+    }
+}
--- a/crates/serving/src/owner.rs
+++ b/crates/serving/src/owner.rs
@@ -299,10 +299,7 @@
         let shared = &self.owners.shared;
         let directory = shared.directory.borrow();
         for (holder, handles) in std::mem::take(&mut self.to_free) {
-            let entry = directory
-                .iter()
-                .find(|known| known.entry.address.to_string() == holder)
-                .map(|known| known.entry.clone());
+            let entry = directory.at(&holder).map(|known| known.entry.clone());
             // The results of a target that has gone are gone too.
             if let Some(entry) = entry {
                 let inputs = self.inputs.clone();
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -143,8 +143,7 @@
             let holder = stage::holder_of(&handle);
             let domain = {
                 let directory = self.shared.directory.borrow();
-                let mut targets = directory.usable(service);
-                let maker = targets.find(|known| known.entry.address.to_string() == holder);
+                let maker = directory.at(holder);
                 maker.map(|known| known.entry.failure_domain.clone())
             };
             // The results of a target that has gone are gone too.
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -15,12 +15,16 @@
 use crate::stage_client::Submitted;
 use crate::stage_client::piece_source;
 use arbutus_coord::Millis;
+use arbutus_platform::stage;
 use arbutus_policy::serving::admit;
 use arbutus_policy::serving::admit::Admission;
 use arbutus_policy::serving::admit::Forecast;
 use arbutus_policy::serving::graph::PieceFailure;
 use arbutus_policy::serving::graph::PieceProgress;
+use arbutus_policy::serving::graph::ReadyPieces;
 use arbutus_policy::serving::graph::StageGraph;
+use arbutus_policy::serving::placement;
+use arbutus_policy::serving::placement::StageBytes;
 
 /// What the model engine needs of the time until the first event, beside reading the prompt.
 const FIRST_EVENT_MS: Millis = Millis(200);
@@ -187,23 +191,20 @@
         }
     }
 
-    fn message(
-        &self,
-        context: &RequestContext,
-        ready: &arbutus_policy::serving::graph::ReadyPieces,
-    ) -> SubmitMessage {
+    fn message(&self, context: &RequestContext, ready: &ReadyPieces) -> SubmitMessage {
         let stage = &context.route.stages[ready.stage];
         let now = self.shared.now();
         let key = context.client.piece_key.as_deref();
         let later_ms = self.later_ms(context, ready.stage);
+        let failure_domain = self.stage_domain(context, ready);
         SubmitMessage {
             number: 0,
-            queue: self.client.queue_name(&stage.service, &self.failure_domain),
+            queue: self.client.queue_name(&stage.service, &failure_domain),
             request: context.client.id.clone(),
             stage: ready.stage as u32,
             pieces: ready.pieces.iter().map(|&piece| piece as u32).collect(),
             source: piece_source(ready.inputs.clone(), key, stage.after.is_empty()),
-            failure_domain: self.failure_domain.clone(),
+            failure_domain,
             due_ms: context.on_time_until() - later_ms - now,
             deadline_ms: context.give_up - now,
             rank: context.rank,
@@ -211,6 +212,31 @@
         }
     }
 
+    /// Returns the failure domain where the pieces of a stage should be made.
+    fn stage_domain(&self, context: &RequestContext, ready: &ReadyPieces) -> String {
+        let spec = &context.route.stages[ready.stage];
+        let sizes = spec.after.iter().flat_map(|&before| {
+            let pieces = context.client.pieces.get(before).copied().unwrap_or(0);
+            std::iter::repeat_n(context.route.stages[before].result_bytes, pieces)
+        });
+        let directory = self.shared.directory.borrow();
+        let inputs: Vec<(&str, u64)> = ready
+            .inputs
+            .iter()
+            .zip(sizes)
+            .filter_map(|(handle, bytes)| {
+                let maker = directory.at(stage::holder_of(handle))?;
+                Some((maker.entry.failure_domain.as_str(), bytes))
+            })
+            .collect();
+        let bytes = StageBytes {
+            inputs: &inputs,
+            pieces: ready.pieces.len() as u64,
+            result_bytes: spec.result_bytes,
+        };
+        placement::domain(&bytes, &self.failure_domain).to_owned()
+    }
+
     /// Returns the expected time from the end of a stage to the first event.
     fn later_ms(&self, context: &RequestContext, stage: usize) -> Millis {
         let mut later_ms = first_event_ms(context);
