update: take changes over only from a state that is known

Cause: an instance that asks whether it may follow another one still watches the store by itself, and did not take over the objects that came with the answer, before the confirmation. The other one counted them as known and sent only later changes, which were applied to the older state. The instance then held the newest revision without some objects.

Ruled out: announcements (all 306 arrived) and instances that could not be reached (none).

Change: changes carry the revision that they begin at and are taken over only if that state is known; what is missing is sent after the next statement of known revisions. The confirmation goes before the objects.

--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -487,8 +487,9 @@
                 follower.follows = self.store.is_watching();
                 follower.known = known;
                 if follower.follows {
-                    self.update(follower, replies);
+                    // The other instance takes nothing over before it follows.
                     replies.push(PeerReply::Followed);
+                    self.update(follower, replies);
                 } else {
                     replies.push(self.store.not_watching());
                 }
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -12,7 +12,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::rc::Rc;
 
 use http::Method;
@@ -25,8 +24,7 @@
 use crate::shared::Shared;
 use crate::store::StoreClient;
 use crate::store::StoreError;
-use crate::update::PastChanges;
-use crate::update::Snapshot;
+use crate::update::KnownObjects;
 use crate::update::StateUpdate;
 use crate::update::UpdateContent;
 use arbutus_coord::Millis;
@@ -59,8 +57,6 @@
 const RETRY_MS: Millis = Millis(250);
 /// The longest pause between failed calls.
 const LONGEST_RETRY_MS: Millis = Millis(2_000);
-/// The changes that are kept for followers; one that lags further gets all objects.
-const KEPT_CHANGES: usize = 64;
 /// The interval of the calls that show whether the store answers. Others follow the instance that
 /// makes them, and changes have to be in force within 2 s.
 const PROBE_MS: Millis = Millis(500);
@@ -74,8 +70,7 @@
 pub struct StoreState {
     shared: Rc<Shared>,
     client: StoreClient,
-    snapshots: RefCell<BTreeMap<ObjectKind, Snapshot>>,
-    history: RefCell<BTreeMap<ObjectKind, VecDeque<PastChanges>>>,
+    known: RefCell<BTreeMap<ObjectKind, KnownObjects>>,
     /// Whether the store answers, and since when.
     reachable: watch::Sender<(bool, Millis)>,
     following: RefCell<Following>,
@@ -94,8 +89,7 @@
             client: StoreClient::new(Rc::clone(&shared)),
             following: RefCell::new(Following::new(&shared.settings.name)),
             shared,
-            snapshots: RefCell::new(BTreeMap::new()),
-            history: RefCell::new(BTreeMap::new()),
+            known: RefCell::new(BTreeMap::new()),
             reachable: watch::Sender::new((true, Millis::ZERO)),
             role: watch::Sender::new(StoreRole::Watcher),
             has_answered: Cell::new(false),
@@ -112,66 +106,39 @@
     /// Returns the known revision of each kind.
     #[must_use]
     pub fn revisions(&self) -> Vec<(ObjectKind, u64)> {
-        let snapshots = self.snapshots.borrow();
+        let known = self.known.borrow();
         ObjectKind::ALL
             .iter()
-            .map(|&kind| {
-                let revision = snapshots.get(&kind).map_or(0, |snapshot| snapshot.revision);
-                (kind, revision)
-            })
+            .map(|&kind| (kind, known.get(&kind).map_or(0, KnownObjects::revision)))
             .collect()
     }
 
     /// Returns what leads from a revision of a kind to the present state, if that is newer.
     #[must_use]
     pub fn newer_than(&self, kind: ObjectKind, revision: u64) -> Option<StateUpdate> {
-        let snapshots = self.snapshots.borrow();
-        let snapshot = snapshots.get(&kind)?;
-        if snapshot.revision <= revision {
-            return None;
-        }
-        let history = self.history.borrow();
-        let past = history.get(&kind);
-        let newer = past.map(|past| past.iter().filter(|entry| entry.to > revision));
-        let mut newer = newer.into_iter().flatten().peekable();
-        let is_kept = newer.peek().is_some_and(|first| first.from <= revision);
-        let content = if is_kept {
-            UpdateContent::Changes(newer.flat_map(|entry| entry.changes.clone()).collect())
-        } else {
-            UpdateContent::Objects(snapshot.objects.clone())
-        };
-        Some(StateUpdate {
-            revision: snapshot.revision,
-            content,
-            after_outage: self.is_after_outage(self.shared.now()),
-        })
+        let after_outage = self.is_after_outage(self.shared.now());
+        let known = self.known.borrow();
+        known.get(&kind)?.newer_than(revision, after_outage)
     }
 
     /// Takes over what another instance knows, if it is newer and the store is not watched here.
     pub fn offer(&self, kind: ObjectKind, update: StateUpdate) {
-        let known = self
-            .snapshots
-            .borrow()
-            .get(&kind)
-            .map_or(0, |known| known.revision);
         let watches = self.watches();
-        if update.revision <= known || (watches && self.is_reachable()) {
+        let mut known = self.known.borrow_mut();
+        let present = known.entry(kind).or_default();
+        if !present.continues(&update) || (watches && self.is_reachable()) {
             return;
         }
-        if watches {
-            info!(
-                kind = kind.label(), known, revision = update.revision;
-                "objects were taken over from another instance"
-            );
-        }
+        let (revision, after_outage) = (update.revision, update.after_outage);
+        info!(
+            kind = kind.label(), known = present.revision(), revision, follows = !watches;
+            "objects were taken over from another instance"
+        );
+        drop(known);
         match update.content {
-            UpdateContent::Objects(objects) => {
-                let revision = update.revision;
-                let snapshot = Snapshot { revision, objects };
-                self.replace(kind, snapshot, update.after_outage);
-            }
-            UpdateContent::Changes(changes) => {
-                self.change(kind, changes, update.revision, update.after_outage);
+            UpdateContent::Objects(objects) => self.replace(kind, revision, objects, after_outage),
+            UpdateContent::Changes { changes, .. } => {
+                self.change(kind, changes, revision, after_outage);
             }
         }
     }
@@ -215,7 +182,7 @@
                         .map(|object| (object.name.clone(), object))
                         .collect();
                     let after_outage = self.is_after_outage(self.shared.now());
-                    self.replace(kind, Snapshot { revision, objects }, after_outage);
+                    self.replace(kind, revision, objects, after_outage);
                     self.follow_changes(kind, revision).await;
                 }
                 Err(error) => {
@@ -369,17 +336,20 @@
         !reachable || (since > Millis::ZERO && since + LAPSE_MS > now)
     }
 
-    fn replace(&self, kind: ObjectKind, snapshot: Snapshot, after_outage: bool) {
-        let mut snapshots = self.snapshots.borrow_mut();
-        let known = snapshots.entry(kind).or_default();
-        if snapshot.revision < known.revision {
-            // A list that an earlier call left behind must not undo newer changes.
+    fn replace(
+        &self,
+        kind: ObjectKind,
+        revision: u64,
+        objects: BTreeMap<String, StoredObject>,
+        after_outage: bool,
+    ) {
+        let mut known = self.known.borrow_mut();
+        let present = known.entry(kind).or_default();
+        if !present.replace(revision, objects) {
             return;
         }
-        *known = snapshot;
-        let objects = known.objects.clone();
-        drop(snapshots);
-        self.history.borrow_mut().remove(&kind);
+        let objects = present.objects().clone();
+        drop(known);
         self.changed.send_modify(|count| *count += 1);
         match kind {
             ObjectKind::Targets => {
@@ -405,23 +375,12 @@
         revision: u64,
         after_outage: bool,
     ) {
-        let mut snapshots = self.snapshots.borrow_mut();
-        let known = snapshots.entry(kind).or_default();
-        let from = known.revision;
-        known.revision = known.revision.max(revision);
-        for change in &changes {
-            match change {
-                ObjectChange::Written(object) => {
-                    known.objects.insert(object.name.clone(), object.clone());
-                }
-                ObjectChange::Removed(name) => {
-                    known.objects.remove(name);
-                }
-            }
-        }
-        let objects = known.objects.clone();
-        drop(snapshots);
-        self.remember(kind, from, revision, changes.clone());
+        let mut known = self.known.borrow_mut();
+        let present = known.entry(kind).or_default();
+        present.change(revision, changes.clone());
+        let objects = present.objects().clone();
+        drop(known);
+        self.changed.send_modify(|count| *count += 1);
         if kind == ObjectKind::Targets {
             self.change_targets(changes, after_outage);
         } else {
@@ -429,17 +388,6 @@
         }
     }
 
-    /// Keeps changes for followers.
-    fn remember(&self, kind: ObjectKind, from: u64, to: u64, changes: Vec<ObjectChange>) {
-        let mut history = self.history.borrow_mut();
-        let past = history.entry(kind).or_default();
-        past.push_back(PastChanges { from, to, changes });
-        while past.len() > KEPT_CHANGES {
-            past.pop_front();
-        }
-        self.changed.send_modify(|count| *count += 1);
-    }
-
     fn change_targets(&self, changes: Vec<ObjectChange>, after_outage: bool) {
         let now = self.shared.now();
         let mut directory = self.shared.directory.borrow_mut();
