stream: free results again after a resumed run

Cause: results were freed at the first event of a request only. Those that were made again for a resumed run stayed until the stream ended.

--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -167,7 +167,7 @@
             };
             match self.splitter.push(&data) {
                 Ok(Some(events)) => {
-                    self.first_event();
+                    self.record_events();
                     if self.sender.send(Ok(events)).await.is_err() {
                         call.close(TargetOutcome::Abandoned);
                         return SourceEnd::ClientLeft;
@@ -182,13 +182,13 @@
         }
     }
 
-    fn first_event(&mut self) {
+    fn record_events(&mut self) {
         self.context.record.events = self.splitter.events();
+        // The engine has read the results before its first event, also after a resumption.
+        self.stages.free_all();
         if self.context.record.first_ms.is_none() {
             let took_ms = self.context.shared.now() - self.context.arrived;
             self.context.record.first_ms = Some(took_ms);
-            // The engine has read the results before its first event.
-            self.stages.free_all();
         }
     }
 
