crashes: do not quarantine a request that is answered elsewhere

Cause: two connections that broke before an answer quarantined a request for a minute at every instance, also if both were in progress at one target that ended, and although the same request was answered all the time. A popular lookup was refused for a minute after two resets.

Ruled out: failing targets (they answered the other kinds of requests).

Change: CrashingRequests counts a target once, and nothing for a request that was answered in the last 30 s, whoever reports it. Both new tests fail without that.

--- a/crates/policy/src/serving/batch/room.rs
+++ b/crates/policy/src/serving/batch/room.rs
@@ -35,7 +35,8 @@
             return true;
         }
         let size = self.waiting.get(&submission).copied().unwrap_or_default();
-        let splits = (size.pieces > slots && slots < self.batch) || (size.bytes > room && !self.begun.is_empty());
+        let splits = (size.pieces > slots && slots < self.batch)
+            || (size.bytes > room && !self.begun.is_empty());
         let overfills = size.bytes > self.free_bytes && !self.begun.is_empty();
         if splits || overfills {
             return false;
--- a/crates/policy/tests/serving/limits.rs
+++ b/crates/policy/tests/serving/limits.rs
@@ -7,6 +7,7 @@
 use arbutus_policy::serving::cold;
 use arbutus_policy::serving::cold::ColdSends;
 use arbutus_policy::serving::crashes;
+use arbutus_policy::serving::crashes::CrashingRequests;
 
 const LIMITS: RepeatLimits = RepeatLimits {
     ratio: 0.2,
@@ -94,14 +95,12 @@
 #[test]
 fn a_request_that_crashed_two_targets_is_quarantined_at_every_instance() {
     let print = crashes::fingerprint("/x", "bakers", b"body");
-    let mut first = crashes::quarantine();
-    let mut second = crashes::quarantine();
+    let mut first = CrashingRequests::new();
+    let mut second = CrashingRequests::new();
     let now = Millis(1_000);
-    first.record_failure(now, print, crashes::attempt("one", "a"));
+    first.crashed(now, print, "a");
     assert_eq!(first.remaining(now, print), None);
-    let entry = first
-        .record_failure(now, print, crashes::attempt("two", "b"))
-        .expect("it is shared");
+    let entry = first.crashed(now, print, "b").expect("it is shared");
     second.merge(now, &entry);
     assert!(first.remaining(now, print).is_some());
     assert!(second.remaining(now, print).is_some());
@@ -113,3 +112,33 @@
         assert_eq!(second.remaining(now, other), None);
     }
 }
+
+#[test]
+fn requests_in_progress_at_one_target_count_as_one_crash() {
+    let print = crashes::fingerprint("/x", "bakers", b"body");
+    let mut crashing = CrashingRequests::new();
+    let now = Millis(1_000);
+    for _ in 0..5 {
+        crashing.crashed(now, print, "a");
+    }
+    assert_eq!(crashing.remaining(now, print), None);
+}
+
+#[test]
+fn a_request_that_is_answered_elsewhere_is_not_quarantined() {
+    // Two lost connections refused a popular lookup for a minute at every instance.
+    let print = crashes::fingerprint("/popular", "bakers", b"");
+    let mut answering = CrashingRequests::new();
+    answering.answered(Millis(1_000), print);
+    assert_eq!(answering.crashed(Millis(2_000), print, "a"), None);
+    assert_eq!(answering.crashed(Millis(2_000), print, "b"), None);
+    assert_eq!(answering.remaining(Millis(2_000), print), None);
+    // What another instance reports does not count either while answers come.
+    let mut other = CrashingRequests::new();
+    other.crashed(Millis(2_000), print, "a");
+    let entry = other.crashed(Millis(2_000), print, "b");
+    answering.merge(Millis(2_000), &entry.expect("it is shared"));
+    assert_eq!(answering.remaining(Millis(2_000), print), None);
+    assert!(other.remaining(Millis(2_000), print).is_some());
+    assert!(answering.remaining(Millis(32_000), print).is_some());
+}
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -32,7 +32,6 @@
 use arbutus_platform::request::TargetSend;
 use arbutus_policy::serving::choice::TargetOutcome;
 use arbutus_policy::serving::choice::Wish;
-use arbutus_policy::serving::crashes;
 use arbutus_policy::serving::model::RouteKind;
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::model::TargetEntry;
@@ -413,8 +412,9 @@
     match meaning {
         AnswerMeaning::Success | AnswerMeaning::Failure => {
             if meaning == AnswerMeaning::Success {
-                let mut quarantine = context.shared.quarantine.borrow_mut();
-                quarantine.record_success(context.fingerprint);
+                let shared = &context.shared;
+                let mut crashing = shared.crashing.borrow_mut();
+                crashing.answered(shared.now(), context.fingerprint);
             }
             SendEnd::Answered(Box::new(Answered {
                 call,
@@ -456,12 +456,11 @@
 /// Tells all instances of a request after which a target broke the connection.
 fn record_crash(context: &RequestContext, entry: &TargetEntry, error: &CallError) {
     let shared = &context.shared;
-    let attempt = crashes::attempt(&context.client.id, &entry.id);
     let recorded =
         shared
-            .quarantine
+            .crashing
             .borrow_mut()
-            .record_failure(shared.now(), context.fingerprint, attempt);
+            .crashed(shared.now(), context.fingerprint, &entry.id);
     info!(
         request = context.client.id.as_str(), target_id = entry.id.as_str(), error:%,
         fingerprint:? = context.fingerprint;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -496,7 +496,7 @@
             }
             PeerCommand::Crashes(entries) => {
                 for entry in entries {
-                    if self.shared.quarantine.borrow_mut().merge(now, &entry) {
+                    if self.shared.crashing.borrow_mut().merge(now, &entry) {
                         warn!(fingerprint:? = entry.fingerprint, failures = entry.failures.len(); "another instance reports a request that crashes targets");
                     }
                 }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -281,10 +281,7 @@
 ) -> Result<Response<ClientBody>, io::Error> {
     let shared = Rc::clone(&context.shared);
     let now = shared.now();
-    let quarantined = shared
-        .quarantine
-        .borrow()
-        .remaining(now, context.fingerprint);
+    let quarantined = shared.crashing.borrow().remaining(now, context.fingerprint);
     if let Some(remaining) = quarantined {
         context.record.reason = format!("crashes targets, quarantined for {remaining}");
         return Ok(own_answer(context, OwnAnswer::Refused, None, served));
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -15,14 +15,13 @@
 use arbutus_coord::Millis;
 use arbutus_platform::settings::InstanceSettings;
 use arbutus_platform::store::InstanceEntry;
-use arbutus_policy::quarantine::Quarantine;
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::budget::RepeatBudget;
 use arbutus_policy::serving::choice::TargetStates;
 use arbutus_policy::serving::cold;
 use arbutus_policy::serving::cold::ColdSends;
-use arbutus_policy::serving::crashes;
+use arbutus_policy::serving::crashes::CrashingRequests;
 use arbutus_policy::serving::directory::TargetChange;
 use arbutus_policy::serving::directory::TargetDirectory;
 use arbutus_policy::serving::model::ServiceSpec;
@@ -63,7 +62,7 @@
     /// The sends to cold targets.
     pub cold_sends: RefCell<ColdSends>,
     /// Requests that crash targets.
-    pub quarantine: RefCell<Quarantine>,
+    pub crashing: RefCell<CrashingRequests>,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -93,7 +92,7 @@
             directory: RefCell::new(TargetDirectory::default()),
             states: RefCell::new(TargetStates::default()),
             cold_sends: RefCell::new(ColdSends::default()),
-            quarantine: RefCell::new(crashes::quarantine()),
+            crashing: RefCell::new(CrashingRequests::new()),
             in_progress: Cell::new(0),
             table: RefCell::new(None),
             instances: RefCell::new(BTreeMap::new()),
