soak: run instances under random faults and check what clients see

arbutus-soak starts instances as processes, puts proxies between them and the store and the targets (delay, reset, silence, lost answers), pauses, kills, stops and restarts instances, makes targets answer wrongly, takes the store away and changes configurations, all by a seed. Checked: no unsafe request runs twice or runs after a refusal, answers are whole and their own, streams have no gap, proper requests are answered in time and not denied, configurations are in force in time, nothing runs that nobody sent, and after all faults each instance serves each kind of request.

Not covered: clocks that step (instances use the monotonic clock) and links between instances.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod platform_side;
 pub mod process;
 pub mod report;
+pub mod soak;
 pub mod sse;
 pub mod store;
 pub mod target;
--- a/crates/standins/src/platform_side/instance.rs
+++ b/crates/standins/src/platform_side/instance.rs
@@ -1,6 +1,7 @@
 //! Instances as processes, as the platform starts them.
 
 use std::fs;
+use std::fs::File;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -9,7 +10,6 @@
 use std::process;
 use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -37,8 +37,10 @@
 #[derive(Debug)]
 pub struct InstanceProcess {
     child: Child,
+    program: PathBuf,
     settings: InstanceSettings,
     file: PathBuf,
+    keeps_log: bool,
 }
 
 impl InstanceProcess {
@@ -77,18 +79,32 @@
         let file = directory.join(format!("settings-{}-{host}.toml", process::id()));
         let text = settings::encode(&settings).map_err(io::Error::other)?;
         fs::write(&file, text)?;
-        let child = Command::new(program)
-            .arg("--platform")
-            .env(settings::SETTINGS_VARIABLE, &file)
-            .stdout(Stdio::null())
-            .spawn()?;
+        let child = spawn(program, &file)?;
         Ok(Self {
             child,
+            program: program.to_owned(),
             settings,
             file,
+            keeps_log: false,
         })
     }
 
+    /// Starts the instance again with the same settings, after its process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.program, &self.file)?;
+        Ok(())
+    }
+
+    /// Keeps the log of the instance's processes, and returns where it is.
+    pub fn keep_log(&mut self) -> PathBuf {
+        self.keeps_log = true;
+        log_file(&self.file)
+    }
+
     /// Returns where clients connect.
     #[must_use]
     pub fn client_address(&self) -> SocketAddrV4 {
@@ -125,8 +141,39 @@
     ///
     /// Returns an error when the process cannot be signalled.
     pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Stops the process until it is resumed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be signalled.
+    pub fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Resumes a paused process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be signalled.
+    pub fn resume(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Ends the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be signalled.
+    pub fn kill(&self) -> io::Result<()> {
+        self.signal(Signal::KILL)
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
         let pid = Pid::from_child(&self.child);
-        kill_process(pid, Signal::TERM).map_err(io::Error::from)
+        kill_process(pid, signal).map_err(io::Error::from)
     }
 
     /// Waits until the process has ended, and returns whether it ended well.
@@ -145,5 +192,24 @@
         let _ended = self.child.kill();
         let _reaped = self.child.wait();
         let _left = fs::remove_file(&self.file);
+        if !self.keeps_log {
+            let _left = fs::remove_file(log_file(&self.file));
+        }
     }
 }
+
+fn log_file(settings: &Path) -> PathBuf {
+    settings.with_extension("log")
+}
+
+fn spawn(program: &Path, settings: &Path) -> io::Result<Child> {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(log_file(settings))?;
+    Command::new(program)
+        .arg("--platform")
+        .env(settings::SETTINGS_VARIABLE, settings)
+        .stdout(log)
+        .spawn()
+}
--- a/crates/standins/src/platform_side/target.rs
+++ b/crates/standins/src/platform_side/target.rs
@@ -80,6 +80,8 @@
     calls: Vec<Vec<PieceSource>>,
     freed: Vec<String>,
     next_result: u64,
+    /// Where instances reach the target, if not directly.
+    proxy: Option<SocketAddrV4>,
 }
 
 /// A target.
@@ -115,7 +117,7 @@
             id: self.id.clone(),
             lifetime: Some(1),
             service: self.service.clone(),
-            address: self.address,
+            address: self.lock().proxy.unwrap_or(self.address),
             failure_domain: self.failure_domain.clone(),
             slots: 8,
             accepts_work: true,
@@ -123,11 +125,21 @@
         }
     }
 
+    /// Sets the address of a proxy, by which instances reach the target from now on.
+    pub fn set_proxy(&self, address: SocketAddrV4) {
+        self.lock().proxy = Some(address);
+    }
+
     /// Adds a fault for the next request that has none yet.
     pub fn add_fault(&self, fault: Fault) {
         self.lock().faults.push_back(fault);
     }
 
+    /// Removes the faults that no request has met.
+    pub fn clear_faults(&self) {
+        self.lock().faults.clear();
+    }
+
     /// Returns what the target ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -243,8 +255,9 @@
         state.calls.push(sources.collect());
         let first = state.next_result;
         state.next_result += pieces.len() as u64;
+        let holder = state.proxy.unwrap_or(target.address);
         (first..state.next_result)
-            .map(|number| format!("{}/{number}", target.address))
+            .map(|number| format!("{holder}/{number}"))
             .collect()
     };
     sleep(STAGE_CALL).await;
