--- a/crates/standins/src/soak/clients.rs
+++ b/crates/standins/src/soak/clients.rs
@@ -96,7 +96,7 @@
 pub fn run(spec: &ClientSpec, seed: u64, client: usize) -> Vec<Seen> {
     let mut random =
         ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(client as u64));
-    let mut seen = Vec::new();
+    let mut requests = Vec::new();
     while !spec.stop.load(Ordering::Relaxed) {
         let asked = match random.random_range(0..6) {
             0 => Asked::Safe,
@@ -107,12 +107,12 @@
             _ => Asked::NewRoute(spec.version.load(Ordering::Relaxed)),
         };
         let instance = random.random_range(0..spec.instances.len());
-        let id = format!("{seed}-{client}-{}", seen.len());
-        seen.push(ask(spec, asked, instance, id));
+        let id = format!("{seed}-{client}-{}", requests.len());
+        requests.push(ask(spec, asked, instance, id));
         let pause_ms = random.random_range(0..LONGEST_PAUSE_MS);
         thread::sleep(Duration::from_millis(pause_ms));
     }
-    seen
+    requests
 }
 
 /// Sends one request to an instance.
