grant: an owner that was paused confirms no slots

Cause: an owner that is resumed waits until grants of others have expired before it grants new slots, but confirmed what holders still held.

Ruled out: grants of the new owner alone (it waits for the lifetime), and calls in progress at the pause (they last 40 ms).

Change: while it settles after a pause, an owner confirms nothing. The new test of it fails without the change.

--- a/crates/coord/src/grant/owner.rs
+++ b/crates/coord/src/grant/owner.rs
@@ -71,6 +71,9 @@
     slow_start: SlowStart,
     closed: bool,
     settles_at: Millis,
+    /// Whether the owner settles because it was paused. Another owner may have taken over and give
+    /// out what holders give back, so what they hold is not confirmed.
+    was_paused: bool,
     handled_at: Millis,
     holders: BTreeMap<Instance, HolderState>,
     turns: u64,
@@ -99,6 +102,7 @@
             slow_start: SlowStart::new(settings),
             closed: false,
             settles_at,
+            was_paused: false,
             handled_at: now,
             holders: BTreeMap::new(),
             turns: 0,
@@ -286,6 +290,9 @@
             .fold(0_u32, |sum, (_, state)| sum.saturating_add(state.counted));
         let available = self.allowed(now).saturating_sub(others);
         if self.is_settling(now) {
+            if self.was_paused {
+                return 0;
+            }
             // The calls that seem to be external may be those of holders that report next.
             return request.held.min(request.wanted).min(available);
         }
@@ -386,6 +393,9 @@
     fn detect_pause(&mut self, now: Millis) {
         if now - self.handled_at > self.settings.lifetime_ms {
             self.settles_at = now + self.settings.lifetime_ms + self.settings.margin_ms;
+            self.was_paused = true;
+        } else if !self.is_settling(now) {
+            self.was_paused = false;
         }
         self.handled_at = now;
     }
--- a/crates/coord/tests/grant/main.rs
+++ b/crates/coord/tests/grant/main.rs
@@ -11,6 +11,8 @@
 use arbutus_coord::entity::Instance;
 use arbutus_coord::grant::Demand;
 use arbutus_coord::grant::GrantHolder;
+use arbutus_coord::grant::GrantOwner;
+use arbutus_coord::grant::GrantRequest;
 use arbutus_coord::grant::GrantSettings;
 use arbutus_coord::grant::OwnerInput;
 use arbutus_coord::grant::SlowStart;
@@ -127,6 +129,51 @@
     checker(60).quickcheck(takeover_keeps_the_bound as fn(u64, u8));
 }
 
+/// An owner that was paused must not confirm slots while another owner may grant them anew: a cold
+/// target got a second call after its owner was resumed.
+#[test]
+fn an_owner_that_was_paused_confirms_no_slots() {
+    let settings = GrantSettings::default();
+    let mut owner = GrantOwner::new(Millis(0), settings, true);
+    let report = TargetReport {
+        boot_id: 1,
+        warm: false,
+        capacity: 8,
+        cold_capacity: 1,
+        in_flight: 0,
+        queued: 0,
+        age_ms: Millis::ZERO,
+    };
+    let ask = |owner: &mut GrantOwner, now: Millis, sequence: u64, held: u32| {
+        owner.handle(now, OwnerInput::Report(report));
+        let request = GrantRequest {
+            holder_boot_id: 1,
+            sequence,
+            held,
+            in_use: 0,
+            needed: 1,
+            wanted: 1,
+        };
+        let holder = Instance::from_index(1);
+        let outputs = owner.handle(now, OwnerInput::Request { holder, request });
+        let reply = outputs
+            .iter()
+            .find(|output| output.reply.sequence == sequence);
+        reply.map(|output| output.reply.slots)
+    };
+    assert_eq!(ask(&mut owner, Millis(100), 1, 0), Some(1));
+    // The owner was paused for three seconds, in which another one granted the slot.
+    let resumed = Millis(3_100);
+    assert_eq!(ask(&mut owner, resumed, 2, 1), Some(0));
+    let settled = resumed + settings.lifetime_ms + settings.margin_ms;
+    let mut now = resumed;
+    while now < settled {
+        now = now + Millis(250);
+        owner.handle(now, OwnerInput::Tick);
+    }
+    assert_eq!(ask(&mut owner, now, 3, 0), Some(1));
+}
+
 /// Measures how far two owners at once exceed the allowed slots.
 fn two_owners_at_most_double(faults: Faults) {
     const ALLOWED: u32 = 6;
