--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -35,7 +35,8 @@
 const DOMAIN_WAIT_MS: Millis = Millis(120);
 /// The weight of the newest call in the mean speed of a target.
 const SPEED_WEIGHT: f64 = 0.3;
-/// The weight of the newest call in the mean size of calls.
+/// The weight of the newest call in the mean size of calls, which covers the last two seconds of
+/// a service with five targets.
 const FILLED_WEIGHT: f64 = 0.1;
 /// A call is given up after this multiple of its expected time, plus the constant below.
 const GIVE_UP_FACTOR: f64 = 4.0;
@@ -54,9 +55,11 @@
 const CONTENDED_EXTRA_MS: f64 = 150.0;
 /// What is left of the used part of a target's space after it had no room.
 const ROOM_SHRINK: f64 = 0.85;
-/// What a call without such an answer adds to the used part.
+/// What a call without such an answer adds to the used part. Results that this owner does not know
+/// lapse within seconds, so the whole space is used again after two or three of them.
 const ROOM_GROWTH: f64 = 0.06;
-/// The most of a target's space that is used, since the sizes of results are approximate.
+/// The most of a target's space that is used, since the sizes of results are approximate. Too much
+/// costs a piece that is sent again, too little makes every call smaller.
 const MOST_ROOM_SHARE: f64 = 0.97;
 /// The least part of a target's space that is used.
 const LEAST_ROOM_SHARE: f64 = 0.4;
--- a/crates/policy/src/serving/following.rs
+++ b/crates/policy/src/serving/following.rs
@@ -9,12 +9,13 @@
 
 use arbutus_coord::Millis;
 
-/// How long an instance that the store did not answer is not asked.
+/// How long an instance that the store did not answer is not asked. Outages last for seconds; an
+/// instance that is asked too early only refuses again.
 const BLIND_MS: Millis = Millis(3_000);
 /// A confirmation is good for this time. Changes have to be in force within 2 s, of which the list
-/// that is read afterwards takes up to 300 ms.
+/// that is read afterwards takes up to 300 ms from a slow store.
 const CONFIRMED_MS: Millis = Millis(900);
-/// How often a followed instance is asked to confirm.
+/// How often a followed instance is asked to confirm, so that one lost answer costs nothing.
 const ASK_MS: Millis = Millis(500);
 
 /// How an instance knows the state of the store.
