platform: test that requests are given up at their route's time-out

Without the route's time-out in request.rs the test fails: the request lasts until its client gives up.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -463,3 +463,21 @@
     assert!(answer.is_complete);
     assert!(world.instances[0].wait().expect("it ends"), "exit status");
 }
+
+#[test]
+fn a_request_is_given_up_at_the_time_out_of_its_route() {
+    // Guards against requests that last as long as their client waits.
+    let world = world(1);
+    for (kind, path, status) in [("safe", "/safe/1", 504), ("unsafe", "/unsafe/1", 504)] {
+        world.add_fault("desk", Fault::Hang(Duration::from_secs(8)));
+        let begun = Instant::now();
+        let call =
+            ClientCall::new("POST", path, kind).with_header(names::DEADLINE.as_str(), "9000");
+        let answer = world.call(&call);
+        let took = begun.elapsed();
+        assert_eq!(answer.status, status, "{kind}");
+        // The time-out is three seconds, and an answer may come half a second later.
+        assert!(took < Duration::from_millis(3_500), "{kind}: {took:?}");
+        assert!(took > Duration::from_millis(2_500), "{kind}: {took:?}");
+    }
+}
