batch: compute the begun stages once for all calls that start together

They were computed anew for each idle target and pass, a walk over all pieces each time, also when no piece waits. The condition that begins a stage is one on the call and one on the space.

--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::serving::batch::room::BegunStages;
 pub use crate::serving::batch::types::Call;
 pub use crate::serving::batch::types::CallOutcome;
 pub use crate::serving::batch::types::CallPiece;
@@ -406,12 +407,16 @@
             .filter(|(_, target)| target.call.is_none() && target.paused_until <= now)
             .map(|(id, target)| (id.clone(), target.slowness))
             .collect();
+        if idle.is_empty() || self.pieces.values().all(|piece| piece.in_call) {
+            return Vec::new();
+        }
         idle.sort_by(|one, other| one.1.total_cmp(&other.1).then_with(|| one.0.cmp(&other.0)));
+        let mut stages = self.begun_stages(now);
         let mut calls = Vec::new();
         for own_domain in [true, false] {
             for (id, _) in &idle {
                 if self.targets[id].call.is_none() {
-                    calls.extend(self.form_call(now, id, own_domain));
+                    calls.extend(self.form_call(now, id, own_domain, &mut stages));
                 }
             }
         }
@@ -464,7 +469,13 @@
         Millis((waiting as f64 / pieces_per_ms) as u64)
     }
 
-    fn form_call(&mut self, now: Millis, id: &str, own_domain: bool) -> Option<Call> {
+    fn form_call(
+        &mut self,
+        now: Millis,
+        id: &str,
+        own_domain: bool,
+        stages: &mut BegunStages,
+    ) -> Option<Call> {
         let target = &self.targets[id];
         let mut candidates: Vec<(bool, bool, Millis, u32, u64)> = self
             .pieces
@@ -481,7 +492,6 @@
             .collect();
         candidates.sort_unstable();
         let mut room = self.room(now, target);
-        let mut stages = self.begun_stages(now);
         let mut keys = Vec::new();
         for (_, _, _, _, key) in candidates {
             if keys.len() >= self.spec.batch {
--- a/crates/policy/src/serving/batch/room.rs
+++ b/crates/policy/src/serving/batch/room.rs
@@ -28,17 +28,17 @@
 }
 
 impl BegunStages {
-    /// Returns whether a stage is begun, or can be: all its pieces fit into the rest of the call,
-    /// and all its results into the space. A stage too large for either is begun alone.
+    /// Begins a stage unless it is begun, if all its pieces fit into the rest of the call and all
+    /// its results into the space; returns whether it is begun then. A stage too large for either
+    /// is begun alone.
     pub(super) fn begin(&mut self, submission: SubmissionId, slots: usize, room: u64) -> bool {
         if self.begun.contains(&submission) {
             return true;
         }
         let size = self.waiting.get(&submission).copied().unwrap_or_default();
-        let splits = (size.pieces > slots && slots < self.batch)
-            || (size.bytes > room && !self.begun.is_empty());
-        let overfills = size.bytes > self.free_bytes && !self.begun.is_empty();
-        if splits || overfills {
+        let fits_call = size.pieces <= slots || slots == self.batch;
+        let fits_space = size.bytes <= room.min(self.free_bytes) || self.begun.is_empty();
+        if !fits_call || !fits_space {
             return false;
         }
         self.free_bytes = self.free_bytes.saturating_sub(size.bytes);
