watch: apply changes without copying all objects

Each change copied every object of its kind, for targets without using the copy. The module's text names the interval of the probe that is in force.

--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -1,7 +1,7 @@
 //! The state of the store that instances follow.
 //!
 //! An instance that watches the store has one task for each kind of objects, which lists it and then
-//! waits for changes. A cheap call each second shows whether the store answers at all, because a
+//! waits for changes. A cheap call twice a second shows whether the store answers at all, because a
 //! waiting call looks the same when the store has gone silent. Other instances follow a watching
 //! one; see [`crate::role`]. While the store is away, the state of another instance is used if it is
 //! newer.
@@ -348,23 +348,16 @@
         if !present.replace(revision, objects) {
             return;
         }
-        let objects = present.objects().clone();
-        drop(known);
         self.changed.send_modify(|count| *count += 1);
-        match kind {
-            ObjectKind::Targets => {
-                let now = self.shared.now();
-                let entries = objects.values().filter_map(target).collect();
-                let changes =
-                    self.shared
-                        .directory
-                        .borrow_mut()
-                        .replace(now, entries, after_outage);
-                self.shared.targets_changed(&changes);
-            }
-            ObjectKind::Configuration | ObjectKind::Evacuations | ObjectKind::Instances => {
-                self.apply(kind, &objects);
-            }
+        if kind == ObjectKind::Targets {
+            let entries = present.objects().values().filter_map(target).collect();
+            let now = self.shared.now();
+            let mut directory = self.shared.directory.borrow_mut();
+            let changes = directory.replace(now, entries, after_outage);
+            drop(directory);
+            self.shared.targets_changed(&changes);
+        } else {
+            self.apply(kind, present.objects());
         }
     }
 
@@ -378,13 +371,11 @@
         let mut known = self.known.borrow_mut();
         let present = known.entry(kind).or_default();
         present.change(revision, changes.clone());
-        let objects = present.objects().clone();
-        drop(known);
         self.changed.send_modify(|count| *count += 1);
         if kind == ObjectKind::Targets {
             self.change_targets(changes, after_outage);
         } else {
-            self.apply(kind, &objects);
+            self.apply(kind, present.objects());
         }
     }
 
