serving: build the members and find the budget in one place each

The owner of a queue and the instance to follow were decided from two copies of the same members, and three functions looked the budget of a service up by themselves.

--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -212,17 +212,16 @@
 
     /// Counts a request for a service.
     pub fn record_request(&self, service: &str) {
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.record_request(self.now(), &self.settings.repeats);
+        let limits = &self.settings.repeats;
+        self.with_budget(service, |budget| budget.record_request(self.now(), limits));
     }
 
     /// Takes a repeated send to a service from the budget; returns whether there was one.
     pub fn try_repeat(&self, service: &str) -> bool {
-        let instances = self.instance_count();
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.try_repeat(self.now(), &self.settings.repeats, instances)
+        let (limits, instances) = (&self.settings.repeats, self.instance_count());
+        self.with_budget(service, |budget| {
+            budget.try_repeat(self.now(), limits, instances)
+        })
     }
 
     /// Records the backlog of a stage queue.
@@ -244,10 +243,15 @@
     /// Returns whether a repeated send to a service is left in the budget.
     #[must_use]
     pub fn has_repeat(&self, service: &str) -> bool {
-        let instances = self.instance_count();
+        let (limits, instances) = (&self.settings.repeats, self.instance_count());
+        self.with_budget(service, |budget| {
+            budget.has_repeat(self.now(), limits, instances)
+        })
+    }
+
+    fn with_budget<T>(&self, service: &str, spend: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.has_repeat(self.now(), &self.settings.repeats, instances)
+        spend(budgets.entry(service.to_owned()).or_default())
     }
 
     /// Returns the phase.
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -24,7 +24,6 @@
 use crate::shared::Shared;
 use arbutus_coord::Millis;
 use arbutus_platform::stage;
-use arbutus_platform::store::InstanceEntry;
 use arbutus_policy::serving::batch::PieceOutcome;
 use arbutus_policy::serving::batch::PieceSource;
 use arbutus_policy::serving::batch::QueueName;
@@ -140,15 +139,12 @@
     pub fn free(self: &Rc<Self>, service: &str, handles: Vec<String>) {
         let mut by_queue: BTreeMap<QueueName, Vec<String>> = BTreeMap::new();
         for handle in handles {
-            let holder = stage::holder_of(&handle);
-            let domain = {
-                let directory = self.shared.directory.borrow();
-                let maker = directory.at(holder);
-                maker.map(|known| known.entry.failure_domain.clone())
-            };
+            let directory = self.shared.directory.borrow();
             // The results of a target that has gone are gone too.
-            let Some(domain) = domain else { continue };
-            let queue = self.queue_name(service, &domain);
+            let Some(maker) = directory.at(stage::holder_of(&handle)) else {
+                continue;
+            };
+            let queue = self.queue_name(service, &maker.entry.failure_domain);
             by_queue.entry(queue).or_default().push(handle);
         }
         for (queue, handles) in by_queue {
@@ -247,38 +243,46 @@
 
     /// Returns the owner of a queue for this instance.
     fn route(&self, queue: &QueueName) -> OwnerRoute {
-        let peers = self.shared.peers();
-        let members = members(&peers);
-        let own = self.own_member();
-        let is_leaving = self.shared.phase() == Phase::Leaving;
-        let absences = self.absences.borrow();
-        let now = self.shared.now();
-        let owner = ownership::owner(now, queue, own, is_leaving, &members, &absences);
-        if owner == own.name {
-            OwnerRoute::Local
-        } else {
-            OwnerRoute::Peer(owner.to_owned())
-        }
+        self.with_members(|now, own, is_leaving, members, absences| {
+            let owner = ownership::owner(now, queue, own, is_leaving, members, absences);
+            if owner == own.name {
+                OwnerRoute::Local
+            } else {
+                OwnerRoute::Peer(owner.to_owned())
+            }
+        })
     }
 
     /// Returns the instance that this one follows instead of watching the store, if any.
     #[must_use]
     pub fn followed(&self, is_blind: impl Fn(&str) -> bool) -> Option<String> {
-        let peers = self.shared.peers();
-        let members = members(&peers);
-        let own = self.own_member();
-        let is_leaving = self.shared.phase() == Phase::Leaving;
-        let absences = self.absences.borrow();
-        let now = self.shared.now();
-        let followed = ownership::followed(now, own, is_leaving, &members, &absences, is_blind);
-        followed.map(str::to_owned)
+        self.with_members(|now, own, is_leaving, members, absences| {
+            let followed = ownership::followed(now, own, is_leaving, members, absences, is_blind);
+            followed.map(str::to_owned)
+        })
     }
 
-    fn own_member(&self) -> Member<'_> {
-        Member {
+    /// Decides by the time, the own member, whether the instance stops, the other members, and
+    /// those of them that are absent.
+    fn with_members<T>(
+        &self,
+        decide: impl FnOnce(Millis, Member<'_>, bool, &[Member<'_>], &Absences) -> T,
+    ) -> T {
+        let peers = self.shared.peers();
+        let members: Vec<Member<'_>> = peers
+            .iter()
+            .map(|peer| Member {
+                name: &peer.name,
+                failure_domain: &peer.failure_domain,
+            })
+            .collect();
+        let own = Member {
             name: &self.shared.settings.name,
             failure_domain: &self.shared.settings.failure_domain,
-        }
+        };
+        let is_leaving = self.shared.phase() == Phase::Leaving;
+        let absences = self.absences.borrow();
+        decide(self.shared.now(), own, is_leaving, &members, &absences)
     }
 
     fn withdraw(self: &Rc<Self>, number: u64) {
@@ -311,14 +315,6 @@
     }
 }
 
-fn members(peers: &[InstanceEntry]) -> Vec<Member<'_>> {
-    let members = peers.iter().map(|peer| Member {
-        name: &peer.name,
-        failure_domain: &peer.failure_domain,
-    });
-    members.collect()
-}
-
 impl Drop for Submitted {
     fn drop(&mut self) {
         self.client.withdraw(self.number);
