logging: report dropped lines once

The queue and housekeeping both reported the same count. Housekeeping reports it again when its own line is dropped, so the other report goes; the metric is as before.

--- a/crates/serving/src/logging.rs
+++ b/crates/serving/src/logging.rs
@@ -1,8 +1,8 @@
 //! Structured logs on standard output.
 //!
 //! Lines go through a bounded queue to a thread that writes them, so a slow reader of the output
-//! never delays a request. Lines that do not fit are dropped and counted; the count is logged as
-//! soon as there is space.
+//! never delays a request. Lines that do not fit are dropped and counted; housekeeping logs the
+//! count, again if that line is dropped too.
 
 use std::io;
 use std::io::Write;
@@ -34,19 +34,11 @@
 struct QueueWriter {
     lines: SyncSender<Vec<u8>>,
     dropped: DroppedLines,
-    reported: u64,
 }
 
 impl Write for QueueWriter {
     /// Takes one whole line; the logger formats a line before it writes.
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let dropped = self.dropped.total();
-        if dropped > self.reported {
-            let note = format!("level=WARN msg=\"log lines were dropped\" total={dropped}\n");
-            if self.lines.try_send(note.into_bytes()).is_ok() {
-                self.reported = dropped;
-            }
-        }
         if self.lines.try_send(buf.to_vec()).is_err() {
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
@@ -85,7 +77,6 @@
     let writer = QueueWriter {
         lines,
         dropped: dropped.clone(),
-        reported: 0,
     };
     env_logger::Builder::new()
         .filter_level(LevelFilter::Warn)
