standins: run instances on the platform's side as the shared process type

InstanceProcess had its own start, signals and end beside process::Process. The standard errors of an instance go to its log now, which is kept when a test fails. The soak asks one method whether a request was served.

--- a/crates/standins/src/platform_side/instance.rs
+++ b/crates/standins/src/platform_side/instance.rs
@@ -1,14 +1,12 @@
 //! Instances as processes, as the platform starts them.
 
 use std::fs;
-use std::fs::File;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process;
-use std::process::Child;
 use std::process::Command;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -16,11 +14,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rustix::process::Pid;
-use rustix::process::Signal;
-use rustix::process::kill_process;
-
 use crate::platform_side::client::ClientCall;
+use crate::process::Process;
 use arbutus_coord::Millis;
 use arbutus_platform::names::READINESS_PATH;
 use arbutus_platform::settings;
@@ -29,6 +24,8 @@
 
 /// How long an instance may take until it is ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
+/// How long one wait for the end of a process lasts; there are as many as it takes.
+const ONE_WAIT: Duration = Duration::from_secs(1);
 const POLL: Duration = Duration::from_millis(20);
 
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
@@ -36,7 +33,7 @@
 /// A running instance; it is killed when dropped.
 #[derive(Debug)]
 pub struct InstanceProcess {
-    child: Child,
+    process: Process,
     program: PathBuf,
     settings: InstanceSettings,
     file: PathBuf,
@@ -79,9 +76,9 @@
         let file = directory.join(format!("settings-{}-{host}.toml", process::id()));
         let text = settings::encode(&settings).map_err(io::Error::other)?;
         fs::write(&file, text)?;
-        let child = spawn(program, &file)?;
+        let process = spawn(program, &settings.name, &file)?;
         Ok(Self {
-            child,
+            process,
             program: program.to_owned(),
             settings,
             file,
@@ -95,7 +92,7 @@
     ///
     /// Returns an error when it cannot be started.
     pub fn start_again(&mut self) -> io::Result<()> {
-        self.child = spawn(&self.program, &self.file)?;
+        self.process = spawn(&self.program, &self.settings.name, &self.file)?;
         Ok(())
     }
 
@@ -141,7 +138,7 @@
     ///
     /// Returns an error when the process cannot be signalled.
     pub fn terminate(&self) -> io::Result<()> {
-        self.signal(Signal::TERM)
+        self.process.terminate()
     }
 
     /// Stops the process until it is resumed.
@@ -150,7 +147,7 @@
     ///
     /// Returns an error when the process cannot be signalled.
     pub fn pause(&self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        self.process.pause()
     }
 
     /// Resumes a paused process.
@@ -159,21 +156,16 @@
     ///
     /// Returns an error when the process cannot be signalled.
     pub fn resume(&self) -> io::Result<()> {
-        self.signal(Signal::CONT)
+        self.process.resume()
     }
 
     /// Ends the process at once.
     ///
     /// # Errors
     ///
-    /// Returns an error when the process cannot be signalled.
-    pub fn kill(&self) -> io::Result<()> {
-        self.signal(Signal::KILL)
-    }
-
-    fn signal(&self, signal: Signal) -> io::Result<()> {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).map_err(io::Error::from)
+    /// Returns an error when the process cannot be killed.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.process.kill()
     }
 
     /// Waits until the process has ended, and returns whether it ended well.
@@ -182,17 +174,19 @@
     ///
     /// Returns an error when its state cannot be read.
     pub fn wait(&mut self) -> io::Result<bool> {
-        self.child.wait().map(|status| status.success())
+        loop {
+            if let Some(status) = self.process.wait(ONE_WAIT)? {
+                return Ok(status.success());
+            }
+        }
     }
 }
 
 impl Drop for InstanceProcess {
     fn drop(&mut self) {
-        // A process that has ended by itself needs no end.
-        let _ended = self.child.kill();
-        let _reaped = self.child.wait();
         let _left = fs::remove_file(&self.file);
-        if !self.keeps_log {
+        // The log of a failed test says why.
+        if !self.keeps_log && !thread::panicking() {
             let _left = fs::remove_file(log_file(&self.file));
         }
     }
@@ -202,14 +196,10 @@
     settings.with_extension("log")
 }
 
-fn spawn(program: &Path, settings: &Path) -> io::Result<Child> {
-    let log = File::options()
-        .create(true)
-        .append(true)
-        .open(log_file(settings))?;
-    Command::new(program)
+fn spawn(program: &Path, name: &str, settings: &Path) -> io::Result<Process> {
+    let mut command = Command::new(program);
+    command
         .arg("--platform")
-        .env(settings::SETTINGS_VARIABLE, settings)
-        .stdout(log)
-        .spawn()
+        .env(settings::SETTINGS_VARIABLE, settings);
+    Process::start(name, &mut command, &log_file(settings))
 }
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::platform_side::client::Received;
 use crate::platform_side::example;
 use crate::soak::clients::Asked;
 use crate::soak::clients::Seen;
@@ -102,10 +103,7 @@
         }
     }
 
-    fn judge_success(
-        seen: &Seen,
-        received: &crate::platform_side::client::Received,
-    ) -> Option<&'static str> {
+    fn judge_success(seen: &Seen, received: &Received) -> Option<&'static str> {
         let all = example::all_events();
         let is_whole = if seen.asked.is_stream() {
             received.body == all
--- a/crates/standins/src/soak/clients.rs
+++ b/crates/standins/src/soak/clients.rs
@@ -80,6 +80,15 @@
     pub received: Option<Received>,
 }
 
+impl Seen {
+    /// Returns whether the request got a whole answer of a target.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        let received = self.received.as_ref();
+        received.is_some_and(|received| received.status == 200 && received.is_complete)
+    }
+}
+
 /// What clients need to know.
 #[derive(Debug)]
 pub struct ClientSpec {
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -156,13 +156,9 @@
             .map(InstanceProcess::keep_log)
             .collect()
     };
-    let is_served = |seen: &&clients::Seen| {
-        let received = seen.received.as_ref();
-        received.is_some_and(|received| received.status == 200 && received.is_complete)
-    };
     Ok(SoakResult {
         requests: record.seen.len(),
-        served: record.seen.iter().filter(is_served).count(),
+        served: record.seen.iter().filter(|seen| seen.is_served()).count(),
         faults: soak.faults,
         broken,
         logs,
@@ -273,7 +269,6 @@
             5 if !self.is_down(instance) => {
                 self.begin_harm(instance, Harm::Process);
                 self.instances[instance].kill()?;
-                self.instances[instance].wait()?;
                 self.repairs.push((until, Repair::StartAgain(instance)));
             }
             6 if !self.is_down(instance) => self.stop(instance)?,
@@ -452,8 +447,7 @@
                 });
                 let mut served = false;
                 for seen in tries {
-                    let received = seen.received.as_ref();
-                    served = received.is_some_and(|all| all.status == 200 && all.is_complete);
+                    served = seen.is_served();
                     record.seen.push(seen);
                     if served {
                         break;
