serving: remove what nothing uses

The rank of a send was never set, and nobody read whether a connection was used before or which failure domains are evacuated. Clients' values of the rank's header are still dropped.

--- a/crates/policy/src/serving/directory.rs
+++ b/crates/policy/src/serving/directory.rs
@@ -185,12 +185,6 @@
         self.targets.values()
     }
 
-    /// Returns the evacuated failure domains.
-    #[must_use]
-    pub fn evacuated(&self) -> &BTreeSet<String> {
-        &self.evacuated
-    }
-
     fn may_work(&self, known: &KnownTarget) -> bool {
         known.entry.accepts_work && !self.evacuated.contains(&known.entry.failure_domain)
     }
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -355,7 +355,6 @@
         remaining_ms,
         inputs: &stages.results(),
         last_event,
-        rank: None,
     });
     let request = request.and_then(|builder| builder.body(Full::new(context.body.clone())));
     let request = match request {
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -46,8 +46,6 @@
     target: String,
     connection: Option<Connection>,
     returned: bool,
-    /// Whether the connection was used before.
-    pub reused: bool,
 }
 
 impl Pool {
@@ -103,7 +101,7 @@
         entry: &TargetEntry,
     ) -> Result<Lease, CallError> {
         if let Some(connection) = self.take_idle(now, &entry.id) {
-            return Ok(self.leased(&entry.id, Some(connection), true));
+            return Ok(self.leased(&entry.id, Some(connection)));
         }
         self.targets
             .borrow_mut()
@@ -111,7 +109,7 @@
             .or_default()
             .open += 1;
         // The lease counts as open from here, and gives its place back if opening fails.
-        let mut lease = self.leased(&entry.id, None, false);
+        let mut lease = self.leased(&entry.id, None);
         lease.connection = Some(Connection::open(entry.address, CONNECT_MS).await?);
         Ok(lease)
     }
@@ -128,18 +126,12 @@
         None
     }
 
-    fn leased(
-        self: &Rc<Self>,
-        target: &str,
-        connection: Option<Connection>,
-        reused: bool,
-    ) -> Lease {
+    fn leased(self: &Rc<Self>, target: &str, connection: Option<Connection>) -> Lease {
         Lease {
             pool: Rc::clone(self),
             target: target.to_owned(),
             connection,
             returned: false,
-            reused,
         }
     }
 }
