shutdown: add failing tests of requests read just before the exit

Requests that are at a target when the process ends get no response. Two related faults have tests too: under constant load, requests are read and sent until the exit 4.75 s after SIGTERM, and a response counts as complete before it is written to the connection.

The stand-ins get a client connection for several requests, a delay of all responses of a target and a minimum body size. `start_cluster` moves from platform.rs to common/mod.rs; no assertion changes.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -1,64 +1,32 @@
 //! Tests of instances on the users' platform, with real processes: a store, targets and clients
 //! around one or more instances. The name of each test states the behaviour that it checks.
 
+mod common;
+
 use std::io::Read;
-use std::path::Path;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::common::TestCluster;
+use crate::common::start_cluster;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_platform::store::ObjectKind;
 use arbutus_policy::serving::batch::PieceSource;
 use arbutus_policy::serving::model::RouteKind;
-use arbutus_standins::simulated_platform::SimulatedPlatform;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::client::ClientResponse;
-use arbutus_standins::simulated_platform::example;
 use arbutus_standins::simulated_platform::example::complete_stream_body;
 use arbutus_standins::simulated_platform::example::configuration;
 use arbutus_standins::simulated_platform::example::route;
 use arbutus_standins::simulated_platform::example::staged_stream_request;
 use arbutus_standins::simulated_platform::example::stream_request;
-use arbutus_standins::simulated_platform::instance::InstanceProcess;
 use arbutus_standins::simulated_platform::target::Fault;
 
 /// Time within which a change in the store has to take effect.
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 
-struct TestCluster {
-    platform: SimulatedPlatform,
-    instances: Vec<InstanceProcess>,
-}
-
-/// Starts the store and the targets of the platform, and instances in two failure domains.
-fn start_cluster(instances: usize) -> TestCluster {
-    let platform =
-        SimulatedPlatform::start(&example::TARGETS).expect("the store and targets start");
-    let first = configuration(1);
-    platform
-        .store
-        .put_configuration(&first)
-        .expect("the object can be encoded");
-    let program = Path::new(env!("CARGO_BIN_EXE_arbutusd"));
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let instances: Vec<InstanceProcess> = (0..instances)
-        .map(|index| {
-            let domain = ["x", "y"][index % 2];
-            InstanceProcess::start(program, directory, platform.store.address, domain)
-                .expect("the instance starts")
-        })
-        .collect();
-    for instance in &instances {
-        instance.wait_until_ready().expect("the instance is ready");
-    }
-    TestCluster {
-        platform,
-        instances,
-    }
-}
-
 impl TestCluster {
     fn call(&self, call: &ClientRequest) -> ClientResponse {
         call.call(self.instances[0].client_address())
--- a/crates/standins/src/simulated_platform/client.rs
+++ b/crates/standins/src/simulated_platform/client.rs
@@ -13,6 +13,7 @@
 
 /// How long a read waits for bytes before the response counts as ended.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+const READ_BUFFER_BYTES: usize = 16_384;
 
 /// A request of a client.
 #[derive(Clone, Debug)]
@@ -86,8 +87,13 @@
     ///
     /// Returns an error if the connection cannot be opened or the request cannot be written.
     pub fn send(&self, address: SocketAddrV4) -> io::Result<TcpStream> {
-        let mut stream = TcpStream::connect(address)?;
-        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        let mut connection = ClientConnection::open(address)?;
+        connection.write(self, false)?;
+        Ok(connection.stream)
+    }
+
+    /// Returns the request head, which asks the server to close the connection unless `keep_open`.
+    fn head(&self, keep_open: bool) -> String {
         let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
         for (name, value) in &self.headers {
             text.extend([name.as_str(), ": ", value.as_str(), "\r\n"]);
@@ -96,10 +102,11 @@
             let length = self.body.len().to_string();
             text.extend(["content-length: ", length.as_str(), "\r\n"]);
         }
-        text += "connection: close\r\n\r\n";
-        stream.write_all(text.as_bytes())?;
-        stream.write_all(self.body.as_bytes())?;
-        Ok(stream)
+        if !keep_open {
+            text += "connection: close\r\n";
+        }
+        text += "\r\n";
+        text
     }
 
     /// Sends the request on a new connection and reads until the connection ends.
@@ -116,6 +123,68 @@
     }
 }
 
+/// A connection of a client, which can carry several requests.
+#[derive(Debug)]
+pub struct ClientConnection {
+    stream: TcpStream,
+}
+
+impl ClientConnection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection cannot be opened.
+    pub fn open(address: SocketAddrV4) -> io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        Ok(Self { stream })
+    }
+
+    /// Sends a request and reads its response; returns `None` if the connection ended before the
+    /// first byte of a response. Without `keep_open`, the request asks the server to close the
+    /// connection after the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ended within the response, or if nothing arrived before
+    /// the timeout.
+    pub fn call(
+        &mut self,
+        request: &ClientRequest,
+        keep_open: bool,
+    ) -> io::Result<Option<ClientResponse>> {
+        // If the server has ended the connection, the read below finds out what it sent before.
+        let _ended = self.write(request, keep_open);
+        let mut bytes = Vec::new();
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        loop {
+            let length = match self.stream.read(&mut buffer) {
+                Ok(length) => length,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Err(error),
+                // The connection was reset.
+                Err(_) => 0,
+            };
+            if length == 0 && bytes.is_empty() {
+                return Ok(None);
+            }
+            if length == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            bytes.extend_from_slice(&buffer[..length]);
+            let response = parse_response(&bytes);
+            if response.is_complete {
+                return Ok(Some(response));
+            }
+        }
+    }
+
+    fn write(&mut self, request: &ClientRequest, keep_open: bool) -> io::Result<()> {
+        self.stream.write_all(request.head(keep_open).as_bytes())?;
+        self.stream.write_all(request.body.as_bytes())
+    }
+}
+
 fn parse_response(bytes: &[u8]) -> ClientResponse {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut response = httparse::Response::new(&mut headers);
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -77,6 +77,10 @@
 struct State {
     executed: Vec<ExecutedRequest>,
     faults: VecDeque<Fault>,
+    /// Delay of every response, except to stage calls.
+    response_delay: Duration,
+    /// Minimum size of a response body that is not a stream.
+    min_body_bytes: usize,
     /// Sources of the pieces of each stage call.
     stage_calls: Vec<Vec<PieceSource>>,
     /// Handles of the results that instances have freed.
@@ -137,6 +141,16 @@
         self.lock().faults.push_back(fault);
     }
 
+    /// Delays every response to requests that arrive from now on, except to stage calls.
+    pub fn set_response_delay(&self, delay: Duration) {
+        self.lock().response_delay = delay;
+    }
+
+    /// Extends response bodies that are not streams to at least this size, with `x`.
+    pub fn set_min_body_bytes(&self, bytes: usize) {
+        self.lock().min_body_bytes = bytes;
+    }
+
     /// Removes the faults that no request has taken yet.
     pub fn clear_faults(&self) {
         self.lock().faults.clear();
@@ -198,7 +212,7 @@
         );
     }
     let id = header_text(&names::REQUEST_ID);
-    let index = {
+    let (index, response_delay, min_body_bytes) = {
         let mut state = target.lock();
         state.executed.push(ExecutedRequest {
             started_at: Instant::now(),
@@ -208,8 +222,12 @@
             body: body.clone(),
             is_response_complete: false,
         });
-        state.executed.len() - 1
+        let index = state.executed.len() - 1;
+        (index, state.response_delay, state.min_body_bytes)
     };
+    if !response_delay.is_zero() {
+        sleep(response_delay).await;
+    }
     match fault {
         Some(Fault::DelayResponse(duration)) => sleep(duration).await,
         Some(Fault::CloseWithoutResponse) => return Err(io::ErrorKind::ConnectionReset.into()),
@@ -239,6 +257,9 @@
         return respond(StatusCode::OK, &headers, body);
     }
     let mut content = format!("answer of {}", target.id).into_bytes();
+    if content.len() < min_body_bytes {
+        content.resize(min_body_bytes, b'x');
+    }
     if fault == Some(Fault::TruncateBody) {
         headers.push((http::header::CONTENT_LENGTH, content.len().to_string()));
         content.truncate(4);
