logging: log every request of a shutdown and drain the queue at exit

A request that arrives after SIGTERM is logged at once. The line 'stopped' has the inputs of the decision to exit. A request that the exit cuts off ends with the outcome 'shutdown' instead of 'client_left', and the queue is drained at the exit, for 100 ms at most. No change to what is served or when the process exits.

--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use log::info;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -64,6 +65,8 @@
 pub struct ConnectionActivity {
     shared: Rc<Shared>,
     state: Cell<(Activity, Millis)>,
+    /// Number of requests received so far.
+    request_count: Cell<u64>,
     /// Notified when a new activity has a shorter timeout than the previous one.
     timeout_shortened: Notify,
 }
@@ -95,11 +98,18 @@
 impl InProgressGuard {
     fn new(activity: &Rc<ConnectionActivity>) -> Self {
         activity.set(Activity::Serving);
+        activity.request_count.set(activity.request_count.get() + 1);
         let shared = &activity.shared;
         shared.in_progress.set(shared.in_progress.get() + 1);
         shared.metrics.in_progress.inc();
         Self(Rc::clone(activity))
     }
+
+    /// Returns whether the request is the first of its connection.
+    #[must_use]
+    pub fn is_first_of_connection(&self) -> bool {
+        self.0.request_count.get() == 1
+    }
 }
 
 impl Drop for InProgressGuard {
@@ -107,10 +117,34 @@
         let shared = &self.0.shared;
         shared.in_progress.set(shared.in_progress.get() - 1);
         shared.metrics.in_progress.dec();
+        if shared.is_exiting() {
+            let cut_off = &shared.cut_off_request_count;
+            cut_off.set(cut_off.get() + 1);
+        }
         self.0.set(Activity::Idle);
     }
 }
 
+/// Counts a client connection as open until it is dropped.
+struct OpenConnectionGuard(Rc<Shared>);
+
+impl OpenConnectionGuard {
+    fn new(shared: &Rc<Shared>) -> Self {
+        let count = &shared.client_connection_count;
+        count.set(count.get() + 1);
+        shared.metrics.client_connections.inc();
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        let count = &self.0.client_connection_count;
+        count.set(count.get() - 1);
+        self.0.metrics.client_connections.dec();
+    }
+}
+
 /// The stream of a client connection; sets the activity when the first byte of a request arrives.
 struct ObservedStream {
     stream: TcpStream,
@@ -178,11 +212,12 @@
             debug!(error:%; "cannot set socket options of a client connection");
             continue;
         }
-        spawn_local(serve_connection(
-            Rc::clone(&shared),
-            Rc::clone(&stage_client),
-            stream,
-        ));
+        let guard = OpenConnectionGuard::new(&shared);
+        let connection = serve_connection(Rc::clone(&shared), Rc::clone(&stage_client), stream);
+        spawn_local(async move {
+            connection.await;
+            drop(guard);
+        });
     }
 }
 
@@ -194,6 +229,7 @@
         });
     let activity = Rc::new(ConnectionActivity {
         state: Cell::new((Activity::Idle, shared.now())),
+        request_count: Cell::new(0),
         timeout_shortened: Notify::new(),
         shared: Rc::clone(&shared),
     });
@@ -234,6 +270,14 @@
             }
             () = sleep(timeout_ms) => {
                 if activity.expires_at(&limits) <= shared.now() {
+                    let (activity_at_timeout, since) = activity.state.get();
+                    if activity_at_timeout == Activity::ReadingHead {
+                        info!(
+                            waited_ms = (shared.now() - since).0,
+                            earlier_requests = activity.request_count.get();
+                            "client connection closed before a request head was complete"
+                        );
+                    }
                     return;
                 }
             }
--- a/crates/serving/src/logging.rs
+++ b/crates/serving/src/logging.rs
@@ -2,7 +2,8 @@
 //!
 //! A separate thread writes the lines from a bounded queue, so that a slow consumer of the output
 //! never delays a request. Lines that do not fit into the queue are dropped and counted. The
-//! housekeeping task logs the count; if that line is dropped too, it logs the new count later.
+//! housekeeping task logs the count; if that line is dropped too, it logs the new count later. The
+//! logger is never dropped, so the process drains the queue explicitly before it exits.
 
 use std::io;
 use std::io::Write;
@@ -10,14 +11,19 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use env_logger::Target;
 use log::LevelFilter;
 
 /// Capacity of the queue in lines: about two seconds of output of a busy instance.
 const MAX_QUEUED_LINES: usize = 1_024;
+/// How often a drain checks whether a full queue has space for its marker.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// The number of log lines that were dropped.
 #[derive(Clone, Debug, Default)]
@@ -31,15 +37,56 @@
     }
 }
 
+enum QueueEntry {
+    Line(Vec<u8>),
+    /// Marks the end of a drain; acknowledged when all earlier lines are written.
+    DrainMarker(SyncSender<()>),
+}
+
+/// The queue of the logging thread.
+#[derive(Debug)]
+pub struct LogQueue {
+    entries: SyncSender<QueueEntry>,
+    dropped: DroppedLineCount,
+}
+
+impl LogQueue {
+    /// Returns the count of dropped lines, which is updated until the process exits.
+    #[must_use]
+    pub fn dropped_lines(&self) -> DroppedLineCount {
+        self.dropped.clone()
+    }
+
+    /// Waits until the lines that are queued now are written, at most for `timeout`. Lines that the
+    /// output has not taken by then are lost if the process exits.
+    pub fn drain(&self, timeout: Duration) {
+        let deadline = Instant::now() + timeout;
+        let (acknowledgement, acknowledged) = sync_channel(1);
+        let mut marker = QueueEntry::DrainMarker(acknowledgement);
+        // `SyncSender` can wait for space without a bound or not at all.
+        while let Err(TrySendError::Full(rejected)) = self.entries.try_send(marker) {
+            if Instant::now() >= deadline {
+                return;
+            }
+            marker = rejected;
+            thread::sleep(DRAIN_POLL_INTERVAL);
+        }
+        // Fails if the output is too slow or closed; there is no other place to report that.
+        let _incomplete =
+            acknowledged.recv_timeout(deadline.saturating_duration_since(Instant::now()));
+    }
+}
+
 struct QueueWriter {
-    lines: SyncSender<Vec<u8>>,
+    entries: SyncSender<QueueEntry>,
     dropped: DroppedLineCount,
 }
 
 impl Write for QueueWriter {
     /// Queues one complete line; the logger formats a line before writing it.
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(buf.to_vec()).is_err() {
+        let line = QueueEntry::Line(buf.to_vec());
+        if self.entries.try_send(line).is_err() {
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
@@ -55,15 +102,23 @@
 /// # Errors
 ///
 /// Returns an error when the thread cannot be started.
-pub fn start(level: LevelFilter) -> io::Result<DroppedLineCount> {
-    let (lines, queue) = sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
+pub fn start(level: LevelFilter) -> io::Result<LogQueue> {
+    let (entries, queue) = sync_channel(MAX_QUEUED_LINES);
     let dropped = DroppedLineCount::default();
     thread::Builder::new()
         .name("log".to_owned())
         .stack_size(64 * 1024)
         .spawn(move || {
             let mut output = io::stdout().lock();
-            for line in queue {
+            for entry in queue {
+                let line = match entry {
+                    QueueEntry::Line(line) => line,
+                    QueueEntry::DrainMarker(acknowledgement) => {
+                        // Fails if the drain has timed out.
+                        let _timed_out = acknowledgement.try_send(());
+                        continue;
+                    }
+                };
                 // Standard output is the only place where the failure could be reported.
                 if output
                     .write_all(&line)
@@ -75,7 +130,7 @@
             }
         })?;
     let writer = QueueWriter {
-        lines,
+        entries: entries.clone(),
         dropped: dropped.clone(),
     };
     env_logger::Builder::new()
@@ -84,7 +139,7 @@
         .format(write_line)
         .target(Target::Pipe(Box::new(writer)))
         .init();
-    Ok(dropped)
+    Ok(LogQueue { entries, dropped })
 }
 
 /// Writes each key-value pair as `key=value`, quoted if necessary.
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -63,6 +63,10 @@
     pub pieces_per_call: Histogram,
     /// Requests in progress.
     pub in_progress: Gauge,
+    /// Open client connections.
+    pub client_connections: Gauge,
+    /// Requests whose head arrived after SIGTERM.
+    pub accepted_during_shutdown: Counter,
     /// Log lines dropped since the process started.
     pub log_lines_dropped: Gauge,
 }
@@ -117,6 +121,18 @@
         );
         let in_progress = Gauge::default();
         registry.register("in_progress", "Requests in progress", in_progress.clone());
+        let client_connections = Gauge::default();
+        registry.register(
+            "client_connections",
+            "Open client connections",
+            client_connections.clone(),
+        );
+        let accepted_during_shutdown = Counter::default();
+        registry.register(
+            "accepted_during_shutdown",
+            "Requests accepted during the shutdown",
+            accepted_during_shutdown.clone(),
+        );
         let log_lines_dropped = Gauge::default();
         registry.register(
             "log_lines_dropped",
@@ -133,6 +149,8 @@
             store_calls,
             pieces_per_call,
             in_progress,
+            client_connections,
+            accepted_during_shutdown,
             log_lines_dropped,
         }
     }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -49,6 +49,11 @@
 const SHUTDOWN_RETRY_AFTER_MS: Millis = Millis(100);
 /// Retry delay for clients whose request found no available target.
 const BUSY_RETRY_AFTER_MS: Millis = Millis(250);
+/// Outcome of a request that is dropped without another outcome while the process runs.
+const CLIENT_LEFT: &str = "client_left";
+/// Outcome of a request that was in progress when the process exited.
+const CUT_OFF: &str = "shutdown";
+const CUT_OFF_REASON: &str = "the process exited before the request ended";
 
 /// A request whose route and organisation are known.
 #[derive(Debug)]
@@ -113,7 +118,8 @@
     route: String,
     configuration_version: u64,
     arrived_at: Millis,
-    /// How the request ended; `client_left` until another outcome is set.
+    /// How the request ended; `client_left` until another outcome is set. The exit of the process
+    /// changes `client_left` to `shutdown`.
     pub outcome: &'static str,
     /// The status sent to the client; 0 if there is none yet.
     pub status: u16,
@@ -129,8 +135,41 @@
     pub events: u64,
 }
 
+impl RequestRecord {
+    /// Creates the record of a request without an outcome; `arrived_at` is when its head arrived.
+    #[must_use]
+    pub fn new(
+        shared: Rc<Shared>,
+        labels: RequestLabels,
+        id: String,
+        route: String,
+        configuration_version: u64,
+        arrived_at: Millis,
+    ) -> Self {
+        Self {
+            shared,
+            labels,
+            id,
+            route,
+            configuration_version,
+            arrived_at,
+            outcome: CLIENT_LEFT,
+            status: 0,
+            reason: String::new(),
+            targets: Vec::new(),
+            stages_ms: None,
+            first_event_ms: None,
+            events: 0,
+        }
+    }
+}
+
 impl Drop for RequestRecord {
     fn drop(&mut self) {
+        if self.outcome == CLIENT_LEFT && self.shared.is_exiting() {
+            self.outcome = CUT_OFF;
+            CUT_OFF_REASON.clone_into(&mut self.reason);
+        }
         let took_ms = self.shared.now() - self.arrived_at;
         let outcome = OutcomeLabels {
             organisation: self.labels.organisation.clone(),
@@ -167,6 +206,42 @@
     }
 }
 
+/// Logs the end of a request that the exit of the process cuts off before its body is complete; it
+/// has no [`RequestRecord`] yet.
+struct BodyReadGuard<'a> {
+    shared: &'a Shared,
+    id: &'a str,
+    route: &'a str,
+    arrived_at: Millis,
+}
+
+impl Drop for BodyReadGuard<'_> {
+    fn drop(&mut self) {
+        if self.shared.is_exiting() {
+            info!(
+                request = self.id, route = self.route, status = 0, outcome = CUT_OFF,
+                reason = CUT_OFF_REASON, targets = "",
+                took_ms = (self.shared.now() - self.arrived_at).0;
+                "request ended"
+            );
+        }
+    }
+}
+
+/// Logs and counts a request that arrived after SIGTERM: its identifier is in the log even if the
+/// process is killed.
+fn record_arrival_during_shutdown(shared: &Shared, id: &str, guard: &InProgressGuard) {
+    if let Some(since_sigterm_ms) = shared.shutdown_elapsed_ms() {
+        shared.metrics.accepted_during_shutdown.inc();
+        info!(
+            request = id, since_sigterm_ms = since_sigterm_ms.0,
+            in_progress = shared.in_progress.get(),
+            first_of_connection = guard.is_first_of_connection();
+            "request accepted during shutdown"
+        );
+    }
+}
+
 /// Handles a request and returns the response for the client.
 ///
 /// # Errors
@@ -187,6 +262,7 @@
             return Ok(LocalReply::BadRequest.response(None, None, guard));
         }
     };
+    record_arrival_during_shutdown(shared, &client.id, &guard);
     let reject = |reply: LocalReply, retry_after_ms: Option<Millis>, guard: InProgressGuard| {
         info!(
             request = client.id.as_str(), status = reply.status().as_u16(),
@@ -211,7 +287,15 @@
     let deadline = arrived_at + (client_timeout_ms - RESPONSE_MARGIN_MS).min(route.timeout_ms);
     let limits = route_table.configuration().client_limits;
     let body_future = read_body(body, limits.max_body_bytes);
-    let body = match timeout((deadline - shared.now()).to_duration(), body_future).await {
+    let body_read_guard = BodyReadGuard {
+        shared,
+        id: &client.id,
+        route: &route.name,
+        arrived_at,
+    };
+    let body_result = timeout((deadline - shared.now()).to_duration(), body_future).await;
+    drop(body_read_guard);
+    let body = match body_result {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLarge)) => return reject(LocalReply::TooLarge, None, guard),
         Ok(Err(BodyError::Incomplete)) => return reject(LocalReply::BadRequest, None, guard),
@@ -242,21 +326,14 @@
         organisation.as_deref().unwrap_or_default(),
         &body,
     );
-    let record = RequestRecord {
-        shared: Rc::clone(shared),
-        labels: labels.clone(),
-        id: client.id.clone(),
-        route: route.name.clone(),
-        configuration_version: route_table.configuration().version,
+    let record = RequestRecord::new(
+        Rc::clone(shared),
+        labels.clone(),
+        client.id.clone(),
+        route.name.clone(),
+        route_table.configuration().version,
         arrived_at,
-        outcome: "client_left",
-        status: 0,
-        reason: String::new(),
-        targets: Vec::new(),
-        stages_ms: None,
-        first_event_ms: None,
-        events: 0,
-    };
+    );
     let context = RequestContext {
         shared: Rc::clone(shared),
         client,
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -51,6 +51,9 @@
 const MIN_SHUTDOWN_MS: Millis = Millis(3_200);
 /// Time reserved before the end of the grace period, when the process would be killed.
 const EXIT_MARGIN_MS: Millis = Millis(250);
+/// Maximum time for writing the last log lines. One poll can pass before the decision to exit, and
+/// there is a pause after it; the rest of the margin is for dropping the tasks.
+const LOG_DRAIN_TIMEOUT_MS: Millis = Millis(100);
 /// How often an instance that shuts down checks whether its requests have completed.
 const SHUTDOWN_POLL_MS: Millis = Millis(50);
 /// Exit status after a violated invariant.
@@ -91,8 +94,15 @@
 ///
 /// Returns an error when the instance cannot start.
 pub fn run() -> Result<(), StartError> {
-    let dropped_lines = logging::start(LevelFilter::Info).map_err(StartError::System)?;
+    let log_queue = logging::start(LevelFilter::Info).map_err(StartError::System)?;
     exit_on_panic();
+    let result = run_instance(&log_queue.dropped_lines());
+    log_queue.drain(LOG_DRAIN_TIMEOUT_MS.to_duration());
+    result
+}
+
+/// Runs an instance; its tasks have been dropped, and have logged, when this returns.
+fn run_instance(dropped_lines: &DroppedLineCount) -> Result<(), StartError> {
     let path = settings::file_path().map_err(StartError::Settings)?;
     let settings = settings::read(&path).map_err(StartError::Settings)?;
     let runtime = runtime::Builder::new_current_thread()
@@ -101,7 +111,18 @@
         .map_err(StartError::System)?;
     let shared = Shared::new(settings, Clock::new());
     let local_set = LocalSet::new();
-    local_set.block_on(&runtime, run_until_terminated(shared, &path, dropped_lines))
+    local_set.block_on(
+        &runtime,
+        run_until_terminated(Rc::clone(&shared), &path, dropped_lines.clone()),
+    )?;
+    drop(local_set);
+    info!(
+        requests_cut_off = shared.cut_off_request_count.get(),
+        log_lines_dropped = dropped_lines.total(),
+        since_sigterm_ms = shared.shutdown_elapsed_ms().map_or(0, |ms| ms.0);
+        "all tasks ended; exiting"
+    );
+    Ok(())
 }
 
 /// Exits the process on a panic: the panic may leave shared state partially updated, so no task may
@@ -129,6 +150,7 @@
         }
     }
     shut_down(&shared).await;
+    shared.begin_exit();
     Ok(())
 }
 
@@ -282,7 +304,17 @@
     {
         sleep(SHUTDOWN_POLL_MS).await;
     }
-    info!(in_progress = shared.in_progress.get(), took_ms = (shared.now() - started_at).0; "stopped");
-    // Leaves time for the logging thread to write its queue.
+    let in_progress = shared.in_progress.get();
+    let reason = if in_progress == 0 {
+        "all requests ended"
+    } else {
+        "grace period over"
+    };
+    info!(
+        in_progress, client_connections = shared.client_connection_count.get(),
+        took_ms = (shared.now() - started_at).0, reason;
+        "stopped"
+    );
+    // Lets the connections write what is left of the last responses.
     sleep(SHUTDOWN_POLL_MS).await;
 }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -65,6 +65,10 @@
     pub crash_quarantine: RefCell<CrashQuarantine>,
     /// Number of requests in progress.
     pub in_progress: Cell<usize>,
+    /// Number of open client connections.
+    pub client_connection_count: Cell<usize>,
+    /// Number of requests that were in progress when the process began to exit.
+    pub cut_off_request_count: Cell<usize>,
     route_table: RefCell<Option<Rc<RouteTable>>>,
     instances: RefCell<BTreeMap<String, InstanceEntry>>,
     retry_budgets: RefCell<BTreeMap<String, WindowedRetryBudget>>,
@@ -76,6 +80,7 @@
     phase: watch::Sender<Phase>,
     /// When the process received SIGTERM.
     sigterm_at: Cell<Option<Millis>>,
+    is_exiting: Cell<bool>,
     /// Incremented on each change of targets or services.
     target_changes: watch::Sender<u64>,
 }
@@ -94,6 +99,8 @@
             cold_target_pacer: RefCell::new(ColdTargetPacer::default()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             in_progress: Cell::new(0),
+            client_connection_count: Cell::new(0),
+            cut_off_request_count: Cell::new(0),
             route_table: RefCell::new(None),
             instances: RefCell::new(BTreeMap::new()),
             retry_budgets: RefCell::new(BTreeMap::new()),
@@ -102,6 +109,7 @@
             targets_known: Cell::new(false),
             phase: watch::Sender::new(Phase::Starting),
             sigterm_at: Cell::new(None),
+            is_exiting: Cell::new(false),
             target_changes: watch::Sender::new(0),
         })
     }
@@ -318,6 +326,18 @@
         info!(in_progress = self.in_progress.get(); "shutting down; completing the requests in progress");
     }
 
+    /// Records that no task runs any more, so that requests dropped from now on are cut off by the
+    /// exit and were not left by their clients.
+    pub fn begin_exit(&self) {
+        self.is_exiting.set(true);
+    }
+
+    /// Returns whether the process exits without waiting for requests any longer.
+    #[must_use]
+    pub fn is_exiting(&self) -> bool {
+        self.is_exiting.get()
+    }
+
     fn update_phase(&self) {
         let is_ready = self.targets_known.get() && self.route_table.borrow().is_some();
         if is_ready && self.phase() == Phase::Starting {
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -35,6 +35,20 @@
     pub fn start(name: &str, command: &mut Command, log: &Path) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
         let error_output = output.try_clone()?;
+        Self::start_with_output(name, command, output.into(), error_output.into())
+    }
+
+    /// Starts a program with this standard output and error.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program cannot be started.
+    pub fn start_with_output(
+        name: &str,
+        command: &mut Command,
+        output: Stdio,
+        error_output: Stdio,
+    ) -> io::Result<Self> {
         let child = command
             .stdin(Stdio::null())
             .stdout(output)
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -2,12 +2,14 @@
 
 use std::fs;
 use std::io;
+use std::io::PipeReader;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process;
 use std::process::Command;
+use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -104,6 +106,24 @@
         Ok(())
     }
 
+    /// Starts the instance again with the same settings, after its process has ended. Its log goes
+    /// to the returned pipe, which a test may read slowly or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the pipe cannot be created or the process cannot be started.
+    pub fn restart_with_pipe(&mut self) -> io::Result<PipeReader> {
+        let (reader, writer) = io::pipe()?;
+        let mut command = command(&self.program, &self.settings_file);
+        self.process = Process::start_with_output(
+            &self.settings.name,
+            &mut command,
+            writer.into(),
+            Stdio::inherit(),
+        )?;
+        Ok(reader)
+    }
+
     /// Keeps the log file when the instance is dropped, and returns its path.
     pub fn keep_log(&mut self) -> PathBuf {
         self.keep_log_file = true;
@@ -205,9 +225,14 @@
 }
 
 fn spawn(program: &Path, name: &str, settings_file: &Path) -> io::Result<Process> {
+    let mut command = command(program, settings_file);
+    Process::start(name, &mut command, &log_path(settings_file))
+}
+
+fn command(program: &Path, settings_file: &Path) -> Command {
     let mut command = Command::new(program);
     command
         .arg("--platform")
         .env(settings::SETTINGS_PATH_VARIABLE, settings_file);
-    Process::start(name, &mut command, &log_path(settings_file))
+    command
 }
