shutdown: exit only when all client connections are closed

Callers saw: an instance that had received SIGTERM seconds before read a whole request, sent it to a target and closed the connection without a response, also for bookings.

Cause: shut_down decided to exit when no request was in progress, and then slept for 50 ms for the log while its listener accepted and its connections were read. A request that was read in that time was abandoned by the exit. It is a check of a condition that later events undo (check-then-act): the intake has to end before the last check. Two more paths had the same cause: requests were read and sent until the end of the grace period, and a response counted as complete when its body was handed to the HTTP library.

Ruled out: an exit at the end of the grace period (in_progress=0 at all 2,125 'stopped' lines) and a timeout of the connection (all closes coincide with the exit).

Change: when no request is in progress, the instance enters Phase::Closing: the listener is closed, each connection is closed after its request, and the process exits when the count of open connections is 0, so there is no moment at which a request can be read and lost. Requests that may last longer than the process are refused on arrival as not executed; that held only for streams. The idle timeout of a connection during shutdown runs on while the connection is used; it started anew with each event.

--- a/crates/serving/src/announce.rs
+++ b/crates/serving/src/announce.rs
@@ -74,7 +74,10 @@
     pub async fn announce(self: Rc<Self>) -> Result<(), String> {
         let mut phase = self.shared.subscribe_phase();
         loop {
-            let current = *phase.borrow_and_update();
+            let current = match *phase.borrow_and_update() {
+                Phase::Closing => Phase::Leaving,
+                current => current,
+            };
             let has_changed = *self.last_announced.borrow() != Some(current);
             if current != Phase::Starting && has_changed {
                 *self.last_announced.borrow_mut() = Some(current);
--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -3,6 +3,10 @@
 //! A connection is served until the client closes it or one of its timeouts expires. When the
 //! client closes it, all work for its request is cancelled at once, because the request's future or
 //! its response body owns that work.
+//!
+//! The process exits only when no client connection is open, so every request that was read gets
+//! its response. During [`Phase::Closing`] no connection is accepted, and each open one is closed
+//! once its response is written.
 
 use std::cell::Cell;
 use std::io;
@@ -45,6 +49,9 @@
 /// How long idle connections stay open after SIGTERM. The load balancer probes readiness once a
 /// second and moves clients to other instances after two failed probes.
 pub const SHUTDOWN_IDLE_TIMEOUT_MS: Millis = Millis(2_600);
+/// How long connections stay open after the last one was accepted, so that the first request of a
+/// new connection still arrives.
+const FIRST_REQUEST_TIMEOUT_MS: Millis = Millis(100);
 /// Margin added to the configured idle timeout, so that the client closes first. Clients reuse a
 /// connection for up to 80% of the configured time.
 const IDLE_TIMEOUT_MARGIN_MS: Millis = Millis(500);
@@ -196,7 +203,7 @@
     }
 }
 
-/// Accepts client connections.
+/// Accepts client connections until [`Phase::Closing`].
 ///
 /// # Errors
 ///
@@ -207,7 +214,14 @@
     listener: Rc<TcpListener>,
 ) -> Result<(), String> {
     loop {
-        let (stream, _) = listener.accept().await.map_err(|error| error.to_string())?;
+        let accepted = tokio::select! {
+            // Connections that are established already go before the end of the listener, which
+            // resets them.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = shared.wait_for_phase(|phase| phase == Phase::Closing) => return Ok(()),
+        };
+        let (stream, _) = accepted.map_err(|error| error.to_string())?;
         if let Err(error) = net::set_socket_options(&stream) {
             debug!(error:%; "cannot set socket options of a client connection");
             continue;
@@ -252,7 +266,7 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_header_size(limits.max_header_bytes);
     let mut connection = pin!(builder.serve_connection(io, service));
-    let mut phase = shared.subscribe_phase();
+    let mut shutdown = pin!(wait_for_connection_shutdown(&shared));
     let mut is_shutting_down = false;
     loop {
         // The end of a request does not wake this task, so the timer checks for a new activity
@@ -262,6 +276,9 @@
             .min(shared.now() + limits.idle_timeout_ms)
             - shared.now();
         tokio::select! {
+            // A request that has arrived is read before a timeout or the shutdown closes the
+            // connection.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     debug!(error:%; "client connection closed with an error");
@@ -282,7 +299,7 @@
                 }
             }
             () = activity.timeout_shortened.notified() => {}
-            () = wait_for_shutdown_idle_timeout(&mut phase), if !is_shutting_down => {
+            () = shutdown.as_mut(), if !is_shutting_down => {
                 is_shutting_down = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -290,14 +307,20 @@
     }
 }
 
-/// Waits until the instance shuts down and the idle timeout during shutdown has passed.
-async fn wait_for_shutdown_idle_timeout(phase: &mut tokio::sync::watch::Receiver<Phase>) {
-    if phase
-        .wait_for(|&phase| phase == Phase::Leaving)
-        .await
-        .is_ok()
-    {
+/// Waits until a connection is closed after its request in progress, or at once if it has none:
+/// when the idle timeout during shutdown has passed, or when the instance closes all connections.
+async fn wait_for_connection_shutdown(shared: &Shared) {
+    let idle_timeout = async {
+        shared.wait_for_phase(Phase::is_shutting_down).await;
         sleep(SHUTDOWN_IDLE_TIMEOUT_MS).await;
+    };
+    let closing = async {
+        shared.wait_for_phase(|phase| phase == Phase::Closing).await;
+        sleep(FIRST_REQUEST_TIMEOUT_MS).await;
+    };
+    tokio::select! {
+        () = idle_timeout => {}
+        () = closing => {}
     }
 }
 
@@ -308,7 +331,7 @@
     guard: InProgressGuard,
 ) -> Result<Response<ClientBody>, io::Error> {
     let mut response = request::handle(&shared, &stage_client, http_request, guard).await?;
-    if shared.phase() == Phase::Leaving {
+    if shared.phase().is_shutting_down() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -31,7 +31,6 @@
 use tokio::time::sleep_until;
 
 use crate::net;
-use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
@@ -426,7 +425,7 @@
                     self.push_backlog_reports(&mut replies);
                 }
                 _changed = phase.changed() => {
-                    if *phase.borrow() == Phase::Leaving {
+                    if phase.borrow().is_shutting_down() {
                         replies.push(PeerReply::Leaving);
                     }
                 }
@@ -470,7 +469,7 @@
         let now = self.shared.now();
         match command {
             PeerCommand::Submit(message) => {
-                if self.shared.phase() == Phase::Leaving {
+                if self.shared.phase().is_shutting_down() {
                     replies.push(PeerReply::Leaving);
                     replies.extend(message.pieces.iter().map(|&piece| PeerReply::Piece {
                         number: message.number,
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -42,9 +42,9 @@
 const DEFAULT_DEADLINE_MS: Millis = Millis(30_000);
 /// Retry delay sent to clients while the instance has no configuration yet.
 const STARTING_RETRY_AFTER_MS: Millis = Millis(300);
-/// How long after SIGTERM the instance accepts new streams and other long requests. The load
-/// balancer moves clients to other instances within 3 s.
-const ACCEPT_STREAMS_MS: Millis = Millis(2_800);
+/// How long after SIGTERM the instance accepts streams and other requests that may last until it
+/// exits. The load balancer moves clients to other instances within 3 s.
+const ACCEPT_LONG_REQUESTS_MS: Millis = Millis(2_800);
 /// Retry delay for clients whose request is refused during shutdown.
 const SHUTDOWN_RETRY_AFTER_MS: Millis = Millis(100);
 /// Retry delay for clients whose request found no available target.
@@ -310,11 +310,7 @@
         organisation: organisation.clone().unwrap_or_else(|| "-".to_owned()),
         class: format!("{}-{}", route.kind, route.priority),
     };
-    if let Some(shutdown_elapsed_ms) = shared.shutdown_elapsed_ms()
-        && (route.kind == RouteKind::Stream || route.timeout_ms > shared.settings.shutdown_grace_ms)
-        && shutdown_elapsed_ms >= ACCEPT_STREAMS_MS
-    {
-        // A stream that starts now might not end before the process exits.
+    if !is_accepted_during_shutdown(shared, &route, deadline) {
         return reject(LocalReply::Refused, Some(SHUTDOWN_RETRY_AFTER_MS), guard);
     }
     let Some(service) = routes::select_service(&route, rand::rng().random()) else {
@@ -352,6 +348,17 @@
     process(context, stage_client, guard).await
 }
 
+/// Returns whether a request is accepted in the current phase. During a shutdown that is a request
+/// that ends before the process exits, or that arrives while the load balancer still sends clients
+/// here.
+fn is_accepted_during_shutdown(shared: &Shared, route: &Route, deadline: Millis) -> bool {
+    let Some(shutdown_elapsed_ms) = shared.shutdown_elapsed_ms() else {
+        return true;
+    };
+    shutdown_elapsed_ms < ACCEPT_LONG_REQUESTS_MS
+        || (route.kind != RouteKind::Stream && shared.can_complete_by(deadline))
+}
+
 /// Admits a request, computes its stage results and sends it to a target.
 async fn process(
     mut context: RequestContext,
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -46,13 +46,16 @@
 const MIN_RESTART_DELAY_MS: Millis = Millis(50);
 /// Maximum delay before a failed task is restarted.
 const MAX_RESTART_DELAY_MS: Millis = Millis(2_000);
-/// Minimum time between SIGTERM and exit. The load balancer probes readiness once a second and
+/// Minimum time between SIGTERM and the end of the intake. The load balancer probes readiness once a second and
 /// removes an instance after two failed probes.
 const MIN_SHUTDOWN_MS: Millis = Millis(3_200);
 /// Time reserved before the end of the grace period, when the process would be killed.
 const EXIT_MARGIN_MS: Millis = Millis(250);
-/// Maximum time for writing the last log lines. One poll can pass before the decision to exit, and
-/// there is a pause after it; the rest of the margin is for dropping the tasks.
+/// Time reserved before the exit for closing the client connections, if requests are in progress
+/// until then.
+const CLOSING_MS: Millis = Millis(250);
+/// Maximum time for writing the last log lines. One poll can pass before the decision to exit; the
+/// rest of the margin is for dropping the tasks.
 const LOG_DRAIN_TIMEOUT_MS: Millis = Millis(100);
 /// How often an instance that shuts down checks whether its requests have completed.
 const SHUTDOWN_POLL_MS: Millis = Millis(50);
@@ -293,28 +296,34 @@
     }
 }
 
-/// Shuts down: waits for the requests in progress, at most for the grace period.
+/// Shuts down: completes all requests that were read, at most until the end of the grace period.
+///
+/// That no request is in progress does not end the shutdown, because clients may send further ones.
+/// It only ends the intake, and the process exits when all client connections are closed.
 async fn shut_down(shared: &Shared) {
     shared.begin_shutdown();
     let started_at = shared.now();
     let latest_exit = started_at + shared.settings.shutdown_grace_ms - EXIT_MARGIN_MS;
-    let earliest_exit = (started_at + MIN_SHUTDOWN_MS).min(latest_exit);
-    while shared.now() < earliest_exit
-        || (shared.in_progress.get() > 0 && shared.now() < latest_exit)
+    let latest_closing = latest_exit - CLOSING_MS;
+    let earliest_closing = (started_at + MIN_SHUTDOWN_MS).min(latest_closing);
+    while shared.now() < earliest_closing
+        || (shared.in_progress.get() > 0 && shared.now() < latest_closing)
     {
         sleep(SHUTDOWN_POLL_MS).await;
     }
-    let in_progress = shared.in_progress.get();
-    let reason = if in_progress == 0 {
-        "all requests ended"
+    shared.begin_closing();
+    while shared.client_connection_count.get() > 0 && shared.now() < latest_exit {
+        sleep(SHUTDOWN_POLL_MS).await;
+    }
+    let client_connections = shared.client_connection_count.get();
+    let reason = if client_connections == 0 {
+        "all connections closed"
     } else {
         "grace period over"
     };
     info!(
-        in_progress, client_connections = shared.client_connection_count.get(),
+        in_progress = shared.in_progress.get(), client_connections,
         took_ms = (shared.now() - started_at).0, reason;
         "stopped"
     );
-    // Lets the connections write what is left of the last responses.
-    sleep(SHUTDOWN_POLL_MS).await;
 }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -40,8 +40,21 @@
     Starting,
     /// The instance serves requests.
     Serving,
-    /// The instance has received SIGTERM and completes the requests in progress.
+    /// The instance has received SIGTERM. It still accepts requests, because clients and the load
+    /// balancer need time to move to other instances.
     Leaving,
+    /// The instance accepts no connections any more, and closes each open one after its request in
+    /// progress. The process exits when all connections are closed.
+    #[strum(serialize = "leaving")]
+    Closing,
+}
+
+impl Phase {
+    /// Returns whether the instance has received SIGTERM.
+    #[must_use]
+    pub fn is_shutting_down(self) -> bool {
+        matches!(self, Self::Leaving | Self::Closing)
+    }
 }
 
 /// State shared by all tasks of an instance, which run on one thread.
@@ -293,17 +306,18 @@
             .map(|sigterm_at| self.now() - sigterm_at)
     }
 
-    /// Waits until the instance is shutting down and the time for completing requests is over.
-    pub async fn wait_for_shutdown_deadline(&self) {
+    /// Waits until a condition on the phase holds.
+    pub async fn wait_for_phase(&self, condition: impl Fn(Phase) -> bool) {
         let mut phase = self.subscribe_phase();
-        if phase
-            .wait_for(|&phase| phase == Phase::Leaving)
-            .await
-            .is_err()
-        {
+        if phase.wait_for(|&phase| condition(phase)).await.is_err() {
             // Not reached: the sender lives as long as the process.
             std::future::pending::<()>().await;
         }
+    }
+
+    /// Waits until the instance is shutting down and the time for completing requests is over.
+    pub async fn wait_for_shutdown_deadline(&self) {
+        self.wait_for_phase(Phase::is_shutting_down).await;
         sleep(self.completion_limit_ms() - self.shutdown_elapsed_ms().unwrap_or_default()).await;
     }
 
@@ -314,6 +328,15 @@
             .is_some_and(|shutdown_elapsed_ms| shutdown_elapsed_ms >= self.completion_limit_ms())
     }
 
+    /// Returns whether a request that arrives now and may take until `deadline` ends before the
+    /// process has to exit.
+    #[must_use]
+    pub fn can_complete_by(&self, deadline: Millis) -> bool {
+        self.sigterm_at
+            .get()
+            .is_none_or(|sigterm_at| deadline <= sigterm_at + self.completion_limit_ms())
+    }
+
     /// Returns the time after SIGTERM by which requests have to be complete.
     fn completion_limit_ms(&self) -> Millis {
         self.settings.shutdown_grace_ms - LAST_RESPONSE_MARGIN_MS
@@ -326,6 +349,16 @@
         info!(in_progress = self.in_progress.get(); "shutting down; completing the requests in progress");
     }
 
+    /// Enters [`Phase::Closing`].
+    pub fn begin_closing(&self) {
+        self.phase.send_replace(Phase::Closing);
+        info!(
+            in_progress = self.in_progress.get(),
+            client_connections = self.client_connection_count.get();
+            "accepting no more client connections"
+        );
+    }
+
     /// Records that no task runs any more, so that requests dropped from now on are cut off by the
     /// exit and were not left by their clients.
     pub fn begin_exit(&self) {
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -20,7 +20,6 @@
 use crate::peer::PeerCommand;
 use crate::peer::PeerConnections;
 use crate::peer::SubmitMessage;
-use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::stage_queues::StageQueues;
 use arbutus_coord::Millis;
@@ -311,7 +310,7 @@
             name: &self.shared.settings.name,
             failure_domain: &self.shared.settings.failure_domain,
         };
-        let is_shutting_down = self.shared.phase() == Phase::Leaving;
+        let is_shutting_down = self.shared.phase().is_shutting_down();
         let unavailable_peers = self.unavailable_peers.borrow();
         decide(
             self.shared.now(),
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -28,7 +28,6 @@
 
 use crate::connection::CallError;
 use crate::net::sleep;
-use crate::shared::Phase;
 use crate::shared::Shared;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
@@ -206,7 +205,7 @@
         let mut queue = BatchQueue::new(shared.now(), spec);
         let mut target_changes = shared.subscribe_target_changes();
         let mut phase = shared.subscribe_phase();
-        let mut is_shutting_down = shared.phase() == Phase::Leaving;
+        let mut is_shutting_down = shared.phase().is_shutting_down();
         self.apply_changes(&mut queue);
         loop {
             let now = shared.now();
@@ -228,7 +227,7 @@
                     }
                 }
                 _changed = target_changes.changed() => self.apply_changes(&mut queue),
-                _changed = phase.wait_for(|&phase| phase == Phase::Leaving), if !is_shutting_down => {
+                _changed = phase.wait_for(|phase| phase.is_shutting_down()), if !is_shutting_down => {
                     is_shutting_down = true;
                     let returned = queue.drain();
                     info!(queue:% = self.name, pieces = returned.len(); "shutting down; returning the waiting pieces of a stage queue");
