frontend: do not let the idle timeout cut off a response that is being written

A client that read 24 MB over 4 s got 19 MB: the connection was closed after the idle timeout of 2.5 s.

Cause: a request ends when its body is handed to the HTTP library, and the connection counts as idle from then on, although most of the response is still to be written. It is the class of fault of the lost requests: work counts as done before it is.

Change: each write of response bytes restarts the idle time. A client that reads nothing for the idle timeout is still closed.

--- a/crates/daemon/tests/platform_shutdown.rs
+++ b/crates/daemon/tests/platform_shutdown.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeSet;
 use std::env;
-use std::io::Read;
 use std::net::SocketAddrV4;
 use std::thread;
 use std::time::Duration;
@@ -14,12 +13,12 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use socket2::SockRef;
 
 use crate::common::start_cluster;
 use arbutus_standins::simulated_platform::client::ClientConnection;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::instance::InstanceProcess;
+use arbutus_standins::simulated_platform::slow_client;
 
 const DEFAULT_SEED: u64 = 19;
 /// Grace period in the settings of the instances, after which the platform kills them.
@@ -264,57 +263,33 @@
 /// not yet written to the connections.
 #[test]
 fn an_instance_that_shuts_down_writes_responses_to_slow_clients_completely() {
-    /// More than the send and receive buffers of a connection hold.
-    const BODY_BYTES: usize = 24_000_000;
-    /// The client reads this part of the body in each interval, and thus all of it in 2 seconds.
-    const READ_BYTES: usize = 240_000;
+    /// The client reads the body in 2 seconds.
     const READ_INTERVAL: Duration = Duration::from_millis(20);
     /// Without requests, an instance exits 3.2 seconds after SIGTERM; the client still reads then.
     const REQUEST_DELAY: Duration = Duration::from_secs(2);
-    const RECEIVE_BUFFER_BYTES: usize = 100_000;
 
     let mut cluster = start_cluster(1);
     for target in &cluster.platform.targets {
-        target.set_min_body_bytes(BODY_BYTES);
+        target.set_min_body_bytes(slow_client::BODY_BYTES);
     }
     let terminated_at = Instant::now();
     cluster.instances[0]
         .terminate()
         .expect("the signal is sent");
     thread::sleep(REQUEST_DELAY);
-    let mut connection = ClientRequest::new("GET", "/safe/1", "slow-reader")
+    let connection = ClientRequest::new("GET", "/safe/1", "slow-reader")
         .send(cluster.instances[0].client_address())
         .expect("the instance accepts connections");
-    SockRef::from(&connection)
-        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
-        .expect("the buffer size can be set");
-    let (exit, response) = thread::scope(|scope| {
+    let (exit, body_bytes) = thread::scope(|scope| {
         let instance = &mut cluster.instances[0];
         let exit = scope.spawn(move || (instance.wait(), terminated_at.elapsed()));
-        let mut response = Vec::new();
-        let started_at = Instant::now();
-        let mut interval_count = 0;
-        loop {
-            let length = (&mut connection)
-                .take(READ_BYTES as u64)
-                .read_to_end(&mut response);
-            if length.is_err() || length.is_ok_and(|length| length == 0) {
-                break;
-            }
-            interval_count += 1;
-            let next_read_at = started_at + READ_INTERVAL * interval_count;
-            thread::sleep(next_read_at.saturating_duration_since(Instant::now()));
-        }
-        (exit.join().expect("the instance exits"), response)
+        let body_bytes = slow_client::receive_body(connection, READ_INTERVAL);
+        (exit.join().expect("the instance exits"), body_bytes)
     });
     let (is_success, shutdown_time) = exit;
-    let head_end = response
-        .windows(4)
-        .position(|bytes| bytes == b"\r\n\r\n")
-        .expect("the response has a head");
     assert_eq!(
-        response.len() - head_end - 4,
-        BODY_BYTES,
+        body_bytes,
+        slow_client::BODY_BYTES,
         "bytes of the body; the instance exited {shutdown_time:?} after SIGTERM"
     );
     assert!(is_success.expect("the instance exits"), "exit status");
--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -152,12 +152,23 @@
     }
 }
 
-/// The stream of a client connection; sets the activity when the first byte of a request arrives.
+/// The stream of a client connection; sets the activity when the first byte of a request arrives,
+/// and when bytes of a response leave that the request has handed over.
 struct ObservedStream {
     stream: TcpStream,
     activity: Rc<ConnectionActivity>,
 }
 
+impl ObservedStream {
+    /// Restarts the idle time after a write: a response is written after its request has ended.
+    fn observe_write(&self, polled: &Poll<io::Result<usize>>) {
+        let has_written = matches!(polled, Poll::Ready(Ok(bytes)) if *bytes > 0);
+        if has_written && self.activity.state.get().0 == Activity::Idle {
+            self.activity.set(Activity::Idle);
+        }
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -179,7 +190,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.observe_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -195,7 +208,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.observe_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod example;
 pub mod instance;
+pub mod slow_client;
 pub mod store;
 pub mod target;
 
