dispatch: log the prompt parts of requests whose target crashed

The lines about a broken target had only a hash of the whole request, so they could not show whether different requests that crash targets have a part in common, nor tell the hypotheses of the incident apart.

--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -494,7 +494,7 @@
     );
     info!(
         request = context.client.id.as_str(), target_id = entry.id.as_str(), error:%,
-        fingerprint:? = context.fingerprint;
+        fingerprint:? = context.fingerprint, parts = context.shared_part_ids();
         "target closed the connection without a response"
     );
     if let Some(report) = report {
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Returns the identifiers of the prompt parts that other requests may share, for the log.
+    #[must_use]
+    pub fn shared_part_ids(&self) -> String {
+        let parts = self.client.shared_parts().iter();
+        let ids: Vec<&str> = parts.map(|part| part.id.as_str()).collect();
+        ids.join(",")
+    }
+
     /// Returns when a response, or the first event of a stream, misses the latency objective.
     #[must_use]
     pub fn objective_deadline(&self) -> Millis {
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -93,7 +93,7 @@
             info!(
                 request = self.context.client.id.as_str(), target_id = target.as_str(),
                 reason = reason.as_str(), events = self.splitter.event_count(), runs = self.context.possible_executions,
-                resumable = self.context.route.resumable;
+                resumable = self.context.route.resumable, parts = self.context.shared_part_ids();
                 "stream from the target was cut off"
             );
             if !self.context.route.resumable
