--- a/crates/daemon/tests/platform_logs.rs
+++ b/crates/daemon/tests/platform_logs.rs
@@ -26,6 +26,7 @@
 /// How long a process without a drain would need at most to exit after it has closed its
 /// connections; less than the drain may take.
 const EXIT_WITHOUT_DRAIN: Duration = Duration::from_millis(20);
+const LINE_TIMEOUT: Duration = Duration::from_secs(10);
 
 fn start_platform() -> SimulatedPlatform {
     let platform =
@@ -149,9 +150,14 @@
 #[test]
 fn an_output_that_nobody_reads_does_not_delay_the_exit() {
     let platform = start_platform();
-    let (mut instance, _pipe) = start_instance_with_full_pipe(&platform);
+    let (mut instance, pipe) = start_instance_with_full_pipe(&platform);
     let terminated_at = Instant::now();
     instance.terminate().expect("the signal is sent");
+    // A process that waits for its output exits when the pipe is closed, so that the test fails.
+    thread::spawn(move || {
+        thread::sleep(Duration::from_secs(5));
+        drop(pipe);
+    });
     assert!(
         instance.wait().expect("the instance exits"),
         "the exit status is not 0"
@@ -170,7 +176,9 @@
     let log_path = instance.keep_log();
     let read_log = || fs::read_to_string(&log_path).expect("the log is readable");
     let wait_for_line = |message: &str| {
+        let deadline = Instant::now() + LINE_TIMEOUT;
         while lines_with_message(&read_log(), message).is_empty() {
+            assert!(Instant::now() < deadline, "no line `{message}`");
             thread::sleep(Duration::from_millis(1));
         }
     };
