--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -14,8 +14,12 @@
 
 /// Starts the store and the targets of the platform, and instances in two failure domains.
 pub fn start_cluster(instances: usize) -> TestCluster {
-    let platform =
-        SimulatedPlatform::start(&example::TARGETS).expect("the store and targets start");
+    start_cluster_with_targets(instances, &example::TARGETS)
+}
+
+/// Starts a cluster with targets of these identifiers, services and failure domains.
+pub fn start_cluster_with_targets(instances: usize, targets: &[(&str, &str, &str)]) -> TestCluster {
+    let platform = SimulatedPlatform::start(targets).expect("the store and targets start");
     let first = configuration(1);
     platform
         .store
--- a/crates/standins/src/simulated_platform/example.rs
+++ b/crates/standins/src/simulated_platform/example.rs
@@ -26,6 +26,27 @@
     ("s1", "second", "y"),
 ];
 
+/// Targets of [`TARGETS`] and further ones of the service `engines`, so that some of them remain
+/// while others crash.
+pub const TARGETS_WITH_SPARE_ENGINES: [(&str, &str, &str); 16] = [
+    ("d1", "desk", "x"),
+    ("d2", "desk", "y"),
+    ("e1", "engines", "x"),
+    ("e2", "engines", "y"),
+    ("f1", "first", "x"),
+    ("s1", "second", "y"),
+    ("e3", "engines", "x"),
+    ("e4", "engines", "y"),
+    ("e5", "engines", "x"),
+    ("e6", "engines", "y"),
+    ("e7", "engines", "x"),
+    ("e8", "engines", "y"),
+    ("e9", "engines", "x"),
+    ("e10", "engines", "y"),
+    ("e11", "engines", "x"),
+    ("e12", "engines", "y"),
+];
+
 /// Returns a route of the host `a.example` to one service.
 ///
 /// It is resumable if its path prefix contains `resumable`.
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -24,11 +25,18 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::runtime;
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::simulated_platform::store::Store;
 use crate::simulated_platform::target::Target;
 
+/// Time between a crash of a target and its next incarnation.
+const CRASH_DOWNTIME: Duration = Duration::from_secs(1);
+const LISTEN_BACKLOG: u32 = 1_024;
+
 /// The running servers of a simulated platform.
 #[derive(Debug)]
 pub struct SimulatedPlatform {
@@ -73,13 +81,13 @@
             .spawn(move || {
                 runtime.block_on(async move {
                     for (listener, target) in servers {
-                        tokio::spawn(accept_connections(listener, move |request| {
-                            target::respond_to(Arc::clone(&target), request)
-                        }));
+                        tokio::spawn(serve_target(listener, target, Arc::clone(&served_store)));
                     }
-                    accept_connections(listener, move |request| {
-                        store::respond_to(Arc::clone(&served_store), request)
-                    })
+                    accept_connections(
+                        listener,
+                        move |request| store::respond_to(Arc::clone(&served_store), request),
+                        &watch::Sender::new(()).subscribe(),
+                    )
                     .await;
                 });
             })?;
@@ -119,8 +127,41 @@
     }
 }
 
-async fn accept_connections<F, R, B>(listener: TcpListener, respond: F)
-where
+/// Serves the incarnations of a target. After each crash, connections are refused until the next
+/// incarnation is in the store.
+async fn serve_target(
+    mut listener: TcpListener,
+    target: Arc<Target>,
+    store: Arc<Store>,
+) -> io::Result<()> {
+    let mut crashes = target.crashes();
+    loop {
+        let (connection_breaks, breaks) = watch::channel(());
+        let served_target = Arc::clone(&target);
+        let respond = move |request| target::respond_to(Arc::clone(&served_target), request);
+        tokio::select! {
+            () = accept_connections(listener, respond, &breaks) => return Ok(()),
+            _ = crashes.changed() => {}
+        }
+        // The bound socket keeps the port, and refuses connections until it listens. Connections
+        // break afterwards, so that a client which observes this cannot connect any more.
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(target.address.into())?;
+        connection_breaks.send_replace(());
+        sleep(CRASH_DOWNTIME).await;
+        crashes.mark_unchanged();
+        listener = socket.listen(LISTEN_BACKLOG)?;
+        store.put_target(&target.entry())?;
+    }
+}
+
+/// Serves connections, all of which break when `breaks` changes.
+async fn accept_connections<F, R, B>(
+    listener: TcpListener,
+    respond: F,
+    breaks: &watch::Receiver<()>,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = io::Result<Response<B>>> + Send + 'static,
     B: Body + Send + 'static,
@@ -129,11 +170,15 @@
 {
     while let Ok((stream, _)) = listener.accept().await {
         let respond = respond.clone();
+        let mut breaks = breaks.clone();
         tokio::spawn(async move {
             let connection =
                 http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(respond));
             // Fails if an injected fault has aborted the connection.
-            let _aborted = connection.await;
+            tokio::select! {
+                _aborted = connection => {}
+                Ok(()) = breaks.changed() => {}
+            }
         });
     }
 }
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -24,6 +24,7 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use arbutus_coord::Millis;
@@ -81,6 +82,8 @@
     response_delay: Duration,
     /// Minimum size of a response body that is not a stream.
     min_body_bytes: usize,
+    /// Prompt part that crashes the target when it begins to respond.
+    deadly_part: Option<String>,
     /// Sources of the pieces of each stage call.
     stage_calls: Vec<Vec<PieceSource>>,
     /// Handles of the results that instances have freed.
@@ -96,8 +99,9 @@
     id: String,
     service: String,
     failure_domain: String,
-    address: SocketAddrV4,
+    pub(super) address: SocketAddrV4,
     state: Mutex<State>,
+    crash_count: watch::Sender<u64>,
 }
 
 impl Target {
@@ -113,15 +117,17 @@
             failure_domain: failure_domain.to_owned(),
             address,
             state: Mutex::new(State::default()),
+            crash_count: watch::Sender::new(0),
         }
     }
 
-    /// Returns the entry of the target for the store; it has 8 slots and is warm.
+    /// Returns the entry of the target for the store; it has 8 slots and is warm. Each crash begins
+    /// a new incarnation.
     #[must_use]
     pub fn entry(&self) -> TargetEntry {
         TargetEntry {
             id: self.id.clone(),
-            incarnation: Some(1),
+            incarnation: Some(1 + *self.crash_count.borrow()),
             service: self.service.clone(),
             address: self.lock().proxy.unwrap_or(self.address),
             failure_domain: self.failure_domain.clone(),
@@ -151,6 +157,32 @@
         self.lock().min_body_bytes = bytes;
     }
 
+    /// Crashes the target when it begins to respond to a stream request with this prompt part, except
+    /// as the last part: the response head is sent, and then all connections to the target break.
+    pub fn set_deadly_part(&self, part: Option<&str>) {
+        self.lock().deadly_part = part.map(str::to_owned);
+    }
+
+    /// Returns a receiver of the number of crashes.
+    pub(super) fn crashes(&self) -> watch::Receiver<u64> {
+        self.crash_count.subscribe()
+    }
+
+    fn crash(&self) {
+        self.crash_count.send_modify(|count| *count += 1);
+    }
+
+    fn is_deadly(&self, prompt_parts: &str) -> bool {
+        let Some((shared_parts, _last)) = prompt_parts.rsplit_once(',') else {
+            return false;
+        };
+        let state = self.lock();
+        shared_parts.split(',').any(|part| {
+            let id = part.split_once(':').map(|(id, _)| id.trim());
+            id.is_some() && id == state.deadly_part.as_deref()
+        })
+    }
+
     /// Removes the faults that no request has taken yet.
     pub fn clear_faults(&self) {
         self.lock().faults.clear();
@@ -253,7 +285,8 @@
             _ => None,
         };
         headers.push((http::header::CONTENT_TYPE, "text/event-stream".to_owned()));
-        let body = TargetBody::events(last_event + 1, abort_after, completion);
+        let mut body = TargetBody::events(last_event + 1, abort_after, completion);
+        body.is_deadly = target.is_deadly(&header_text(&names::PROMPT_PARTS));
         return respond(StatusCode::OK, &headers, body);
     }
     let mut content = format!("answer of {}", target.id).into_bytes();
@@ -326,6 +359,8 @@
     next_event: Option<u64>,
     /// Number of the last complete event before the connection breaks.
     abort_after: Option<u64>,
+    /// Whether the target crashes instead of the first event.
+    is_deadly: bool,
     delay: Option<Pin<Box<tokio::time::Sleep>>>,
     completion: Option<ResponseCompletion>,
 }
@@ -337,6 +372,7 @@
             is_truncated: false,
             next_event: None,
             abort_after: None,
+            is_deadly: false,
             delay: None,
             completion: None,
         }
@@ -394,6 +430,14 @@
             return Poll::Pending;
         }
         self.delay = None;
+        // The response head was written during the delay.
+        if self.is_deadly {
+            if let Some(completion) = &self.completion {
+                completion.target.crash();
+            }
+            // The connection breaks with all others of the target.
+            return Poll::Pending;
+        }
         // Half of the event after the last complete one has been sent.
         if self
             .abort_after
