soak: check that a shutdown loses no request that was read

The soak could not find requests that an instance read in its last 50 ms and left without a response: it excused every lost connection from 3.0 s after SIGTERM, although the exit is at 3.2 s or later; no client kept its connection; targets responded at once; SIGTERM came alone; a plain response that was cut off passed; and the exit of a terminated process was not looked at.

A shutdown is now recorded by itself, with its exit, and excuses only requests that no target executed and that the instance did not read (the kernel then resets the connection). Before 3.0 s after SIGTERM it excuses this only on connections that were kept. A request that ends with an exit before the last 0.5 s of the grace period is lost, also if it is a stream. Plain responses with status 200 have to be complete. The exit has to succeed within the grace period. Every second client keeps its connection, targets respond after 25 ms, and a series of SIGTERM at random intervals under 300 ms, half of them with SIGHUP, replaces the single one.

--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -71,6 +71,15 @@
         self.signal(Signal::TERM)
     }
 
+    /// Sends SIGHUP, which requests that the settings are read again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Suspends the process with SIGSTOP until [`Process::resume`].
     ///
     /// # Errors
--- a/crates/standins/src/simulated_platform/client.rs
+++ b/crates/standins/src/simulated_platform/client.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::net::SocketAddrV4;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use arbutus_platform::names;
@@ -14,6 +15,8 @@
 /// How long a read waits for bytes before the response counts as ended.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 const READ_BUFFER_BYTES: usize = 16_384;
+/// Time for the reset that responds to a request on a connection that the server has closed.
+const RESET_DELAY: Duration = Duration::from_millis(5);
 
 /// A request of a client.
 #[derive(Clone, Debug)]
@@ -179,9 +182,35 @@
         }
     }
 
+    /// Sends a request and reads until the connection ends or, with `keep_open`, until the response
+    /// is complete. Returns what has arrived, and whether the server closed the connection without
+    /// having read the request: the kernel then resets it, and otherwise ends it in order.
+    pub fn exchange(&mut self, request: &ClientRequest, keep_open: bool) -> (ClientResponse, bool) {
+        let mut is_reset = self.write(request, keep_open).is_err();
+        let mut bytes = Vec::new();
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        while !(keep_open && parse_response(&bytes).is_complete) {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(length) => bytes.extend_from_slice(&buffer[..length]),
+                Err(error) => {
+                    is_reset |= error.kind() != io::ErrorKind::WouldBlock;
+                    break;
+                }
+            }
+        }
+        if bytes.is_empty() && !is_reset {
+            // The server may have closed the connection just before the request was written.
+            thread::sleep(RESET_DELAY);
+            is_reset = !matches!(self.stream.take_error(), Ok(None));
+        }
+        (parse_response(&bytes), is_reset && bytes.is_empty())
+    }
+
+    /// Writes the head and the body at once, so that a server reads both or neither.
     fn write(&mut self, request: &ClientRequest, keep_open: bool) -> io::Result<()> {
-        self.stream.write_all(request.head(keep_open).as_bytes())?;
-        self.stream.write_all(request.body.as_bytes())
+        let text = request.head(keep_open) + &request.body;
+        self.stream.write_all(text.as_bytes())
     }
 }
 
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -22,6 +22,8 @@
 use arbutus_platform::settings::InstanceSettings;
 use arbutus_policy::serving::retry_budget::RetryLimits;
 
+/// Time after SIGTERM after which the platform kills an instance.
+pub const SHUTDOWN_GRACE_MS: Millis = Millis(5_000);
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Duration of one wait for the end of a process; waits are repeated until it has ended.
 const EXIT_WAIT: Duration = Duration::from_secs(1);
@@ -71,7 +73,7 @@
             peer_ports: (7_740, 7_755),
             store_address: store,
             memory_bytes: 128 * 1_048_576,
-            shutdown_grace_ms: Millis(5_000),
+            shutdown_grace_ms: SHUTDOWN_GRACE_MS,
             retry_limits: RetryLimits {
                 ratio: 0.2,
                 extra_retries: 119.0,
@@ -149,6 +151,15 @@
         self.process.terminate()
     }
 
+    /// Sends SIGHUP, which requests that the settings are read again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be signalled.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.process.hang_up()
+    }
+
     /// Suspends the process until [`InstanceProcess::resume`].
     ///
     /// # Errors
@@ -176,6 +187,16 @@
         self.process.kill()
     }
 
+    /// Returns whether the process exited with status 0; `None` if it is still running.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its state cannot be read.
+    pub fn exit_success(&mut self) -> io::Result<Option<bool>> {
+        let status = self.process.wait(Duration::ZERO)?;
+        Ok(status.map(|status| status.success()))
+    }
+
     /// Waits until the process has ended; returns whether it exited with status 0.
     ///
     /// # Errors
--- a/crates/standins/src/soak/clients.rs
+++ b/crates/standins/src/soak/clients.rs
@@ -1,4 +1,5 @@
-//! The clients of a soak test and what they observe.
+//! The clients of a soak test and what they observe. Every second one keeps its connection, and uses
+//! it until the instance closes it or announces that.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -11,6 +12,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::simulated_platform::client::ClientConnection;
 use crate::simulated_platform::client::ClientRequest;
 use crate::simulated_platform::client::ClientResponse;
 use crate::simulated_platform::example;
@@ -72,12 +74,16 @@
     pub kind: RequestKind,
     /// Index of the instance that received the request.
     pub instance: usize,
-    /// When the client opened the connection.
+    /// When the client opened the connection, or sent the request on a connection that it had kept.
     pub sent_at: Instant,
-    /// When the connection ended.
+    /// When the connection ended or, if it is kept, the response was complete.
     pub ended_at: Instant,
     /// The response; `None` if no connection could be opened.
     pub response: Option<ClientResponse>,
+    /// Whether the connection had carried an earlier request.
+    pub is_connection_reused: bool,
+    /// Whether the instance closed or refused the connection without having read the request.
+    pub is_unread: bool,
 }
 
 impl Observation {
@@ -105,6 +111,8 @@
 pub fn run(context: &ClientContext, seed: u64, client: usize) -> Vec<Observation> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(client as u64));
     let mut observations = Vec::new();
+    let keep_open = client.is_multiple_of(2);
+    let mut kept: Option<(usize, ClientConnection)> = None;
     while !context.stop.load(Ordering::Relaxed) {
         let kind = match rng.random_range(0..6) {
             0 => RequestKind::Safe,
@@ -114,36 +122,59 @@
             4 => RequestKind::Staged,
             _ => RequestKind::NewRoute(context.required_version.load(Ordering::Relaxed)),
         };
-        let instance = rng.random_range(0..context.instances.len());
+        let random_instance = rng.random_range(0..context.instances.len());
+        let (instance, connection) = kept
+            .take()
+            .map_or((random_instance, None), |(instance, connection)| {
+                (instance, Some(connection))
+            });
         let id = format!("{seed}-{client}-{}", observations.len());
-        observations.push(send_request(context, kind, instance, id));
+        let (observation, connection) =
+            send_request(context, kind, instance, id, connection, keep_open);
+        kept = connection.map(|connection| (instance, connection));
+        observations.push(observation);
         let pause_ms = rng.random_range(0..MAX_PAUSE_MS);
         thread::sleep(Duration::from_millis(pause_ms));
     }
     observations
 }
 
-/// Sends one request to an instance.
+/// Sends one request to an instance, on the given connection or a new one. Returns the connection if
+/// it can be used again, which is possible only with `keep_open`.
 #[must_use]
 pub fn send_request(
     context: &ClientContext,
     kind: RequestKind,
     instance: usize,
     id: String,
-) -> Observation {
+    connection: Option<ClientConnection>,
+    keep_open: bool,
+) -> (Observation, Option<ClientConnection>) {
     let sent_at = Instant::now();
+    let is_connection_reused = connection.is_some();
     // A connection failure is recorded as no response. Whether it is a violation depends on the
     // faults of the instance.
-    let response = kind
-        .build_request(&id)
-        .call(context.instances[instance])
-        .ok();
-    Observation {
+    let mut connection =
+        connection.or_else(|| ClientConnection::open(context.instances[instance]).ok());
+    let (response, is_unread) = connection
+        .as_mut()
+        .map(|connection| connection.exchange(&kind.build_request(&id), keep_open))
+        .map_or((None, true), |(response, is_unread)| {
+            (Some(response), is_unread)
+        });
+    let is_reusable = response.as_ref().is_some_and(|response| {
+        let is_closing = response.headers.get("connection").map(String::as_str) == Some("close");
+        keep_open && response.is_complete && !is_closing
+    });
+    let observation = Observation {
         id,
         kind,
         instance,
         sent_at,
         ended_at: Instant::now(),
         response,
-    }
+        is_connection_reused,
+        is_unread,
+    };
+    (observation, connection.filter(|_| is_reusable))
 }
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A seed determines the faults, which can overlap. Instances reach the store and the targets
 //! through proxies that delay, reset or hold connections, or hold only the responses; instances are
-//! terminated, paused, killed and restarted; targets send faulty responses; the store becomes
+//! terminated in overlapping series, paused, killed and restarted; targets send faulty responses; the store becomes
 //! unavailable; the configuration changes. After all faults have ended, every kind of request has
 //! to succeed at every instance.
 
@@ -35,6 +35,7 @@
 use crate::simulated_platform::target::Fault;
 use crate::soak::checks::FaultPeriod;
 use crate::soak::checks::InstanceFault;
+use crate::soak::checks::Shutdown;
 use crate::soak::checks::SoakRecord;
 use crate::soak::clients::ClientContext;
 use crate::soak::clients::RequestKind;
@@ -46,9 +47,13 @@
 const MAX_FAULT_INTERVAL_MS: u64 = 450;
 /// Time within which instances have to apply a new configuration.
 const CONFIGURATION_TIME_LIMIT: Duration = Duration::from_secs(2);
-/// Time for which an instance that is shutting down has to keep serving, so that a load balancer
-/// can move its clients to other instances.
-const SHUTDOWN_SERVING_TIME: Duration = Duration::from_secs(3);
+/// Delay of the responses of targets, so that requests of the last moments are still at a target
+/// when a process exits.
+const RESPONSE_DELAY: Duration = Duration::from_millis(25);
+/// Longest time between two SIGTERM of a series, in milliseconds. A shutdown takes at least ten
+/// times as long.
+const MAX_TERMINATION_INTERVAL_MS: u64 = 300;
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time between the end of all faults and the final requests. Instances call a failed target again
 /// within 4 s. They call an unreachable instance again after at most 12 s, which can be later
 /// than the final requests.
@@ -92,7 +97,7 @@
     pub logs: Vec<PathBuf>,
 }
 
-/// An action that ends a fault, with the index of the target or instance.
+/// An action that ends or continues a fault, with the index of the target or instance.
 enum Recovery {
     /// Lets the proxy of a target forward again.
     TargetProxy(usize),
@@ -102,12 +107,24 @@
     Store,
     /// Resumes a paused instance.
     Resume(usize),
-    /// Restarts a killed or terminated instance.
+    /// Terminates the next instance of a series.
+    Terminate(usize, HangUp),
+    /// Restarts a terminated instance if it has exited, and otherwise checks again later.
+    CheckExit(usize),
+    /// Restarts a killed instance.
     Restart(usize),
     /// Ends the fault of a restarted instance if it is ready, and otherwise checks again later.
     CheckReadiness(usize),
 }
 
+/// Whether an instance receives SIGHUP together with SIGTERM.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum HangUp {
+    No,
+    Before,
+    After,
+}
+
 struct SoakRun {
     platform: SimulatedPlatform,
     /// Runs the proxies until it is dropped.
@@ -127,6 +144,7 @@
     recoveries: Vec<(Instant, Recovery)>,
     active_faults: Vec<FaultPeriod>,
     ended_faults: Vec<FaultPeriod>,
+    shutdowns: Vec<Shutdown>,
     fault_count: usize,
 }
 
@@ -159,6 +177,7 @@
         *record.executions.entry(id).or_default() += 1;
     }
     record.fault_periods.append(&mut soak.ended_faults);
+    record.shutdowns.append(&mut soak.shutdowns);
     let mut violations = record.violations();
     violations.extend(final_violations);
     let logs = if violations.is_empty() {
@@ -193,6 +212,7 @@
         for target in &platform.targets {
             let proxy = Proxy::start(runtime.handle(), target.entry().address)?;
             target.set_proxy(proxy.address);
+            target.set_response_delay(RESPONSE_DELAY);
             platform.store.put_target(&target.entry())?;
             target_proxies.push(proxy);
         }
@@ -230,6 +250,7 @@
             recoveries: Vec::new(),
             active_faults: Vec::new(),
             ended_faults: Vec::new(),
+            shutdowns: Vec::new(),
             fault_count: 0,
         };
         soak.write_configuration()?;
@@ -296,7 +317,7 @@
                 self.instances[instance].kill()?;
                 self.recoveries.push((ends_at, Recovery::Restart(instance)));
             }
-            6 if !self.is_down(instance) => self.terminate(instance)?,
+            6 if !self.is_down(instance) => self.terminate_series(rng, instance),
             7 => self.write_configuration()?,
             _ => {
                 let fault = match rng.random_range(0..6) {
@@ -313,24 +334,70 @@
         Ok(())
     }
 
-    /// Asks an instance to shut down, and restarts it later.
-    ///
-    /// The instance has to serve requests until the end of [`SHUTDOWN_SERVING_TIME`], so its fault
-    /// begins only then.
-    fn terminate(&mut self, instance: usize) -> io::Result<()> {
-        self.instances[instance].terminate()?;
-        let fault_starts_at = Instant::now() + SHUTDOWN_SERVING_TIME;
-        self.active_faults.push(FaultPeriod {
+    /// Terminates instances at short random intervals, some together with SIGHUP, so that their
+    /// shutdowns overlap; those that are down when it is their turn are left out.
+    fn terminate_series(&mut self, rng: &mut ChaCha8Rng, first: usize) {
+        let mut at = Instant::now();
+        for number in 0..rng.random_range(1..=self.instances.len()) {
+            let instance = (first + number) % self.instances.len();
+            let hang_up = match rng.random_range(0..4) {
+                0 => HangUp::Before,
+                1 => HangUp::After,
+                _ => HangUp::No,
+            };
+            self.recoveries
+                .push((at, Recovery::Terminate(instance, hang_up)));
+            at += Duration::from_millis(rng.random_range(0..MAX_TERMINATION_INTERVAL_MS));
+        }
+    }
+
+    fn terminate(&mut self, instance: usize, hang_up: HangUp) -> io::Result<()> {
+        if self.is_down(instance) {
+            return Ok(());
+        }
+        if hang_up == HangUp::Before {
+            self.instances[instance].hang_up()?;
+        }
+        self.shutdowns.push(Shutdown {
             instance,
-            fault: InstanceFault::Process,
-            from: fault_starts_at,
-            to: fault_starts_at,
+            terminated_at: Instant::now(),
+            exit: None,
+            ready_at: None,
         });
-        self.recoveries
-            .push((fault_starts_at, Recovery::Restart(instance)));
+        self.instances[instance].terminate()?;
+        if hang_up == HangUp::After {
+            self.instances[instance].hang_up()?;
+        }
+        self.check_exit(instance)
+    }
+
+    /// Restarts a terminated instance if it has exited, and kills it at the end of its grace period
+    /// as the platform does.
+    fn check_exit(&mut self, instance: usize) -> io::Result<()> {
+        let is_success = self.instances[instance].exit_success()?;
+        let now = Instant::now();
+        let Some(shutdown) = self.active_shutdown(instance) else {
+            return Ok(());
+        };
+        if is_success.is_none() && now < shutdown.grace_end() {
+            self.recoveries
+                .push((now + EXIT_POLL_INTERVAL, Recovery::CheckExit(instance)));
+            return Ok(());
+        }
+        shutdown.exit = Some((now, is_success == Some(true)));
+        self.instances[instance].kill()?;
+        self.instances[instance].restart()?;
+        self.schedule_readiness_check(instance);
         Ok(())
     }
 
+    /// Returns the shutdown of an instance that has not become ready again.
+    fn active_shutdown(&mut self, instance: usize) -> Option<&mut Shutdown> {
+        self.shutdowns
+            .iter_mut()
+            .find(|shutdown| shutdown.instance == instance && shutdown.ready_at.is_none())
+    }
+
     /// Writes a configuration with one more route to the store.
     ///
     /// Does nothing while instances may still be applying the previous one.
@@ -358,11 +425,17 @@
             .store(self.version, Ordering::Relaxed);
     }
 
-    /// Returns whether a process fault of the instance has not ended.
+    /// Returns whether a process fault or a shutdown of the instance has not ended.
     fn is_down(&self, instance: usize) -> bool {
-        self.active_faults
+        let has_fault = self
+            .active_faults
             .iter()
-            .any(|period| period.instance == instance && period.fault == InstanceFault::Process)
+            .any(|period| period.instance == instance && period.fault == InstanceFault::Process);
+        has_fault
+            || self
+                .shutdowns
+                .iter()
+                .any(|shutdown| shutdown.instance == instance && shutdown.ready_at.is_none())
     }
 
     fn record_fault_start(&mut self, instance: usize, fault: InstanceFault) {
@@ -422,6 +495,8 @@
                 self.instances[instance].resume()?;
                 self.record_fault_end(instance, InstanceFault::Process);
             }
+            Recovery::Terminate(instance, hang_up) => self.terminate(instance, hang_up)?,
+            Recovery::CheckExit(instance) => self.check_exit(instance)?,
             Recovery::Restart(instance) => {
                 // The exit status does not matter, because the process may have been killed.
                 let _is_success = self.instances[instance].wait()?;
@@ -431,6 +506,9 @@
             Recovery::CheckReadiness(instance) => {
                 if self.instances[instance].is_ready() {
                     self.record_fault_end(instance, InstanceFault::Process);
+                    if let Some(shutdown) = self.active_shutdown(instance) {
+                        shutdown.ready_at = Some(Instant::now());
+                    }
                 } else {
                     self.schedule_readiness_check(instance);
                 }
@@ -481,7 +559,7 @@
                 };
                 let attempts = (0..MAX_FINAL_ATTEMPTS).map(|number| {
                     let id = format!("last-{instance}-{kind}-{number}");
-                    clients::send_request(&self.client_context, kind, instance, id)
+                    clients::send_request(&self.client_context, kind, instance, id, None, false).0
                 });
                 let mut served = false;
                 for observation in attempts {
