--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -3,6 +3,10 @@
 //! A connection is served until the client closes it or one of its timeouts expires. When the
 //! client closes it, all work for its request is cancelled at once, because the request's future or
 //! its response body owns that work.
+//!
+//! The process exits only when no client connection is open, so every request that was read gets
+//! its response. During [`Phase::Closing`] no connection is accepted, and each open one is closed
+//! once its response is written.
 
 use std::cell::Cell;
 use std::io;
@@ -21,6 +25,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use log::info;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -44,6 +49,9 @@
 /// How long idle connections stay open after SIGTERM. The load balancer probes readiness once a
 /// second and moves clients to other instances after two failed probes.
 pub const SHUTDOWN_IDLE_TIMEOUT_MS: Millis = Millis(2_600);
+/// How long connections stay open after the last one was accepted, so that the first request of a
+/// new connection still arrives.
+const FIRST_REQUEST_TIMEOUT_MS: Millis = Millis(100);
 /// Margin added to the configured idle timeout, so that the client closes first. Clients reuse a
 /// connection for up to 80% of the configured time.
 const IDLE_TIMEOUT_MARGIN_MS: Millis = Millis(500);
@@ -64,6 +72,8 @@
 pub struct ConnectionActivity {
     shared: Rc<Shared>,
     state: Cell<(Activity, Millis)>,
+    /// Number of requests received so far.
+    request_count: Cell<u64>,
     /// Notified when a new activity has a shorter timeout than the previous one.
     timeout_shortened: Notify,
 }
@@ -95,11 +105,18 @@
 impl InProgressGuard {
     fn new(activity: &Rc<ConnectionActivity>) -> Self {
         activity.set(Activity::Serving);
+        activity.request_count.set(activity.request_count.get() + 1);
         let shared = &activity.shared;
         shared.in_progress.set(shared.in_progress.get() + 1);
         shared.metrics.in_progress.inc();
         Self(Rc::clone(activity))
     }
+
+    /// Returns whether the request is the first of its connection.
+    #[must_use]
+    pub fn is_first_of_connection(&self) -> bool {
+        self.0.request_count.get() == 1
+    }
 }
 
 impl Drop for InProgressGuard {
@@ -107,10 +124,34 @@
         let shared = &self.0.shared;
         shared.in_progress.set(shared.in_progress.get() - 1);
         shared.metrics.in_progress.dec();
+        if shared.is_exiting() {
+            let cut_off = &shared.cut_off_request_count;
+            cut_off.set(cut_off.get() + 1);
+        }
         self.0.set(Activity::Idle);
     }
 }
 
+/// Counts a client connection as open until it is dropped.
+struct OpenConnectionGuard(Rc<Shared>);
+
+impl OpenConnectionGuard {
+    fn new(shared: &Rc<Shared>) -> Self {
+        let count = &shared.client_connection_count;
+        count.set(count.get() + 1);
+        shared.metrics.client_connections.inc();
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        let count = &self.0.client_connection_count;
+        count.set(count.get() - 1);
+        self.0.metrics.client_connections.dec();
+    }
+}
+
 /// The stream of a client connection; sets the activity when the first byte of a request arrives.
 struct ObservedStream {
     stream: TcpStream,
@@ -162,7 +203,7 @@
     }
 }
 
-/// Accepts client connections.
+/// Accepts client connections until [`Phase::Closing`].
 ///
 /// # Errors
 ///
@@ -173,16 +214,24 @@
     listener: Rc<TcpListener>,
 ) -> Result<(), String> {
     loop {
-        let (stream, _) = listener.accept().await.map_err(|error| error.to_string())?;
+        let accepted = tokio::select! {
+            // Connections that are established already go before the end of the listener, which
+            // resets them.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = shared.wait_for_phase(|phase| phase == Phase::Closing) => return Ok(()),
+        };
+        let (stream, _) = accepted.map_err(|error| error.to_string())?;
         if let Err(error) = net::set_socket_options(&stream) {
             debug!(error:%; "cannot set socket options of a client connection");
             continue;
         }
-        spawn_local(serve_connection(
-            Rc::clone(&shared),
-            Rc::clone(&stage_client),
-            stream,
-        ));
+        let guard = OpenConnectionGuard::new(&shared);
+        let connection = serve_connection(Rc::clone(&shared), Rc::clone(&stage_client), stream);
+        spawn_local(async move {
+            connection.await;
+            drop(guard);
+        });
     }
 }
 
@@ -194,6 +243,7 @@
         });
     let activity = Rc::new(ConnectionActivity {
         state: Cell::new((Activity::Idle, shared.now())),
+        request_count: Cell::new(0),
         timeout_shortened: Notify::new(),
         shared: Rc::clone(&shared),
     });
@@ -216,7 +266,7 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_header_size(limits.max_header_bytes);
     let mut connection = pin!(builder.serve_connection(io, service));
-    let mut phase = shared.subscribe_phase();
+    let mut shutdown = pin!(wait_for_connection_shutdown(&shared));
     let mut is_shutting_down = false;
     loop {
         // The end of a request does not wake this task, so the timer checks for a new activity
@@ -226,6 +276,9 @@
             .min(shared.now() + limits.idle_timeout_ms)
             - shared.now();
         tokio::select! {
+            // A request that has arrived is read before a timeout or the shutdown closes the
+            // connection.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     debug!(error:%; "client connection closed with an error");
@@ -234,11 +287,19 @@
             }
             () = sleep(timeout_ms) => {
                 if activity.expires_at(&limits) <= shared.now() {
+                    let (activity_at_timeout, since) = activity.state.get();
+                    if activity_at_timeout == Activity::ReadingHead {
+                        info!(
+                            waited_ms = (shared.now() - since).0,
+                            earlier_requests = activity.request_count.get();
+                            "client connection closed before a request head was complete"
+                        );
+                    }
                     return;
                 }
             }
             () = activity.timeout_shortened.notified() => {}
-            () = wait_for_shutdown_idle_timeout(&mut phase), if !is_shutting_down => {
+            () = shutdown.as_mut(), if !is_shutting_down => {
                 is_shutting_down = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -246,14 +307,20 @@
     }
 }
 
-/// Waits until the instance shuts down and the idle timeout during shutdown has passed.
-async fn wait_for_shutdown_idle_timeout(phase: &mut tokio::sync::watch::Receiver<Phase>) {
-    if phase
-        .wait_for(|&phase| phase == Phase::Leaving)
-        .await
-        .is_ok()
-    {
+/// Waits until a connection is closed after its request in progress, or at once if it has none:
+/// when the idle timeout during shutdown has passed, or when the instance closes all connections.
+async fn wait_for_connection_shutdown(shared: &Shared) {
+    let idle_timeout = async {
+        shared.wait_for_phase(Phase::is_shutting_down).await;
         sleep(SHUTDOWN_IDLE_TIMEOUT_MS).await;
+    };
+    let closing = async {
+        shared.wait_for_phase(|phase| phase == Phase::Closing).await;
+        sleep(FIRST_REQUEST_TIMEOUT_MS).await;
+    };
+    tokio::select! {
+        () = idle_timeout => {}
+        () = closing => {}
     }
 }
 
@@ -264,7 +331,7 @@
     guard: InProgressGuard,
 ) -> Result<Response<ClientBody>, io::Error> {
     let mut response = request::handle(&shared, &stage_client, http_request, guard).await?;
-    if shared.phase() == Phase::Leaving {
+    if shared.phase().is_shutting_down() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -40,8 +40,21 @@
     Starting,
     /// The instance serves requests.
     Serving,
-    /// The instance has received SIGTERM and completes the requests in progress.
+    /// The instance has received SIGTERM. It still accepts requests, because clients and the load
+    /// balancer need time to move to other instances.
     Leaving,
+    /// The instance accepts no connections any more, and closes each open one after its request in
+    /// progress. The process exits when all connections are closed.
+    #[strum(serialize = "leaving")]
+    Closing,
+}
+
+impl Phase {
+    /// Returns whether the instance has received SIGTERM.
+    #[must_use]
+    pub fn is_shutting_down(self) -> bool {
+        matches!(self, Self::Leaving | Self::Closing)
+    }
 }
 
 /// State shared by all tasks of an instance, which run on one thread.
@@ -65,6 +78,10 @@
     pub crash_quarantine: RefCell<CrashQuarantine>,
     /// Number of requests in progress.
     pub in_progress: Cell<usize>,
+    /// Number of open client connections.
+    pub client_connection_count: Cell<usize>,
+    /// Number of requests that were in progress when the process began to exit.
+    pub cut_off_request_count: Cell<usize>,
     route_table: RefCell<Option<Rc<RouteTable>>>,
     instances: RefCell<BTreeMap<String, InstanceEntry>>,
     retry_budgets: RefCell<BTreeMap<String, WindowedRetryBudget>>,
@@ -76,6 +93,7 @@
     phase: watch::Sender<Phase>,
     /// When the process received SIGTERM.
     sigterm_at: Cell<Option<Millis>>,
+    is_exiting: Cell<bool>,
     /// Incremented on each change of targets or services.
     target_changes: watch::Sender<u64>,
 }
@@ -94,6 +112,8 @@
             cold_target_pacer: RefCell::new(ColdTargetPacer::default()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             in_progress: Cell::new(0),
+            client_connection_count: Cell::new(0),
+            cut_off_request_count: Cell::new(0),
             route_table: RefCell::new(None),
             instances: RefCell::new(BTreeMap::new()),
             retry_budgets: RefCell::new(BTreeMap::new()),
@@ -102,6 +122,7 @@
             targets_known: Cell::new(false),
             phase: watch::Sender::new(Phase::Starting),
             sigterm_at: Cell::new(None),
+            is_exiting: Cell::new(false),
             target_changes: watch::Sender::new(0),
         })
     }
@@ -285,17 +306,18 @@
             .map(|sigterm_at| self.now() - sigterm_at)
     }
 
-    /// Waits until the instance is shutting down and the time for completing requests is over.
-    pub async fn wait_for_shutdown_deadline(&self) {
+    /// Waits until a condition on the phase holds.
+    pub async fn wait_for_phase(&self, condition: impl Fn(Phase) -> bool) {
         let mut phase = self.subscribe_phase();
-        if phase
-            .wait_for(|&phase| phase == Phase::Leaving)
-            .await
-            .is_err()
-        {
+        if phase.wait_for(|&phase| condition(phase)).await.is_err() {
             // Not reached: the sender lives as long as the process.
             std::future::pending::<()>().await;
         }
+    }
+
+    /// Waits until the instance is shutting down and the time for completing requests is over.
+    pub async fn wait_for_shutdown_deadline(&self) {
+        self.wait_for_phase(Phase::is_shutting_down).await;
         sleep(self.completion_limit_ms() - self.shutdown_elapsed_ms().unwrap_or_default()).await;
     }
 
@@ -306,6 +328,15 @@
             .is_some_and(|shutdown_elapsed_ms| shutdown_elapsed_ms >= self.completion_limit_ms())
     }
 
+    /// Returns whether a request that arrives now and may take until `deadline` ends before the
+    /// process has to exit.
+    #[must_use]
+    pub fn can_complete_by(&self, deadline: Millis) -> bool {
+        self.sigterm_at
+            .get()
+            .is_none_or(|sigterm_at| deadline <= sigterm_at + self.completion_limit_ms())
+    }
+
     /// Returns the time after SIGTERM by which requests have to be complete.
     fn completion_limit_ms(&self) -> Millis {
         self.settings.shutdown_grace_ms - LAST_RESPONSE_MARGIN_MS
@@ -318,6 +349,28 @@
         info!(in_progress = self.in_progress.get(); "shutting down; completing the requests in progress");
     }
 
+    /// Enters [`Phase::Closing`].
+    pub fn begin_closing(&self) {
+        self.phase.send_replace(Phase::Closing);
+        info!(
+            in_progress = self.in_progress.get(),
+            client_connections = self.client_connection_count.get();
+            "accepting no more client connections"
+        );
+    }
+
+    /// Records that no task runs any more, so that requests dropped from now on are cut off by the
+    /// exit and were not left by their clients.
+    pub fn begin_exit(&self) {
+        self.is_exiting.set(true);
+    }
+
+    /// Returns whether the process exits without waiting for requests any longer.
+    #[must_use]
+    pub fn is_exiting(&self) -> bool {
+        self.is_exiting.get()
+    }
+
     fn update_phase(&self) {
         let is_ready = self.targets_known.get() && self.route_table.borrow().is_some();
         if is_ready && self.phase() == Phase::Starting {
