shutdown: accept the connections that wait when the listener is closed

Callers saw: clients that had connected and written a request were reset unread.

Cause: without an open connection, the process exited in the same turn in which it ended the intake, before the listener's task could run. With a grace period of less than 3.3 s, requests are refused from the end of the time for completing them on, also within the serving time.

Also says more exactly in names and comments what the reviewer stumbled over.

--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -4,9 +4,9 @@
 //! client closes it, all work for its request is cancelled at once, because the request's future or
 //! its response body owns that work.
 //!
-//! The process exits only when no client connection is open, so every request that was read gets
-//! its response. During [`Phase::Closing`] no connection is accepted, and each open one is closed
-//! once its response is written.
+//! During [`Phase::Closing`] no connection is accepted, and each open one is closed once its response
+//! is written. The process exits when none is open, so a request that was read gets its response
+//! unless the grace period ends first.
 
 use std::cell::Cell;
 use std::io;
@@ -46,12 +46,12 @@
 
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
-/// How long idle connections stay open after SIGTERM. The load balancer probes readiness once a
+/// How long connections are kept open for further requests after SIGTERM. The load balancer probes readiness once a
 /// second and moves clients to other instances after two failed probes.
-pub const SHUTDOWN_IDLE_TIMEOUT_MS: Millis = Millis(2_600);
-/// How long connections stay open after the last one was accepted, so that the first request of a
+pub const SHUTDOWN_KEEP_ALIVE_MS: Millis = Millis(2_600);
+/// How long connections are kept open after the listener is closed, so that the first request of a
 /// new connection still arrives.
-const FIRST_REQUEST_TIMEOUT_MS: Millis = Millis(100);
+const CLOSING_KEEP_ALIVE_MS: Millis = Millis(100);
 /// Margin added to the configured idle timeout, so that the client closes first. Clients reuse a
 /// connection for up to 80% of the configured time.
 const IDLE_TIMEOUT_MARGIN_MS: Millis = Millis(500);
@@ -98,7 +98,7 @@
     }
 }
 
-/// Counts a request as in progress until its response is written or abandoned.
+/// Counts a request as in progress until its response is handed to the HTTP library or abandoned.
 #[derive(Debug)]
 pub struct InProgressGuard(Rc<ConnectionActivity>);
 
@@ -230,7 +230,7 @@
 ) -> Result<(), String> {
     loop {
         let accepted = tokio::select! {
-            // Connections that are established already go before the end of the listener, which
+            // Connections that are known to be established go before the end of the listener, which
             // resets them.
             biased;
             accepted = listener.accept() => accepted,
@@ -291,8 +291,8 @@
             .min(shared.now() + limits.idle_timeout_ms)
             - shared.now();
         tokio::select! {
-            // A request that has arrived is read before a timeout or the shutdown closes the
-            // connection.
+            // A request that is known to have arrived is read before a timeout or the shutdown
+            // closes the connection.
             biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
@@ -323,18 +323,18 @@
 }
 
 /// Waits until a connection is closed after its request in progress, or at once if it has none:
-/// when the idle timeout during shutdown has passed, or when the instance closes all connections.
+/// when connections are no longer kept open after SIGTERM, or when the instance closes all of them.
 async fn wait_for_connection_shutdown(shared: &Shared) {
-    let idle_timeout = async {
+    let leaving = async {
         shared.wait_for_phase(Phase::is_shutting_down).await;
-        sleep(SHUTDOWN_IDLE_TIMEOUT_MS).await;
+        sleep(SHUTDOWN_KEEP_ALIVE_MS).await;
     };
     let closing = async {
         shared.wait_for_phase(|phase| phase == Phase::Closing).await;
-        sleep(FIRST_REQUEST_TIMEOUT_MS).await;
+        sleep(CLOSING_KEEP_ALIVE_MS).await;
     };
     tokio::select! {
-        () = idle_timeout => {}
+        () = leaving => {}
         () = closing => {}
     }
 }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -363,8 +363,9 @@
     let Some(shutdown_elapsed_ms) = shared.shutdown_elapsed_ms() else {
         return true;
     };
-    shutdown_elapsed_ms < ACCEPT_LONG_REQUESTS_MS
-        || (route.kind != RouteKind::Stream && shared.can_complete_by(deadline))
+    let is_serving_time =
+        shutdown_elapsed_ms < ACCEPT_LONG_REQUESTS_MS && !shared.is_past_shutdown_deadline();
+    is_serving_time || (route.kind != RouteKind::Stream && shared.can_complete_by(deadline))
 }
 
 /// Admits a request, computes its stage results and sends it to a target.
--- a/crates/serving/src/response.rs
+++ b/crates/serving/src/response.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct ClientBody {
     content: Content,
-    /// Marks the connection as idle when the body is dropped, completely written or not.
+    /// Ends the request when the body is dropped, which is before its last bytes are written.
     _guard: InProgressGuard,
 }
 
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -312,8 +312,12 @@
         sleep(SHUTDOWN_POLL_MS).await;
     }
     shared.begin_closing();
-    while shared.client_connection_count.get() > 0 && shared.now() < latest_exit {
+    // The first pause lets the listener accept the connections that are established already.
+    loop {
         sleep(SHUTDOWN_POLL_MS).await;
+        if shared.client_connection_count.get() == 0 || shared.now() >= latest_exit {
+            break;
+        }
     }
     let client_connections = shared.client_connection_count.get();
     let reason = if client_connections == 0 {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -44,7 +44,7 @@
     /// balancer need time to move to other instances.
     Leaving,
     /// The instance accepts no connections any more, and closes each open one after its request in
-    /// progress. The process exits when all connections are closed.
+    /// progress. The process exits when all connections are closed. For others, it is leaving.
     #[strum(serialize = "leaving")]
     Closing,
 }
@@ -359,8 +359,8 @@
         );
     }
 
-    /// Records that no task runs any more, so that requests dropped from now on are cut off by the
-    /// exit and were not left by their clients.
+    /// Records that the tasks are about to be dropped, so that requests which end from now on are
+    /// cut off by the exit and were not left by their clients.
     pub fn begin_exit(&self) {
         self.is_exiting.set(true);
     }
