--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -23,6 +23,8 @@
 const SHUTDOWN_SERVING_TIME: Duration = Duration::from_secs(3);
 /// Time before the end of the grace period from which an instance breaks off streams.
 const STREAM_CUT_MARGIN: Duration = Duration::from_millis(500);
+/// Timeout of the routes of the example configuration.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time by which the end of a connection can precede the observed end of its process.
 const EXIT_OBSERVATION_DELAY: Duration = Duration::from_millis(20);
 
@@ -94,8 +96,13 @@
             && self.ready_at.is_none_or(|at| at >= observation.sent_at)
     }
 
-    /// Returns whether the exit cut a request off before the instance may break off streams.
+    /// Returns whether the exit cut a request off before the instance may break off streams. A
+    /// stream that reached the timeout of its route ended by that, and an exit often follows.
     fn has_cut_early(&self, observation: &Observation) -> bool {
+        let took = observation.ended_at - observation.sent_at;
+        if observation.kind.is_stream() && took >= ROUTE_TIMEOUT {
+            return false;
+        }
         self.exit.is_some_and(|(exited_at, _)| {
             exited_at + STREAM_CUT_MARGIN < self.grace_end()
                 && observation.sent_at < exited_at
