shutdown: add failing tests of requests around the exit and under load

Clients that sent a request while an instance exited got EOF although a target had received their call, and an instance under constant load did not exit. A reviewer showed both with real processes.

Cause: serve_until_terminated decides to exit when no request is in progress, but the HTTP server still accepts requests up to 100 ms later, in threads that are neither joined nor counted before begin_request. Under load there is no moment without requests, and nothing bounds the wait.

Evidence: both tests run real processes. In the first, 4 of 8 instances shut down, and each gets a lookup whose response comes after the grace period and another one 22 to 40 ms after that response.

It now uses one failure domain with six targets, and compares the calls at targets with the complete responses, because targets list no executions of lookups.

--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -9,4 +9,5 @@
 mod drains;
 mod refusals;
 mod shutdown;
+mod shutdown_intake;
 mod streams;
