shutdown: refuse requests that arrive after the grace period

Clients that sent a request while an instance exited got EOF although a target had received their call, and an instance under constant load did not exit.

Cause: the process decided to exit when no request was in progress, while requests were still accepted and counted after that check.

Change: after the grace period the shutdown raises intake_end, and only then reads the count. A request of a client, or a stage forwarded by a peer, is counted first and checks the signal then, so it is either waited for or refused as not executed (503 with Connection: close, or the limit outcome for peers). The wait has an upper bound of 120 s, because clients choose their deadlines. Nothing changes before the end of the grace period. A request that is accepted and not counted when the process ends still gets EOF, but no target receives it; tiny_http can neither stop accepting nor list the connections it has read from.

The peer part and the upper bound have no test.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -288,7 +288,8 @@
     replies: &mut ReplyWriter<'_>,
 ) -> Result<(), FrameError> {
     let permit = node.begin_request();
-    let outcome = if permit.is_none() {
+    // As for requests of clients, the signal is checked after the call is counted.
+    let outcome = if permit.is_none() || node.intake_end.is_raised() {
         StageOutcome::NotExecuted {
             reason: NotExecutedReason::Limit,
             retry_after_ms: None,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -151,10 +151,17 @@
             "this path supports only POST",
         );
     }
-    let Some(_in_flight) = node.begin_request() else {
+    let Some(in_flight) = node.begin_request() else {
         let detail = "this instance has reached its limit on requests in progress";
         return refuse_request(node, request, Reason::Overloaded, detail);
     };
+    // Checked after the request is counted: the shutdown raises the signal before it reads the
+    // count, so it either waits for this request or the request is refused here.
+    if node.intake_end.is_raised() {
+        drop(in_flight);
+        let detail = "this instance is shutting down";
+        return refuse_request(node, request, Reason::NotReady, detail);
+    }
     let active = node.active_configuration();
     if active.generation == 0 {
         let detail = "this instance has not received its configuration yet";
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,7 @@
 
 use getopts::Options;
 use log::info;
+use log::warn;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -37,6 +38,8 @@
 const IN_FLIGHT_POLL_MS: Millis = Millis(20);
 /// The load balancer probes `/readyz` every second and sends requests until a probe fails.
 const SHUTDOWN_GRACE_MS: Millis = Millis(1_500);
+/// Upper bound of the wait for requests in progress, because clients choose their deadlines.
+const MAX_IN_FLIGHT_WAIT_MS: Millis = Millis(120_000);
 
 fn main() -> ExitCode {
     let mut options = Options::new();
@@ -224,9 +227,18 @@
     // This signal is never raised, so its `wait` only sleeps.
     let poll_timer = StopSignal::new();
     let grace_end = node.now() + SHUTDOWN_GRACE_MS;
-    while node.now() < grace_end || node.in_flight() > 0 {
+    while node.now() < grace_end {
         let _raised = poll_timer.wait(IN_FLIGHT_POLL_MS);
     }
+    // Requests that are counted before this are finished, and later ones are refused.
+    node.intake_end.raise();
+    let wait_end = node.now() + MAX_IN_FLIGHT_WAIT_MS;
+    while node.in_flight() > 0 && node.now() < wait_end {
+        let _raised = poll_timer.wait(IN_FLIGHT_POLL_MS);
+    }
+    if node.in_flight() > 0 {
+        warn!(in_flight = node.in_flight(); "stopped waiting for requests in progress");
+    }
 }
 
 /// Returns whether the configuration and targets are known and this instance can grant the slots of
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -84,6 +84,8 @@
     pub claims: Claims,
     /// Raised when the instance has to shut down: on a signal, or when a newer process exists.
     pub terminate: StopSignal,
+    /// Raised after the grace period of a shutdown: requests that are counted later are refused.
+    pub intake_end: StopSignal,
     gossip: OnceLock<Arc<GossipNode<NodeGossipHandler>>>,
     active: RwLock<Arc<ActiveConfiguration>>,
     directory: RwLock<Arc<TargetDirectory>>,
@@ -121,6 +123,7 @@
             claims: Claims::new(),
             platform,
             terminate: StopSignal::new(),
+            intake_end: StopSignal::new(),
             gossip: OnceLock::new(),
             active: RwLock::default(),
             directory: RwLock::default(),
