--- a/crates/daemon/tests/platform_connections.rs
+++ b/crates/daemon/tests/platform_connections.rs
@@ -4,11 +4,10 @@
 
 use std::time::Duration;
 
+use crate::common::start_cluster;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::slow_client;
 
-use crate::common::start_cluster;
-
 /// Guards against an idle timeout that runs while a response is still being written, and cuts it
 /// off.
 #[test]
