quarantine: recognise prompt parts that crash targets

Cause: the quarantine knew only whole requests (path, organisation, body), while the crashing ones have one prompt part in common and nothing else. Besides, a response head cleared a request, and the targets crash after it and before the first event; and the quarantine was checked on arrival only, so requests that waited for their stages, and streams that were resumed, went on. The class is evidence that is attributed to the wrong thing: to the whole request instead of its parts, and to the head instead of the response.

Change: each shared part of a request whose target crashed before its response began is suspected, and a response that has begun clears its parts. After crashes of three targets, a request is refused if it contains the part and all parts that the crashed requests with it have in common, so that requests which share only some of them are served. Crashes that more specific parts explain do not count for a popular part. Instances exchange crashes and clearing responses; one that starts asks four others. Checked on arrival and before each send. A response without framing that ends before its body or first event is a crash, not an empty answer.

--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod ownership;
 pub mod placement;
+pub mod prompt_quarantine;
 pub mod retry_budget;
 pub mod routes;
 pub mod stage_graph;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod ownership;
 mod placement;
+mod prompt_quarantine;
 mod result_space;
 mod routes;
 mod stage_graph;
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -14,20 +14,18 @@
 use crate::shared::Shared;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
-use arbutus_policy::quarantine::QuarantineEntry;
 
+/// How often an instance that starts checks whether its peers are known.
+const PEER_LIST_POLL_MS: Millis = Millis(50);
+/// Number of peers that are asked for quarantined prompt parts; some of them may be starting, too.
+const QUARANTINE_SOURCES: usize = 4;
 /// How often a peer is asked for store objects during a store outage.
 const PEER_REQUEST_INTERVAL_MS: Millis = Millis(400);
 /// How often queued crash reports are sent, expired connections and targets are removed, and
 /// metrics are updated.
 const HOUSEKEEPING_INTERVAL_MS: Millis = Millis(250);
 
-/// Queues a report about a request that crashes targets, to be sent to all peers.
-pub fn queue_crash_report(shared: &Rc<Shared>, entry: QuarantineEntry) {
-    shared.pending_crash_reports.borrow_mut().push(entry);
-}
-
-/// Sends queued crash reports to all peers.
+/// Sends queued reports about crashes to all peers.
 ///
 /// # Errors
 ///
@@ -38,16 +36,51 @@
 ) -> Result<(), String> {
     loop {
         sleep(HOUSEKEEPING_INTERVAL_MS).await;
-        let entries = std::mem::take(&mut *shared.pending_crash_reports.borrow_mut());
-        if entries.is_empty() {
+        let reports = shared.pending_reports.take();
+        let mut commands = Vec::new();
+        if !reports.crashes.is_empty() {
+            commands.push(PeerCommand::Crashes(reports.crashes));
+        }
+        if !reports.prompt_crashes.is_empty() {
+            let now = shared.now();
+            let crashes = reports.prompt_crashes.into_iter();
+            let with_age = crashes.map(|(crashed_at, crash)| (now - crashed_at, crash));
+            commands.push(PeerCommand::PromptCrashes(with_age.collect()));
+        }
+        if !reports.cleared_parts.is_empty() {
+            commands.push(PeerCommand::ClearedParts(reports.cleared_parts));
+        }
+        if commands.is_empty() {
             continue;
         }
         for peer in shared.peers() {
-            connections.send(&peer.name, PeerCommand::Crashes(entries.clone()));
+            for command in &commands {
+                connections.send(&peer.name, command.clone());
+            }
         }
     }
 }
 
+/// Asks some peers for the quarantined prompt parts once the instances are known. Without them, an
+/// instance that starts would have to observe a crash of its own.
+///
+/// # Errors
+///
+/// Never returns; supervised tasks must have a `Result` as their return type.
+pub async fn request_quarantined_prompts(
+    shared: Rc<Shared>,
+    connections: Rc<PeerConnections>,
+) -> Result<(), String> {
+    while shared.peers().is_empty() {
+        sleep(PEER_LIST_POLL_MS).await;
+    }
+    let peers = shared.peers();
+    for peer in peers.sample(&mut rand::rng(), QUARANTINE_SOURCES) {
+        connections.send(&peer.name, PeerCommand::QuarantinedPrompts);
+    }
+    std::future::pending().await
+}
+
 /// Periodically asks a random peer for newer store objects while this instance is a watcher and the
 /// store does not respond. Followers receive them from their watcher.
 ///
--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -5,9 +5,13 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -124,3 +128,12 @@
             })
     }
 }
+
+/// Returns whether the end of a response body is the end of its connection, which also a crash of
+/// the target causes.
+#[must_use]
+pub fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    let has_framing =
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    !has_framing && !body.is_end_stream()
+}
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -20,8 +20,9 @@
 use rand::RngExt;
 use tokio::time::timeout;
 
-use crate::background;
-use crate::connection::CallError;
+use crate::connection;
+use crate::crashes;
+use crate::crashes::PromptSuspicion;
 use crate::net::sleep;
 use crate::pool::PooledConnection;
 use crate::request::RequestContext;
@@ -37,6 +38,9 @@
 use arbutus_policy::serving::target_selection::SelectionCriteria;
 use arbutus_policy::serving::target_selection::TargetOutcome;
 
+/// Time after which a connection that breaks was in use. A target that has dropped an idle
+/// connection, or that has too many, resets it within a round trip of the request.
+const MIN_EXECUTION_MS: Millis = Millis(10);
 /// Maximum number of attempts per request, including those that no target executed.
 const MAX_ATTEMPTS: u32 = 4;
 /// Interval at which a waiting request checks whether a target is available.
@@ -61,6 +65,11 @@
         /// The cause, for the log.
         reason: String,
     },
+    /// The request is suspected of crashing targets and was not executed.
+    Quarantined {
+        /// The cause, for the log.
+        reason: String,
+    },
     /// A target may have executed the request.
     MaybeExecuted {
         /// The cause, for the log.
@@ -204,6 +213,14 @@
         let Some(entry) = wait_for_target(context, history).await else {
             return Err(dispatch_error(context, "no target available"));
         };
+        // The quarantine may have begun while the request waited for its stages or for a target.
+        if let Some(reason) = crashes::quarantine_reason(context) {
+            return Err(if context.possible_executions == 0 {
+                DispatchError::Quarantined { reason }
+            } else {
+                dispatch_error(context, &reason)
+            });
+        }
         // Resuming a stream sends the request to another target, so it counts as a retry too.
         let is_retry = history.attempts > 0 || last_event_id.is_some();
         if is_retry && !context.shared.try_retry(&context.service) {
@@ -307,9 +324,15 @@
     target_response: TargetResponse,
 ) -> Result<CompleteResponse, String> {
     let (head, body) = target_response.http_response.into_parts();
+    let ends_with_connection = connection::ends_with_connection(&head.headers, &body);
     let body = match context.before_deadline(body.collect()).await {
         Some(Ok(body)) => body.to_bytes(),
         Some(Err(error)) => {
+            crashes::record_crash_after_head(
+                context,
+                target_response.attempt.target(),
+                &error.to_string(),
+            );
             target_response.attempt.close(TargetOutcome::Broken);
             return Err(format!("the response body was cut off: {error}"));
         }
@@ -318,7 +341,17 @@
             return Err("the response body was not complete before the deadline".to_owned());
         }
     };
+    if ends_with_connection && body.is_empty() {
+        let reason = "the connection ended before the response body";
+        crashes::record_crash_after_head(context, target_response.attempt.target(), reason);
+        target_response.attempt.close(TargetOutcome::Broken);
+        return Err(reason.to_owned());
+    }
     let outcome = if target_response.is_success {
+        // A crash can end a body without a length anywhere, so that proves no success.
+        if !ends_with_connection {
+            crashes::record_response(context);
+        }
         TargetOutcome::Responded
     } else {
         TargetOutcome::Failed
@@ -386,6 +419,7 @@
         .cold_target_pacer
         .borrow_mut()
         .record_send(shared.now(), &entry.id);
+    let sent_at = shared.now();
     let mut attempt = TargetAttempt::new(shared, entry.clone(), connection);
     let attempt_timeout_ms = attempt_timeout_ms(context);
     let response_future = async {
@@ -403,8 +437,14 @@
         }
         Some(Ok(Err(error))) => {
             attempt.close(TargetOutcome::Broken);
-            record_crash(context, entry, &error);
-            return AttemptOutcome::MaybeExecuted(error.to_string());
+            let reason = error.to_string();
+            let prompt_suspicion = if shared.now() - sent_at < MIN_EXECUTION_MS {
+                PromptSuspicion::Unlikely
+            } else {
+                PromptSuspicion::Possible
+            };
+            crashes::record_crash(context, entry, &reason, prompt_suspicion);
+            return AttemptOutcome::MaybeExecuted(reason);
         }
         Some(Err(_)) | None => {
             attempt.close(TargetOutcome::Broken);
@@ -417,7 +457,7 @@
 }
 
 /// Determines the outcome of an attempt from the response head. Also records the load that the
-/// target reports, and for the crash quarantine that the request got a response.
+/// target reports.
 fn classify_response(
     context: &RequestContext,
     attempt: TargetAttempt,
@@ -438,11 +478,6 @@
     }
     match response_class {
         ResponseClass::Success | ResponseClass::Failure => {
-            if response_class == ResponseClass::Success {
-                let shared = &context.shared;
-                let mut quarantine = shared.crash_quarantine.borrow_mut();
-                quarantine.record_response(shared.now(), context.fingerprint);
-            }
             AttemptOutcome::Responded(Box::new(TargetResponse {
                 attempt,
                 http_response,
@@ -483,25 +518,6 @@
     timeout_ms.max(MIN_ATTEMPT_TIMEOUT_MS).min(remaining_ms)
 }
 
-/// Records that a target closed the connection without a response, and reports the request to all
-/// instances if it is suspected of crashing targets.
-fn record_crash(context: &RequestContext, entry: &TargetEntry, error: &CallError) {
-    let shared = &context.shared;
-    let report = shared.crash_quarantine.borrow_mut().record_crash(
-        shared.now(),
-        context.fingerprint,
-        &entry.id,
-    );
-    info!(
-        request = context.client.id.as_str(), target_id = entry.id.as_str(), error:%,
-        fingerprint:? = context.fingerprint, parts = context.shared_part_ids();
-        "target closed the connection without a response"
-    );
-    if let Some(report) = report {
-        background::queue_crash_report(shared, report);
-    }
-}
-
 fn has_other_target(context: &RequestContext, history: &AttemptHistory) -> bool {
     let directory = context.shared.directory.borrow();
     directory
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod announce;
 pub mod background;
 pub mod connection;
+pub mod crashes;
 pub mod dispatch;
 pub mod frontend;
 pub mod logging;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -30,6 +31,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::crashes;
 use crate::net;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
@@ -43,6 +45,8 @@
 use arbutus_policy::serving::batch::PieceSource;
 use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::batch::SubmissionId;
+use arbutus_policy::serving::prompt_quarantine::PartHash;
+use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 use arbutus_wire::frame;
 use arbutus_wire::frame::HEADER_BYTES;
@@ -115,6 +119,12 @@
     Follow(Vec<(ObjectKind, u64)>),
     /// Reports requests that crash targets.
     Crashes(Vec<QuarantineEntry>),
+    /// Reports crashes of which prompt parts are suspected, and how long ago they occurred.
+    PromptCrashes(Vec<(Millis, PromptCrash)>),
+    /// Reports suspected prompt parts of requests that got a response.
+    ClearedParts(BTreeSet<PartHash>),
+    /// Requests the crashes of all quarantined prompt parts.
+    QuarantinedPrompts,
 }
 
 /// A message to the instance that opened a connection.
@@ -153,6 +163,9 @@
         /// The time that the targets need.
         backlog_ms: Millis,
     },
+    /// Earlier crashes of quarantined prompt parts, all of them or those that the peer has reported
+    /// as suspects.
+    PromptCrashes(Vec<PromptCrash>),
 }
 
 /// The connections that this instance opens to its peers.
@@ -295,6 +308,9 @@
             }
             PeerReply::Objects(kind, update) => self.store.apply_peer_update(kind, update),
             PeerReply::Backlog { queue, backlog_ms } => self.shared.set_backlog(queue, backlog_ms),
+            PeerReply::PromptCrashes(earlier) => {
+                crashes::merge_earlier_crashes(&self.shared, &earlier);
+            }
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -514,6 +530,26 @@
                     }
                 }
             }
+            PeerCommand::PromptCrashes(reported) => {
+                for (age_ms, crash) in &reported {
+                    let earlier = self
+                        .shared
+                        .prompt_quarantine
+                        .borrow()
+                        .earlier_crashes(now, crash);
+                    if !earlier.is_empty() {
+                        replies.push(PeerReply::PromptCrashes(earlier));
+                    }
+                    crashes::record_prompt_crash(&self.shared, *age_ms, crash);
+                }
+            }
+            PeerCommand::QuarantinedPrompts => {
+                let crashes = self.shared.prompt_quarantine.borrow().all_crashes(now);
+                if !crashes.is_empty() {
+                    replies.push(PeerReply::PromptCrashes(crashes));
+                }
+            }
+            PeerCommand::ClearedParts(parts) => crashes::clear_parts(&self.shared, &parts),
         }
     }
 }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -1,5 +1,6 @@
 //! Request handling, from the request head to the start of the response.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 
@@ -13,6 +14,7 @@
 use rand::RngExt;
 use tokio::time::timeout;
 
+use crate::crashes;
 use crate::dispatch;
 use crate::dispatch::DispatchError;
 use crate::frontend::InProgressGuard;
@@ -32,6 +34,7 @@
 use arbutus_policy::serving::crash_quarantine;
 use arbutus_policy::serving::model::Route;
 use arbutus_policy::serving::model::RouteKind;
+use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::routes;
 use arbutus_policy::serving::routes::Access;
 
@@ -47,6 +50,9 @@
 const ACCEPT_LONG_REQUESTS_MS: Millis = Millis(2_800);
 /// Retry delay for clients whose request is refused during shutdown.
 const SHUTDOWN_RETRY_AFTER_MS: Millis = Millis(100);
+/// Maximum number of prompt parts of a request that can be suspected of a crash; the last ones, which
+/// the fewest requests share.
+const MAX_PROMPT_PARTS: usize = 32;
 /// Retry delay for clients whose request found no available target.
 const BUSY_RETRY_AFTER_MS: Millis = Millis(250);
 /// Outcome of a request that is dropped without another outcome while the process runs.
@@ -80,6 +86,8 @@
     pub possible_executions: u32,
     /// Hash of the request's content, which identifies requests that crash targets.
     pub fingerprint: Fingerprint,
+    /// Hashes of the prompt parts that other requests may share.
+    pub prompt_parts: BTreeSet<PartHash>,
     /// Labels of the request's metrics.
     pub labels: RequestLabels,
     /// The data of the request's log line.
@@ -330,6 +338,7 @@
         organisation.as_deref().unwrap_or_default(),
         &body,
     );
+    let prompt_parts = hash_shared_parts(&client, &service);
     let record = RequestRecord::new(
         Rc::clone(shared),
         labels.clone(),
@@ -350,6 +359,7 @@
         deadline,
         possible_executions: 0,
         fingerprint,
+        prompt_parts,
         labels,
         record,
     };
@@ -375,14 +385,8 @@
     guard: InProgressGuard,
 ) -> Result<Response<ClientBody>, io::Error> {
     let shared = Rc::clone(&context.shared);
-    let now = shared.now();
-    let quarantine_ms = shared
-        .crash_quarantine
-        .borrow()
-        .remaining(now, context.fingerprint);
-    if let Some(remaining_ms) = quarantine_ms {
-        context.record.reason =
-            format!("the request crashes targets; quarantined for {remaining_ms}");
+    if let Some(reason) = crashes::quarantine_reason(&context) {
+        context.record.reason = reason;
         return Ok(local_response(context, LocalReply::Refused, None, guard));
     }
     shared.record_request(&context.service);
@@ -436,6 +440,10 @@
             context.record.reason = reason;
             (LocalReply::Refused, Some(BUSY_RETRY_AFTER_MS))
         }
+        DispatchError::Quarantined { reason } => {
+            context.record.reason = reason;
+            (LocalReply::Refused, None)
+        }
         // The last attempt was not executed, but an earlier one may have been.
         DispatchError::NotExecuted { reason } | DispatchError::MaybeExecuted { reason } => {
             context.record.reason = reason;
@@ -461,6 +469,13 @@
     reply.response(Some(&context.client.id), retry_after_ms, guard)
 }
 
+fn hash_shared_parts(client: &ClientRequest, service: &str) -> BTreeSet<PartHash> {
+    let last_parts = client.shared_parts().iter().rev().take(MAX_PROMPT_PARTS);
+    last_parts
+        .map(|part| PartHash::new(service, &part.id))
+        .collect()
+}
+
 enum BodyError {
     TooLarge,
     Incomplete,
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -251,10 +251,7 @@
             Rc::clone(&request_connections),
         )
     });
-    let report_shared = Rc::clone(shared);
-    supervise("share-crashes", move || {
-        background::send_crash_reports(Rc::clone(&report_shared), Rc::clone(&connections))
-    });
+    start_crash_tasks(shared, connections);
     let housekeeping_shared = Rc::clone(shared);
     supervise("housekeeping", move || {
         background::run_housekeeping(Rc::clone(&housekeeping_shared), dropped_lines.clone())
@@ -262,6 +259,21 @@
     Ok(())
 }
 
+/// Starts the exchange of reports about crashes with the other instances.
+fn start_crash_tasks(shared: &Rc<Shared>, connections: Rc<PeerConnections>) {
+    let (request_shared, request_connections) = (Rc::clone(shared), Rc::clone(&connections));
+    supervise("ask-quarantine", move || {
+        background::request_quarantined_prompts(
+            Rc::clone(&request_shared),
+            Rc::clone(&request_connections),
+        )
+    });
+    let report_shared = Rc::clone(shared);
+    supervise("share-crashes", move || {
+        background::send_crash_reports(Rc::clone(&report_shared), Rc::clone(&connections))
+    });
+}
+
 fn bind_listener(address: SocketAddrV4) -> Result<Rc<TcpListener>, StartError> {
     net::listen(address)
         .map(Rc::new)
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use log::info;
@@ -21,6 +22,9 @@
 use arbutus_policy::serving::cold_targets::ColdTargetPacer;
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
 use arbutus_policy::serving::model::ServiceSpec;
+use arbutus_policy::serving::prompt_quarantine::PartHash;
+use arbutus_policy::serving::prompt_quarantine::PromptCrash;
+use arbutus_policy::serving::prompt_quarantine::PromptQuarantine;
 use arbutus_policy::serving::retry_budget::WindowedRetryBudget;
 use arbutus_policy::serving::routes::RouteTable;
 use arbutus_policy::serving::target_directory::TargetChange;
@@ -57,6 +61,17 @@
     }
 }
 
+/// Reports to all peers that are sent together.
+#[derive(Debug, Default)]
+pub struct PendingReports {
+    /// Requests that crash targets.
+    pub crashes: Vec<QuarantineEntry>,
+    /// Crashes of which the parts of a prompt are suspected, and when they occurred.
+    pub prompt_crashes: Vec<(Millis, PromptCrash)>,
+    /// Suspected prompt parts of requests that got a response.
+    pub cleared_parts: BTreeSet<PartHash>,
+}
+
 /// State shared by all tasks of an instance, which run on one thread.
 #[derive(Debug)]
 pub struct Shared {
@@ -76,6 +91,8 @@
     pub cold_target_pacer: RefCell<ColdTargetPacer>,
     /// The requests that are suspected of crashing targets.
     pub crash_quarantine: RefCell<CrashQuarantine>,
+    /// The prompt parts that are suspected of crashing targets.
+    pub prompt_quarantine: RefCell<PromptQuarantine>,
     /// Number of requests in progress.
     pub in_progress: Cell<usize>,
     /// Number of open client connections.
@@ -87,8 +104,8 @@
     retry_budgets: RefCell<BTreeMap<String, WindowedRetryBudget>>,
     /// The backlog of each stage queue, and when it was reported.
     backlogs: RefCell<BTreeMap<QueueName, (Millis, Millis)>>,
-    /// Crash reports that still have to be sent to peers.
-    pub pending_crash_reports: RefCell<Vec<QuarantineEntry>>,
+    /// Reports about crashes that still have to be sent to peers.
+    pub pending_reports: RefCell<PendingReports>,
     targets_known: Cell<bool>,
     phase: watch::Sender<Phase>,
     /// When the process received SIGTERM.
@@ -111,6 +128,7 @@
             target_states: RefCell::new(TargetStates::default()),
             cold_target_pacer: RefCell::new(ColdTargetPacer::default()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
+            prompt_quarantine: RefCell::new(PromptQuarantine::new()),
             in_progress: Cell::new(0),
             client_connection_count: Cell::new(0),
             cut_off_request_count: Cell::new(0),
@@ -118,7 +136,7 @@
             instances: RefCell::new(BTreeMap::new()),
             retry_budgets: RefCell::new(BTreeMap::new()),
             backlogs: RefCell::new(BTreeMap::new()),
-            pending_crash_reports: RefCell::new(Vec::new()),
+            pending_reports: RefCell::new(PendingReports::default()),
             targets_known: Cell::new(false),
             phase: watch::Sender::new(Phase::Starting),
             sigterm_at: Cell::new(None),
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -15,8 +15,12 @@
 use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
 
+use crate::connection;
 use crate::connection::AbortOnDrop;
+use crate::crashes;
+use crate::crashes::PromptSuspicion;
 use crate::dispatch;
+use crate::dispatch::TargetAttempt;
 use crate::dispatch::TargetResponse;
 use crate::frontend::InProgressGuard;
 use crate::request::RequestContext;
@@ -138,6 +142,8 @@
             ..
         } = target_response;
         let (head, mut body) = http_response.into_parts();
+        let ends_with_connection = connection::ends_with_connection(&head.headers, &body);
+        let mut has_begun = false;
         loop {
             let remaining_ms = self.context.remaining_ms();
             if remaining_ms == Millis::ZERO {
@@ -156,19 +162,19 @@
                     attempt.close(TargetOutcome::Broken);
                     return RelayOutcome::DeadlineExceeded;
                 }
-                Some(None) if self.splitter.is_at_event_boundary() => {
+                Some(None)
+                    if self.splitter.is_at_event_boundary()
+                        && (has_begun || !ends_with_connection) =>
+                {
                     attempt.release(TargetOutcome::Responded, &head.headers);
                     return RelayOutcome::Complete;
                 }
                 Some(None) => {
-                    attempt.close(TargetOutcome::Broken);
-                    return RelayOutcome::Interrupted(
-                        "the stream ended within an event".to_owned(),
-                    );
+                    let reason = "the stream ended within an event or before its first one";
+                    return self.interrupt(attempt, reason.to_owned(), has_begun);
                 }
                 Some(Some(Err(error))) => {
-                    attempt.close(TargetOutcome::Broken);
-                    return RelayOutcome::Interrupted(error.to_string());
+                    return self.interrupt(attempt, error.to_string(), has_begun);
                 }
                 Some(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => data,
@@ -178,6 +184,10 @@
             };
             match self.splitter.push(&data) {
                 Ok(Some(events)) => {
+                    if !has_begun {
+                        has_begun = true;
+                        crashes::record_response(&self.context);
+                    }
                     self.record_events();
                     if self.sender.send(Ok(events)).await.is_err() {
                         attempt.close(TargetOutcome::Abandoned);
@@ -193,6 +203,16 @@
         }
     }
 
+    /// Ends an attempt whose stream is incomplete. `has_begun` tells whether it had an event.
+    fn interrupt(&self, attempt: TargetAttempt, reason: String, has_begun: bool) -> RelayOutcome {
+        if !has_begun {
+            let target = attempt.target();
+            crashes::record_crash(&self.context, target, &reason, PromptSuspicion::Possible);
+        }
+        attempt.close(TargetOutcome::Broken);
+        RelayOutcome::Interrupted(reason)
+    }
+
     fn record_events(&mut self) {
         self.context.record.events = self.splitter.event_count();
         // The engine reads the stage results before it sends an event, also when a stream is
