--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -62,10 +62,11 @@
         failure_domain: &str,
     ) -> io::Result<Self> {
         let host_number = NEXT_HOST_NUMBER.fetch_add(1, Ordering::Relaxed);
-        // Test processes that run in parallel usually have different networks, so that the fixed
-        // ports below do not conflict.
-        let network = u8::try_from(process::id() % 200).unwrap_or(0) + 20;
-        let ip = Ipv4Addr::new(127, network, 1, host_number);
+        // Test processes that run in parallel have different networks, so that the fixed ports below
+        // do not conflict.
+        let pid = process::id();
+        let [network, subnet] = [pid / 250 % 200 + 20, pid % 250].map(|octet| octet as u8);
+        let ip = Ipv4Addr::new(127, network, subnet, host_number);
         let settings = InstanceSettings {
             name: format!("instance-{host_number}"),
             ip,
