peer: log large transfers between instances and the ones that are dropped

Transfers of 64 KB or more now have a line at the sender and the receiver with size and duration, and a receiver that ends with a message half received says how far it got. Frames move into a module of their own; nothing else changes.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod net;
 pub mod peer;
+pub mod peer_frames;
 pub mod pool;
 pub mod readiness;
 pub mod request;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -17,13 +17,8 @@
 use log::warn;
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -33,6 +28,9 @@
 
 use crate::crashes;
 use crate::net;
+use crate::peer_frames;
+use crate::peer_frames::FrameReader;
+use crate::peer_frames::FrameWriter;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
@@ -48,9 +46,6 @@
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
-use arbutus_wire::frame;
-use arbutus_wire::frame::HEADER_BYTES;
-use arbutus_wire::frame::MAX_FRAME_BYTES;
 
 /// Connect timeout, shorter than the 1 s after which TCP retransmits a dropped SYN.
 const CONNECT_TIMEOUT_MS: Millis = Millis(400);
@@ -243,10 +238,9 @@
         commands: &mut UnboundedReceiver<PeerCommand>,
     ) -> io::Result<()> {
         let stream = net::connect(address, CONNECT_TIMEOUT_MS).await?;
-        let (reader, mut writer) = stream.into_split();
-        let (sender, mut replies) = mpsc::unbounded_channel();
-        let reader_task = spawn_local(read_frames::<PeerReply>(reader, sender));
-        let _reader_guard = crate::connection::AbortOnDrop::new(reader_task);
+        let (reader, writer) = stream.into_split();
+        let mut replies = FrameReader::<PeerReply>::spawn(peer, reader);
+        let mut writer = FrameWriter::new(peer, writer);
         let mut is_peer_shutting_down = false;
         let mut last_received = Instant::now();
         let mut next_ping = last_received + PING_INTERVAL_MS.to_duration();
@@ -318,53 +312,15 @@
 
 /// Writes a command and all commands queued behind it with one system call.
 async fn write_commands(
-    writer: &mut OwnedWriteHalf,
+    writer: &mut FrameWriter,
     first: PeerCommand,
     queued: &mut UnboundedReceiver<PeerCommand>,
 ) -> io::Result<()> {
-    let mut bytes = encode(&first)?;
+    let mut bytes = peer_frames::encode(&first)?;
     while let Ok(command) = queued.try_recv() {
-        bytes.extend(encode(&command)?);
+        bytes.extend(peer_frames::encode(&command)?);
     }
-    writer.write_all(&bytes).await
-}
-
-fn encode<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
-    frame::encode(message).map_err(io::Error::other)
-}
-
-/// Reads frames into a channel until the connection ends.
-async fn read_frames<T: DeserializeOwned>(mut reader: OwnedReadHalf, sender: UnboundedSender<T>) {
-    loop {
-        match read_frame(&mut reader).await {
-            Ok(message) => {
-                if sender.send(message).is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
-                if error.kind() != io::ErrorKind::UnexpectedEof {
-                    info!(error:%; "cannot read from a peer connection");
-                }
-                return;
-            }
-        }
-    }
-}
-
-async fn read_frame<T: DeserializeOwned>(reader: &mut OwnedReadHalf) -> io::Result<T> {
-    let mut bytes = vec![0; HEADER_BYTES];
-    reader.read_exact(&mut bytes).await?;
-    // The length of the payload follows the version byte.
-    let length = u32::from_be_bytes([bytes[1], bytes[2], bytes[3], bytes[4]]) as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    bytes.resize(HEADER_BYTES + length, 0);
-    reader.read_exact(&mut bytes[HEADER_BYTES..]).await?;
-    let (message, _) =
-        frame::read(&mut bytes.as_slice(), MAX_FRAME_BYTES).map_err(io::Error::other)?;
-    Ok(message)
+    writer.write(&bytes).await
 }
 
 /// Serves the connections that other instances open.
@@ -398,10 +354,10 @@
 
     async fn serve(&self, stream: TcpStream) -> io::Result<()> {
         net::set_socket_options(&stream)?;
-        let (reader, mut writer) = stream.into_split();
-        let (sender, mut commands) = mpsc::unbounded_channel();
-        let reader_task = spawn_local(read_frames::<PeerCommand>(reader, sender));
-        let _reader_guard = crate::connection::AbortOnDrop::new(reader_task);
+        let peer_address = stream.peer_addr()?.to_string();
+        let (reader, writer) = stream.into_split();
+        let mut commands = FrameReader::<PeerCommand>::spawn(&peer_address, reader);
+        let mut writer = FrameWriter::new(&peer_address, writer);
         let (submitter, mut reports) = self.queues.add_submitter();
         let _submitter_guard = SubmitterGuard {
             queues: Rc::clone(&self.queues),
@@ -448,10 +404,10 @@
             }
             let mut bytes = Vec::new();
             for reply in &replies {
-                bytes.extend(encode(reply)?);
+                bytes.extend(peer_frames::encode(reply)?);
             }
             if !bytes.is_empty() {
-                writer.write_all(&bytes).await?;
+                writer.write(&bytes).await?;
             }
         }
     }
