tests: add failing test of a large configuration on slow links

Twelve real instances on links of 10 Mbit/s get two configurations of 1 MB, one second apart; each has to be in force everywhere 3 s after the store accepted it. Simulated links relay what instances send to each other and what the store sends to an instance.

--- a/crates/standins/src/simulated_platform/example.rs
+++ b/crates/standins/src/simulated_platform/example.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use crate::simulated_platform::client::ClientRequest;
 use crate::simulated_platform::target::EVENT_COUNT;
 use arbutus_coord::Millis;
@@ -154,3 +158,19 @@
     let events = (1..=EVENT_COUNT).map(|event| format!("id: {event}\ndata: token {event}\n\n"));
     events.collect::<Vec<String>>().concat()
 }
+
+/// Returns the example configuration with further routes, whose names and paths have nothing in
+/// common with each other. The same number of routes gives the same routes, and a larger one the
+/// same routes and others.
+#[must_use]
+pub fn configuration_with_more_routes(version: u64, count: usize) -> Configuration {
+    let mut configuration = configuration(version);
+    let mut rng = ChaCha8Rng::seed_from_u64(0);
+    configuration.routes.extend((0..count).map(|_| {
+        let path_prefix = format!("/{:010x}/{:04x}/", rng.random::<u64>(), rng.random::<u16>());
+        let mut route = route(&path_prefix, RouteKind::Safe, "desk");
+        route.name = format!("r-{:08x}", rng.random::<u32>());
+        route
+    }));
+    configuration
+}
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod example;
 pub mod instance;
+pub mod link;
 pub mod slow_client;
 pub mod store;
 pub mod target;
@@ -15,6 +16,9 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
@@ -28,9 +32,11 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::runtime;
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::simulated_platform::link::Link;
 use crate::simulated_platform::store::Store;
 use crate::simulated_platform::target::Target;
 
@@ -45,6 +51,9 @@
     pub store: Arc<Store>,
     /// The targets in the order of the argument of [`SimulatedPlatform::start`].
     pub targets: Vec<Arc<Target>>,
+    runtime: Handle,
+    /// Bytes that were sent over limited links.
+    link_bytes: Arc<AtomicU64>,
 }
 
 impl SimulatedPlatform {
@@ -77,6 +86,7 @@
             started.push(target);
         }
         let served_store = Arc::clone(&store);
+        let handle = runtime.handle().clone();
         thread::Builder::new()
             .name("platform-side".to_owned())
             .spawn(move || {
@@ -95,9 +105,39 @@
         Ok(Self {
             store,
             targets: started,
+            runtime: handle,
+            link_bytes: Arc::new(AtomicU64::new(0)),
         })
     }
 
+    /// Limits what each instance that registers from now on sends to other instances.
+    pub fn limit_instance_links(&self, bytes_per_s: u64) {
+        self.store
+            .limit_instance_links(bytes_per_s, Arc::clone(&self.link_bytes));
+    }
+
+    /// Returns an address of the store for one instance, whose responses share a limited link.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn store_address_with_link(&self, bytes_per_s: u64) -> io::Result<SocketAddrV4> {
+        let link = Link::new(bytes_per_s, Arc::clone(&self.link_bytes));
+        let store = self.store.address;
+        let (sender, address) = mpsc::channel();
+        self.runtime.spawn(async move {
+            // Fails only if the caller has gone.
+            let _unsent = sender.send(link.relay(store).await);
+        });
+        address.recv().map_err(io::Error::other)?
+    }
+
+    /// Returns how many bytes were sent over limited links.
+    #[must_use]
+    pub fn link_bytes(&self) -> u64 {
+        self.link_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns the identifiers of the requests that targets have executed, in the order in which
     /// the executions started.
     ///
--- a/crates/standins/src/simulated_platform/store.rs
+++ b/crates/standins/src/simulated_platform/store.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 
 use bytes::Bytes;
 use http::Method;
@@ -19,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::simulated_platform::link::Link;
 use arbutus_platform::configuration;
 use arbutus_platform::store;
 use arbutus_platform::store::CONFIGURATION_OBJECT_NAME;
@@ -36,6 +38,9 @@
     history: Vec<(u64, ObjectKind, ObjectChange)>,
     is_unavailable: bool,
     call_count: usize,
+    /// Bandwidth of the links of instances and the counter of their bytes; `None` if the links are
+    /// not limited.
+    instance_links: Option<(u64, Arc<AtomicU64>)>,
 }
 
 /// The store of a simulated platform.
@@ -117,6 +122,32 @@
         self.lock().call_count
     }
 
+    /// Limits what each instance that registers from now on sends to other instances. `sent_bytes`
+    /// counts what they send.
+    pub(super) fn limit_instance_links(&self, bytes_per_s: u64, sent_bytes: Arc<AtomicU64>) {
+        self.lock().instance_links = Some((bytes_per_s, sent_bytes));
+    }
+
+    /// Replaces the address of an instance that registers by that of a relay with a limited link,
+    /// if links are limited. Returns other objects unchanged.
+    async fn relay_if_instance(
+        &self,
+        kind: ObjectKind,
+        object: StoredObject,
+    ) -> io::Result<StoredObject> {
+        let links = self.lock().instance_links.clone();
+        let Some((bytes_per_s, sent_bytes)) = links.filter(|_| kind == ObjectKind::Instances)
+        else {
+            return Ok(object);
+        };
+        let mut entry = store::decode_instance(&object)?;
+        let link = Link::new(bytes_per_s, sent_bytes);
+        entry.address = link.relay(entry.address).await?;
+        Ok(store::decode_write_request(&store::encode_instance(
+            &entry,
+        )?)?)
+    }
+
     /// Starts or ends an outage, during which all requests receive status 503.
     pub fn set_unavailable(&self, is_unavailable: bool) {
         self.lock().is_unavailable = is_unavailable;
@@ -201,11 +232,13 @@
                 return respond(StatusCode::CONFLICT, Vec::new());
             }
             let object = store::decode_write_request(&body)?;
+            let object = store.relay_if_instance(kind, object).await?;
             store.put(kind, name, object.content);
             respond(StatusCode::OK, b"{}".to_vec())
         }
         (Method::POST, None) => {
             let object = store::decode_write_request(&body)?;
+            let object = store.relay_if_instance(kind, object).await?;
             store.put(kind, &object.name, object.content);
             respond(StatusCode::OK, b"{}".to_vec())
         }
