store role: keep the watcher while its update arrives

Callers saw requests handled by an old configuration. A follower that heard no confirmation for 0.9 s left its watcher, dropped the copy of the configuration that was half received and asked for another one. Confirmations and pings share the connection with the copy and wait behind it, so a copy that takes longer than 0.9 s was never completed while the links were busy with such copies.

The class of fault is a timeout that takes a busy connection for a dead one and repeats the transfer that makes it busy. Received bytes now count as a sign of life, and bytes of an update as a confirmation of the watcher that it comes from.

--- a/crates/policy/src/serving/store_role.rs
+++ b/crates/policy/src/serving/store_role.rs
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Records that a part of an update has arrived from `peer`, which is as good as a confirmation
+    /// if this instance follows it: the next confirmation arrives after the update.
+    pub fn record_progress(&mut self, now: Millis, peer: &str) {
+        if self.watcher() == Some(peer) {
+            self.confirmed_at = now;
+        }
+    }
+
     /// Records that `peer` cannot be followed.
     ///
     /// `store_unreachable` is true if the store does not respond to it or if it did not reply, and
--- a/crates/policy/tests/serving/store_role.rs
+++ b/crates/policy/tests/serving/store_role.rs
@@ -294,3 +294,23 @@
     role_state.set_preferred_watcher(Millis(1_700), Some("i2"));
     assert_eq!(*role_state.role(), StoreRole::Watcher);
 }
+
+/// Guards against a follower that leaves its watcher while a long update arrives, behind which the
+/// confirmations wait, and that asks another instance for the same update.
+#[test]
+fn a_follower_keeps_its_watcher_while_an_update_arrives() {
+    let mut role_state = StoreRoleState::new("i0");
+    role_state.set_preferred_watcher(Millis(0), Some("i1"));
+    role_state.record_confirmation(Millis(20), "i1");
+    let followed = StoreRole::Follower("i1".to_owned());
+    for now in (300..3_000).step_by(300) {
+        role_state.record_progress(Millis(now), "i1");
+        // Progress of another instance says nothing about the watcher.
+        role_state.record_progress(Millis(now), "i2");
+        role_state.set_preferred_watcher(Millis(now + 250), Some("i1"));
+        assert_eq!(*role_state.role(), followed, "{now} ms");
+    }
+    role_state.record_progress(Millis(3_600), "i2");
+    role_state.set_preferred_watcher(Millis(3_700), Some("i1"));
+    assert_eq!(*role_state.role(), StoreRole::Watcher);
+}
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -242,8 +242,8 @@
         let mut replies = FrameReader::<PeerReply>::spawn(peer, reader);
         let mut writer = FrameWriter::new(peer, writer);
         let mut is_peer_shutting_down = false;
-        let mut last_received = Instant::now();
-        let mut next_ping = last_received + PING_INTERVAL_MS.to_duration();
+        let mut expected_since = Instant::now();
+        let mut next_ping = expected_since + PING_INTERVAL_MS.to_duration();
         loop {
             tokio::select! {
                 command = commands.recv() => {
@@ -254,7 +254,6 @@
                     let Some(reply) = reply else {
                         return Err(io::ErrorKind::ConnectionReset.into());
                     };
-                    last_received = Instant::now();
                     if matches!(reply, PeerReply::Leaving) && !is_peer_shutting_down {
                         is_peer_shutting_down = true;
                         let stage_client = self.stage_client.borrow().upgrade();
@@ -273,10 +272,15 @@
                             return Ok(());
                         }
                         // Silence counts only while a reply is expected.
-                        last_received = Instant::now();
+                        expected_since = Instant::now();
                         continue;
                     }
-                    if last_received.elapsed() > SILENCE_TIMEOUT_MS.to_duration() {
+                    let last_received = replies.last_received();
+                    if replies.is_receiving() && last_received.elapsed() < PING_INTERVAL_MS.to_duration() {
+                        // Confirmations wait behind a long update on the same connection.
+                        self.store.record_follow_progress(peer);
+                    }
+                    if last_received.max(expected_since).elapsed() > SILENCE_TIMEOUT_MS.to_duration() {
                         return Err(io::ErrorKind::TimedOut.into());
                     }
                     write_commands(&mut writer, PeerCommand::Ping, commands).await?;
--- a/crates/serving/src/peer_frames.rs
+++ b/crates/serving/src/peer_frames.rs
@@ -87,30 +87,52 @@
 pub struct FrameReader<T> {
     peer: String,
     messages: UnboundedReceiver<T>,
-    pending: Rc<Cell<Option<PendingFrame>>>,
+    progress: Rc<ReadProgress>,
     _task: AbortOnDrop,
 }
 
+/// What a connection has received so far.
+#[derive(Debug)]
+struct ReadProgress {
+    last_received: Cell<Instant>,
+    pending: Cell<Option<PendingFrame>>,
+}
+
 impl<T: DeserializeOwned + 'static> FrameReader<T> {
     /// Starts to read; `peer` names the peer in log lines.
     #[must_use]
     pub fn spawn(peer: &str, reader: OwnedReadHalf) -> Self {
         let (sender, messages) = mpsc::unbounded_channel();
-        let pending = Rc::new(Cell::new(None));
+        let progress = Rc::new(ReadProgress {
+            last_received: Cell::new(Instant::now()),
+            pending: Cell::new(None),
+        });
         let task = spawn_local(read_frames(
             peer.to_owned(),
             reader,
             sender,
-            Rc::clone(&pending),
+            Rc::clone(&progress),
         ));
         Self {
             peer: peer.to_owned(),
             messages,
-            pending,
+            progress,
             _task: AbortOnDrop::new(task),
         }
     }
 
+    /// Returns when bytes arrived last, or when the connection was opened.
+    #[must_use]
+    pub fn last_received(&self) -> Instant {
+        self.progress.last_received.get()
+    }
+
+    /// Returns whether a part of the next message has arrived.
+    #[must_use]
+    pub fn is_receiving(&self) -> bool {
+        self.progress.pending.get().is_some()
+    }
+
     /// Returns the next message, or `None` when the connection has ended.
     pub async fn recv(&mut self) -> Option<T> {
         self.messages.recv().await
@@ -128,7 +150,7 @@
 
 impl<T> Drop for FrameReader<T> {
     fn drop(&mut self) {
-        if let Some(pending) = self.pending.get()
+        if let Some(pending) = self.progress.pending.get()
             && pending.expected_bytes >= MIN_LOGGED_BYTES
         {
             info!(
@@ -146,10 +168,10 @@
     peer: String,
     mut reader: OwnedReadHalf,
     sender: UnboundedSender<T>,
-    pending: Rc<Cell<Option<PendingFrame>>>,
+    progress: Rc<ReadProgress>,
 ) {
     loop {
-        match read_frame(&peer, &mut reader, &pending).await {
+        match read_frame(&peer, &mut reader, &progress).await {
             Ok(message) => {
                 if sender.send(message).is_err() {
                     return;
@@ -168,7 +190,7 @@
 async fn read_frame<T: DeserializeOwned>(
     peer: &str,
     reader: &mut OwnedReadHalf,
-    pending: &Cell<Option<PendingFrame>>,
+    progress: &ReadProgress,
 ) -> io::Result<T> {
     let mut bytes = vec![0; HEADER_BYTES];
     reader.read_exact(&mut bytes).await?;
@@ -179,10 +201,11 @@
     }
     let expected_bytes = HEADER_BYTES + length;
     let started = Instant::now();
+    progress.last_received.set(started);
     bytes.resize(expected_bytes, 0);
     let mut received_bytes = HEADER_BYTES;
     while received_bytes < expected_bytes {
-        pending.set(Some(PendingFrame {
+        progress.pending.set(Some(PendingFrame {
             received_bytes,
             expected_bytes,
             started,
@@ -193,8 +216,9 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         received_bytes += read_bytes;
+        progress.last_received.set(Instant::now());
     }
-    pending.set(None);
+    progress.pending.set(None);
     if expected_bytes >= MIN_LOGGED_BYTES {
         info!(
             peer, bytes = expected_bytes, took_ms = Millis::from(started.elapsed()).0;
--- a/crates/serving/src/watch/store_role.rs
+++ b/crates/serving/src/watch/store_role.rs
@@ -21,6 +21,12 @@
         self.update_role(|role_state| role_state.record_confirmation(now, peer));
     }
 
+    /// Records that a part of an update has arrived from a peer.
+    pub fn record_follow_progress(&self, peer: &str) {
+        let now = self.shared.now();
+        self.role_state.borrow_mut().record_progress(now, peer);
+    }
+
     /// Records that a peer cannot be followed. `is_store_unreachable` means that the store does not
     /// respond to the peer, or that the peer cannot be reached.
     pub fn record_follow_refusal(&self, peer: &str, is_store_unreachable: bool) {
