--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -9,8 +9,8 @@
 
 use crate::logging::DroppedLineCount;
 use crate::net::sleep;
-use crate::peer::PeerCommand;
 use crate::peer::PeerConnections;
+use crate::peer_messages::PeerCommand;
 use crate::shared::Shared;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod net;
 pub mod peer;
 pub mod peer_frames;
+pub mod peer_messages;
 pub mod pool;
 pub mod readiness;
 pub mod request;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -15,8 +14,6 @@
 
 use log::info;
 use log::warn;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -31,20 +28,16 @@
 use crate::peer_frames;
 use crate::peer_frames::FrameReader;
 use crate::peer_frames::FrameWriter;
+use crate::peer_messages::PeerCommand;
+use crate::peer_messages::PeerReply;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
-use crate::update::StateUpdate;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
 use arbutus_platform::store::ObjectKind;
-use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceReport;
-use arbutus_policy::serving::batch::PieceSource;
-use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::batch::SubmissionId;
-use arbutus_policy::serving::prompt_quarantine::PartHash;
-use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 
 /// Connect timeout, shorter than the 1 s after which TCP retransmits a dropped SYN.
@@ -59,110 +52,6 @@
 /// Shorter backlogs are not reported, because pieces wait for a call about this long anyway.
 const MIN_REPORTED_BACKLOG_MS: Millis = Millis(150);
 
-/// Pieces of one stage of a request, sent to the owner of their queue.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct SubmitMessage {
-    /// Number of the submission, assigned by the submitting instance.
-    pub number: u64,
-    /// The queue for the pieces.
-    pub queue: QueueName,
-    /// Identifier of the request, for logs.
-    pub request: String,
-    /// Index of the stage in the route.
-    pub stage: u32,
-    /// Indices of the pieces in the stage.
-    pub pieces: Vec<u32>,
-    /// The input of the pieces: a key in a first stage, the results of earlier stages otherwise.
-    pub source: PieceSource,
-    /// The failure domain in which the results are needed.
-    pub failure_domain: String,
-    /// Time until the results are needed for the request to meet its latency objective.
-    pub due_ms: Millis,
-    /// Time until the request is abandoned.
-    pub deadline_ms: Millis,
-    /// Priority of the request; 0 is the most urgent.
-    #[serde(rename = "rank")]
-    pub priority: u32,
-    /// Approximate size of one result.
-    pub result_bytes: u64,
-}
-
-/// A message from the instance that opened a connection.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum PeerCommand {
-    /// Adds pieces to a queue.
-    Submit(SubmitMessage),
-    /// Cancels the pieces of a submission.
-    Cancel {
-        /// The queue of the submission.
-        queue: QueueName,
-        /// Number of the submission.
-        number: u64,
-    },
-    /// Frees results.
-    Free {
-        /// The queue whose targets computed the results.
-        queue: QueueName,
-        /// Handles of the results.
-        handles: Vec<String>,
-    },
-    /// Requests a [`PeerReply::Pong`].
-    Ping,
-    /// Requests all store objects newer than these revisions.
-    Objects(Vec<(ObjectKind, u64)>),
-    /// Requests all store objects newer than these revisions, and each change from now on.
-    Follow(Vec<(ObjectKind, u64)>),
-    /// Reports requests that crash targets.
-    Crashes(Vec<QuarantineEntry>),
-    /// Reports crashes of which prompt parts are suspected, and how long ago they occurred.
-    PromptCrashes(Vec<(Millis, PromptCrash)>),
-    /// Reports suspected prompt parts of requests that got a response.
-    ClearedParts(BTreeSet<PartHash>),
-    /// Requests the crashes of all quarantined prompt parts.
-    QuarantinedPrompts,
-}
-
-/// A message to the instance that opened a connection.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum PeerReply {
-    /// Reports the progress of a piece.
-    Piece {
-        /// Number of the submission.
-        number: u64,
-        /// Index of the piece.
-        piece: u32,
-        /// What happened to the piece.
-        progress: PieceProgress,
-    },
-    /// The reply to [`PeerCommand::Ping`].
-    Pong,
-    /// The sender is shutting down: it completes its calls in progress and returns all other
-    /// pieces.
-    Leaving,
-    /// Newer store objects of one kind.
-    Objects(ObjectKind, StateUpdate),
-    /// Accepts a [`PeerCommand::Follow`]: the sender watches the store, the store responds, and
-    /// each change will be sent.
-    Followed,
-    /// Rejects a [`PeerCommand::Follow`], or ends the updates that followed one: the store does not
-    /// respond to the sender.
-    #[serde(rename = "Blind")]
-    StoreUnreachable,
-    /// Rejects a [`PeerCommand::Follow`], or ends the updates that followed one: the sender is not
-    /// watching the store, or has not reached it yet.
-    NotWatching,
-    /// Reports the time that the targets of a queue need for its waiting pieces.
-    Backlog {
-        /// The queue of the report.
-        queue: QueueName,
-        /// The time that the targets need.
-        backlog_ms: Millis,
-    },
-    /// Earlier crashes of quarantined prompt parts, all of them or those that the peer has reported
-    /// as suspects.
-    PromptCrashes(Vec<PromptCrash>),
-}
-
 /// The connections that this instance opens to its peers.
 #[derive(Debug)]
 pub struct PeerConnections {
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -17,9 +17,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
 
-use crate::peer::PeerCommand;
 use crate::peer::PeerConnections;
-use crate::peer::SubmitMessage;
+use crate::peer_messages::PeerCommand;
+use crate::peer_messages::SubmitMessage;
 use crate::shared::Shared;
 use crate::stage_queues::StageQueues;
 use arbutus_coord::Millis;
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -11,7 +11,7 @@
 
 use crate::dispatch;
 use crate::dispatch::DispatchError;
-use crate::peer::SubmitMessage;
+use crate::peer_messages::SubmitMessage;
 use crate::request::RequestContext;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
--- a/crates/serving/src/update.rs
+++ b/crates/serving/src/update.rs
@@ -135,7 +135,7 @@
     /// and ends at a newer one.
     ///
     /// An update that starts at a newer revision follows one that was missed. Applying it would
-    /// leave objects missing. The next [`crate::peer::PeerCommand::Follow`] names the current
+    /// leave objects missing. The next [`crate::peer_messages::PeerCommand::Follow`] names the current
     /// revision, and the reply contains everything since then.
     #[must_use]
     pub const fn can_apply(&self, update: &StateUpdate) -> bool {
--- a/crates/serving/src/watch/store_role.rs
+++ b/crates/serving/src/watch/store_role.rs
@@ -3,7 +3,7 @@
 use log::info;
 use tokio::sync::watch;
 
-use crate::peer::PeerReply;
+use crate::peer_messages::PeerReply;
 use crate::watch::StoreState;
 use arbutus_policy::serving::store_role::StoreRole;
 use arbutus_policy::serving::store_role::StoreRoleState;
--- a/crates/serving/src/watcher_selection.rs
+++ b/crates/serving/src/watcher_selection.rs
@@ -9,8 +9,8 @@
 use std::rc::Rc;
 
 use crate::net::sleep;
-use crate::peer::PeerCommand;
 use crate::peer::PeerConnections;
+use crate::peer_messages::PeerCommand;
 use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
