peer: compress large updates of store objects, once for all followers

Callers saw requests handled by an old configuration. An instance that watches the store sends each change to up to eleven followers. A configuration of 1 MB in as many copies takes 9 s on its link of 10 Mbit/s, and the requests of callers wait behind them. The class of fault is a design figure that nobody checked when the load grew: the group size was chosen for a configuration of 100 KB.

Instances write the version of the messages that they understand into their entry in the store, and get the new messages only from there on, so that instances of both versions work together. A decompressed update is limited to the size of a frame.

Ruled out: more instances that watch the store (each call is priced, and each copy from the store is not compressed); other links (not ours).

--- a/crates/policy/src/serving/ownership.rs
+++ b/crates/policy/src/serving/ownership.rs
@@ -17,8 +17,9 @@
 /// Maximum number of targets for which a service has a single queue.
 const MAX_TARGETS_PER_OWNER: usize = 8;
 /// Maximum mean size of a group of instances. The instances of a failure domain are divided into
-/// groups, and one instance of each group watches the store. A configuration of 100 KB reaches a
-/// group of this size within a second over the slowest links (10 Mbit/s).
+/// groups, and one instance of each group watches the store. The largest configuration (1 MB) has
+/// about 100 KB when it is compressed, and reaches a group of this size within a second over the
+/// slowest links (10 Mbit/s).
 const MAX_INSTANCES_PER_WATCHER: usize = 12;
 /// Key by which the instances are ranked to select a watcher.
 const STORE_WATCH_KEY: &str = "store-watch";
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -101,7 +101,7 @@
         let Some(peer) = peers.choose(&mut rand::rng()) else {
             continue;
         };
-        connections.send(&peer.name, PeerCommand::Objects(store.revisions()));
+        connections.request_updates(&peer.name, store.revisions(), false);
     }
 }
 
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -28,11 +28,13 @@
 use crate::peer_frames;
 use crate::peer_frames::FrameReader;
 use crate::peer_frames::FrameWriter;
+use crate::peer_messages::COMPRESSED_UPDATES_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
+use crate::update::StateUpdate;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
 use arbutus_platform::store::ObjectKind;
@@ -95,6 +97,31 @@
         }
     }
 
+    /// Asks a peer for all store objects newer than the known revisions and, if `follow` is set,
+    /// for each change from now on.
+    pub fn request_updates(
+        self: &Rc<Self>,
+        peer: &str,
+        known_revisions: Vec<(ObjectKind, u64)>,
+        follow: bool,
+    ) {
+        let protocol = self
+            .shared
+            .peer(peer)
+            .map_or(1, |entry| entry.peer_protocol);
+        let command = if protocol >= COMPRESSED_UPDATES_PROTOCOL {
+            PeerCommand::Updates {
+                known_revisions,
+                follow,
+            }
+        } else if follow {
+            PeerCommand::Follow(known_revisions)
+        } else {
+            PeerCommand::Objects(known_revisions)
+        };
+        self.send(peer, command);
+    }
+
     async fn run_connection(
         self: Rc<Self>,
         peer: String,
@@ -194,6 +221,12 @@
                 }
             }
             PeerReply::Objects(kind, update) => self.store.apply_peer_update(kind, update),
+            PeerReply::CompressedObjects(kind, bytes) => match StateUpdate::decompress(&bytes) {
+                Ok(update) => self.store.apply_peer_update(kind, update),
+                Err(error) => {
+                    warn!(peer, kind = kind.label(), error:%; "cannot decode an update of a peer");
+                }
+            },
             PeerReply::Backlog { queue, backlog_ms } => self.shared.set_backlog(queue, backlog_ms),
             PeerReply::PromptCrashes(earlier) => {
                 crashes::merge_earlier_crashes(&self.shared, &earlier);
@@ -317,13 +350,32 @@
     /// Adds the objects that are newer than the revisions known to the peer to the replies.
     fn push_updates(&self, follower: &mut FollowState, replies: &mut Vec<PeerReply>) {
         for (kind, revision) in &mut follower.known_revisions {
-            if let Some(update) = self.store.update_since(*kind, *revision) {
+            if follower.accepts_compression {
+                let update = self.store.compressed_update_since(*kind, *revision);
+                if let Some((current, reply)) = update {
+                    *revision = current;
+                    replies.push(reply);
+                }
+            } else if let Some(update) = self.store.update_since(*kind, *revision) {
                 *revision = update.revision;
                 replies.push(PeerReply::Objects(*kind, update));
             }
         }
     }
 
+    /// Accepts a peer as a follower if this instance watches the store.
+    fn begin_following(&self, follower: &mut FollowState, replies: &mut Vec<PeerReply>) {
+        // Following a follower could create a cycle in which no instance watches the store.
+        follower.is_following = self.store.is_active_watcher();
+        if follower.is_following {
+            // `Followed` comes first; the peer ignores updates until it receives it.
+            replies.push(PeerReply::Followed);
+            self.push_updates(follower, replies);
+        } else {
+            replies.push(self.store.follow_refusal_reply());
+        }
+    }
+
     fn handle_command(
         &self,
         submitter: u64,
@@ -354,22 +406,22 @@
             PeerCommand::Free { queue, handles } => self.queues.free(&queue, handles),
             PeerCommand::Ping => replies.push(PeerReply::Pong),
             PeerCommand::Objects(known_revisions) => {
-                let mut requester = FollowState {
-                    is_following: false,
-                    known_revisions,
-                };
-                self.push_updates(&mut requester, replies);
+                self.push_updates(&mut FollowState::new(known_revisions, false), replies);
             }
             PeerCommand::Follow(known_revisions) => {
-                // Following a follower could create a cycle in which no instance watches the store.
-                follower.is_following = self.store.is_active_watcher();
-                follower.known_revisions = known_revisions;
-                if follower.is_following {
-                    // `Followed` comes first; the peer ignores updates until it receives it.
-                    replies.push(PeerReply::Followed);
-                    self.push_updates(follower, replies);
+                *follower = FollowState::new(known_revisions, false);
+                self.begin_following(follower, replies);
+            }
+            PeerCommand::Updates {
+                known_revisions,
+                follow,
+            } => {
+                let requester = FollowState::new(known_revisions, true);
+                if follow {
+                    *follower = requester;
+                    self.begin_following(follower, replies);
                 } else {
-                    replies.push(self.store.follow_refusal_reply());
+                    self.push_updates(&mut { requester }, replies);
                 }
             }
             PeerCommand::Crashes(entries) => {
@@ -408,6 +460,17 @@
 struct FollowState {
     is_following: bool,
     known_revisions: Vec<(ObjectKind, u64)>,
+    accepts_compression: bool,
+}
+
+impl FollowState {
+    fn new(known_revisions: Vec<(ObjectKind, u64)>, accepts_compression: bool) -> Self {
+        Self {
+            is_following: false,
+            known_revisions,
+            accepts_compression,
+        }
+    }
 }
 
 /// Removes a submitter when dropped.
--- a/crates/serving/src/peer_frames.rs
+++ b/crates/serving/src/peer_frames.rs
@@ -25,7 +25,7 @@
 use arbutus_wire::frame::MAX_FRAME_BYTES;
 
 /// Transfers of at least this size are logged. Only updates of store objects reach it.
-const MIN_LOGGED_BYTES: usize = 64 * 1024;
+const MIN_LOGGED_BYTES: usize = 16 * 1024;
 /// Space for the bytes that one read returns.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -18,6 +19,12 @@
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 
+/// Version of the messages in this module. An instance writes it to its entry in the store, and
+/// sends messages of a later version than the peer's only in reply to such messages.
+pub const PEER_PROTOCOL: u32 = 2;
+/// First version that has [`PeerCommand::Updates`].
+pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
+
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SubmitMessage {
@@ -79,6 +86,14 @@
     ClearedParts(BTreeSet<PartHash>),
     /// Requests the crashes of all quarantined prompt parts.
     QuarantinedPrompts,
+    /// The same as [`PeerCommand::Objects`], or [`PeerCommand::Follow`] if `follow` is set, of a
+    /// peer that understands [`PeerReply::CompressedObjects`].
+    Updates {
+        /// The known revisions.
+        known_revisions: Vec<(ObjectKind, u64)>,
+        /// Whether each change from now on is requested, too.
+        follow: bool,
+    },
 }
 
 /// A message to the instance that opened a connection.
@@ -120,4 +135,6 @@
     /// Earlier crashes of quarantined prompt parts, all of them or those that the peer has reported
     /// as suspects.
     PromptCrashes(Vec<PromptCrash>),
+    /// Newer store objects of one kind: a compressed [`StateUpdate`].
+    CompressedObjects(ObjectKind, Bytes),
 }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -27,6 +27,7 @@
 use crate::net::sleep;
 use crate::peer::PeerConnections;
 use crate::peer::PeerServer;
+use crate::peer_messages::PEER_PROTOCOL;
 use crate::readiness;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
@@ -204,6 +205,7 @@
         name: settings.name.clone(),
         address: peer_address,
         failure_domain: settings.failure_domain.clone(),
+        peer_protocol: PEER_PROTOCOL,
     };
     let register_store = Rc::clone(&store);
     supervise("register", move || {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -233,6 +233,12 @@
             .collect()
     }
 
+    /// Returns another instance by its name, or `None` if it is not known.
+    #[must_use]
+    pub fn peer(&self, name: &str) -> Option<InstanceEntry> {
+        self.instances.borrow().get(name).cloned()
+    }
+
     /// Returns the number of known instances, at least 1. Limits that all instances share are
     /// divided by it.
     #[must_use]
--- a/crates/serving/src/update.rs
+++ b/crates/serving/src/update.rs
@@ -2,17 +2,29 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::io;
+use std::io::Read;
+use std::io::Write;
 
+use bytes::Bytes;
+use displaydoc::Display;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use serde::Deserialize;
 use serde::Serialize;
 
 use arbutus_platform::store::ObjectChange;
 use arbutus_platform::store::StoredObject;
+use arbutus_wire::frame::MAX_FRAME_BYTES;
 
 /// Maximum number of change sets kept for followers. A follower that is further behind receives all
 /// objects.
 const MAX_CHANGE_SETS: usize = 64;
 
+/// Smaller updates are sent as they are, since compressing them costs more than it saves.
+const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
+
 /// An update from an older revision of one kind of objects to a newer one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateUpdate {
@@ -38,6 +50,72 @@
     },
 }
 
+/// Why a compressed update cannot be decoded.
+#[derive(Debug, Display)]
+pub enum UpdateError {
+    /// cannot compress or decompress the update: {0}
+    Compression(io::Error),
+    /// the decompressed update is larger than a frame may be
+    TooLarge,
+    /// malformed update: {0}
+    Encoding(postcard::Error),
+}
+
+impl std::error::Error for UpdateError {}
+
+impl StateUpdate {
+    /// Encodes and compresses the update.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the update cannot be encoded.
+    pub fn compress(&self) -> Result<Bytes, UpdateError> {
+        let encoded = postcard::to_stdvec(self).map_err(UpdateError::Encoding)?;
+        let mut compressor = DeflateEncoder::new(Vec::new(), Compression::fast());
+        compressor
+            .write_all(&encoded)
+            .map_err(UpdateError::Compression)?;
+        let compressed = compressor.finish().map_err(UpdateError::Compression)?;
+        Ok(compressed.into())
+    }
+
+    /// Decodes an update that [`StateUpdate::compress`] has encoded.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the bytes are malformed, or when the update is larger than a frame may
+    /// be.
+    pub fn decompress(compressed: &[u8]) -> Result<Self, UpdateError> {
+        let mut encoded = Vec::new();
+        DeflateDecoder::new(compressed)
+            .take(MAX_FRAME_BYTES as u64 + 1)
+            .read_to_end(&mut encoded)
+            .map_err(UpdateError::Compression)?;
+        if encoded.len() > MAX_FRAME_BYTES {
+            return Err(UpdateError::TooLarge);
+        }
+        postcard::from_bytes(&encoded).map_err(UpdateError::Encoding)
+    }
+
+    /// Returns whether the update is so large that it should be sent compressed.
+    #[must_use]
+    pub fn is_worth_compressing(&self) -> bool {
+        let content_bytes: usize = match &self.content {
+            UpdateContent::Objects(objects) => {
+                objects.values().map(|object| object.content.len()).sum()
+            }
+            UpdateContent::Changes { changes, .. } => {
+                let written = changes.iter().map(|change| match change {
+                    ObjectChange::Written(object) => object.content.len(),
+                    ObjectChange::Removed(_) => 0,
+                });
+                written.sum()
+            }
+        };
+        content_bytes >= MIN_COMPRESSED_BYTES
+    }
+}
+
 /// The changes from one revision to another.
 #[derive(Debug)]
 struct ChangeSet {
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
 use log::info;
@@ -21,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::net::sleep;
+use crate::peer_messages::PeerReply;
 use crate::shared::Shared;
 use crate::store::StoreClient;
 use crate::store::StoreError;
@@ -68,12 +70,24 @@
 /// removed. Its owner registers it again within 2 s of the store's recovery.
 const OUTAGE_EXPIRY_MS: Millis = Millis(3_000);
 
+/// An update as it is sent.
+#[derive(Debug)]
+struct CompressedUpdate {
+    /// The revision after the update.
+    revision: u64,
+    after_outage: bool,
+    bytes: Bytes,
+}
+
 /// The local copy of the store objects, and the role of this instance.
 #[derive(Debug)]
 pub struct StoreState {
     shared: Rc<Shared>,
     client: StoreClient,
     caches: RefCell<BTreeMap<ObjectKind, ObjectCache>>,
+    /// The updates that were compressed since the last change of their kind, by the revision that
+    /// they start from.
+    compressed_updates: RefCell<BTreeMap<(ObjectKind, u64), CompressedUpdate>>,
     /// Whether the store responds, and since when.
     reachability: watch::Sender<(bool, Millis)>,
     role_state: RefCell<StoreRoleState>,
@@ -94,6 +108,7 @@
             role_state: RefCell::new(StoreRoleState::new(&shared.settings.name)),
             shared,
             caches: RefCell::new(BTreeMap::new()),
+            compressed_updates: RefCell::new(BTreeMap::new()),
             reachability: watch::Sender::new((true, Millis::ZERO)),
             role: watch::Sender::new(StoreRole::Watcher),
             responded_in_role: Cell::new(false),
@@ -126,6 +141,50 @@
         caches.get(&kind)?.update_since(revision, after_outage)
     }
 
+    /// Returns the update from a revision of a kind to the current one as a message, and the current
+    /// revision; `None` if the revision is current.
+    ///
+    /// Large updates are compressed once for all peers that start from the same revision.
+    #[must_use]
+    pub fn compressed_update_since(
+        &self,
+        kind: ObjectKind,
+        revision: u64,
+    ) -> Option<(u64, PeerReply)> {
+        let after_outage = self.is_after_outage(self.shared.now());
+        let caches = self.caches.borrow();
+        let cache = caches.get(&kind)?;
+        let mut compressed_updates = self.compressed_updates.borrow_mut();
+        compressed_updates
+            .retain(|(other, _), update| *other != kind || update.revision == cache.revision());
+        if let Some(update) = compressed_updates.get(&(kind, revision))
+            && update.after_outage == after_outage
+        {
+            let reply = PeerReply::CompressedObjects(kind, update.bytes.clone());
+            return Some((update.revision, reply));
+        }
+        let update = cache.update_since(revision, after_outage)?;
+        let current = update.revision;
+        if !update.is_worth_compressing() {
+            return Some((current, PeerReply::Objects(kind, update)));
+        }
+        match update.compress() {
+            Ok(bytes) => {
+                let compressed = CompressedUpdate {
+                    revision: current,
+                    after_outage,
+                    bytes: bytes.clone(),
+                };
+                compressed_updates.insert((kind, revision), compressed);
+                Some((current, PeerReply::CompressedObjects(kind, bytes)))
+            }
+            Err(error) => {
+                warn!(kind = kind.label(), error:%; "cannot compress an update; sending it as it is");
+                Some((current, PeerReply::Objects(kind, update)))
+            }
+        }
+    }
+
     /// Applies an update from a peer if it is newer, unless this instance receives changes from the
     /// store itself.
     pub fn apply_peer_update(&self, kind: ObjectKind, update: StateUpdate) {
--- a/crates/serving/src/watcher_selection.rs
+++ b/crates/serving/src/watcher_selection.rs
@@ -10,7 +10,6 @@
 
 use crate::net::sleep;
 use crate::peer::PeerConnections;
-use crate::peer_messages::PeerCommand;
 use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
@@ -41,7 +40,7 @@
         let preferred =
             stage_client.preferred_watcher(|name| store.is_store_unreachable_from(name));
         for peer in store.set_preferred_watcher(preferred.as_deref()) {
-            connections.send(&peer, PeerCommand::Follow(store.revisions()));
+            connections.request_updates(&peer, store.revisions(), true);
         }
     }
 }
--- a/crates/serving/tests/update.rs
+++ b/crates/serving/tests/update.rs
@@ -6,11 +6,15 @@
 
 use std::collections::BTreeMap;
 
+use arbutus_platform::configuration::encode;
 use arbutus_platform::store::ObjectChange;
 use arbutus_platform::store::StoredObject;
 use arbutus_serving::update::ObjectCache;
 use arbutus_serving::update::StateUpdate;
 use arbutus_serving::update::UpdateContent;
+use arbutus_serving::update::UpdateError;
+use arbutus_standins::simulated_platform::example;
+use arbutus_wire::frame::MAX_FRAME_BYTES;
 
 fn object(name: &str, revision: u64) -> StoredObject {
     StoredObject {
@@ -106,3 +110,61 @@
     let empty = ObjectCache::default();
     assert_eq!(empty.update_since(0, false), None);
 }
+
+/// Guards against a configuration that takes seconds to send: the copies for all followers of an
+/// instance have to fit on a link of 10 Mbit/s, and arrive unchanged.
+#[test]
+fn a_configuration_of_the_largest_size_is_compressed_to_a_fraction() {
+    let configuration = example::configuration_with_more_routes(2, 3_600);
+    let content = encode(&configuration).expect("the configuration can be encoded");
+    let content_bytes = content.len();
+    let update = StateUpdate {
+        revision: 7,
+        content: UpdateContent::Changes {
+            from: 3,
+            changes: vec![ObjectChange::Written(StoredObject {
+                content,
+                ..object("main", 7)
+            })],
+        },
+        after_outage: false,
+    };
+    assert!(update.is_worth_compressing());
+    let compressed = update.compress().expect("the update can be compressed");
+    assert!(
+        compressed.len() * 8 < content_bytes,
+        "{} of {content_bytes} bytes",
+        compressed.len()
+    );
+    let decompressed = StateUpdate::decompress(&compressed);
+    assert_eq!(decompressed.expect("the bytes are valid"), update);
+}
+
+/// Guards against bytes of a peer that exhaust the memory of an instance.
+#[test]
+fn malformed_and_oversized_updates_are_rejected() {
+    assert!(matches!(
+        StateUpdate::decompress(b"\xff\xff no deflate stream"),
+        Err(UpdateError::Compression(_))
+    ));
+    let update = StateUpdate {
+        revision: 1,
+        content: UpdateContent::Objects(
+            [(
+                "main".to_owned(),
+                StoredObject {
+                    content: " ".repeat(MAX_FRAME_BYTES),
+                    ..object("main", 1)
+                },
+            )]
+            .into(),
+        ),
+        after_outage: false,
+    };
+    let compressed = update.compress().expect("the update can be compressed");
+    assert!(compressed.len() < 64 * 1_024);
+    assert!(matches!(
+        StateUpdate::decompress(&compressed),
+        Err(UpdateError::TooLarge)
+    ));
+}
