peer: send no second copy of an update that is on its way

Callers saw requests handled by an old configuration. A follower asks its watcher for a confirmation every 0.5 s and names the revisions that it knows. While an update is on its way, these are the old ones, and the watcher took them as a request for the same update again: in the failing test, each follower received each of the two versions three times (logs), one copy after the other on a full link.

The class of fault is a periodic request that is not idempotent while its answer is under way. Followers now acknowledge updates, and until then the watcher goes by what it has sent on the connection, which TCP delivers in order. When nothing is unacknowledged, the named revisions count as before, since a follower may have ignored an update.

--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -105,11 +105,7 @@
         known_revisions: Vec<(ObjectKind, u64)>,
         follow: bool,
     ) {
-        let protocol = self
-            .shared
-            .peer(peer)
-            .map_or(1, |entry| entry.peer_protocol);
-        let command = if protocol >= COMPRESSED_UPDATES_PROTOCOL {
+        let command = if self.understands_updates(peer) {
             PeerCommand::Updates {
                 known_revisions,
                 follow,
@@ -122,6 +118,12 @@
         self.send(peer, command);
     }
 
+    /// Returns whether a peer understands [`PeerCommand::Updates`].
+    fn understands_updates(&self, peer: &str) -> bool {
+        let entry = self.shared.peer(peer);
+        entry.is_some_and(|entry| entry.peer_protocol >= COMPRESSED_UPDATES_PROTOCOL)
+    }
+
     async fn run_connection(
         self: Rc<Self>,
         peer: String,
@@ -177,7 +179,14 @@
                             stage_client.handle_shutdown(peer);
                         }
                     }
+                    let is_update = matches!(
+                        reply,
+                        PeerReply::Objects(..) | PeerReply::CompressedObjects(..)
+                    );
                     self.handle_reply(peer, reply);
+                    if is_update && self.understands_updates(peer) {
+                        write_commands(&mut writer, PeerCommand::UpdateReceived, commands).await?;
+                    }
                 }
                 () = sleep_until(next_ping) => {
                     next_ping = Instant::now() + PING_INTERVAL_MS.to_duration();
@@ -354,6 +363,7 @@
                 let update = self.store.compressed_update_since(*kind, *revision);
                 if let Some((current, reply)) = update {
                     *revision = current;
+                    follower.unacknowledged += 1;
                     replies.push(reply);
                 }
             } else if let Some(update) = self.store.update_since(*kind, *revision) {
@@ -416,14 +426,21 @@
                 known_revisions,
                 follow,
             } => {
-                let requester = FollowState::new(known_revisions, true);
                 if follow {
-                    *follower = requester;
+                    if !follower.awaits_acknowledgement() {
+                        follower.known_revisions = known_revisions;
+                    }
+                    follower.accepts_compression = true;
                     self.begin_following(follower, replies);
                 } else {
-                    self.push_updates(&mut { requester }, replies);
+                    let mut requester = FollowState::new(known_revisions, true);
+                    self.push_updates(&mut requester, replies);
+                    follower.unacknowledged += requester.unacknowledged;
                 }
             }
+            PeerCommand::UpdateReceived => {
+                follower.unacknowledged = follower.unacknowledged.saturating_sub(1);
+            }
             PeerCommand::Crashes(entries) => {
                 for entry in entries {
                     if self.shared.crash_quarantine.borrow_mut().merge(now, &entry) {
@@ -461,6 +478,9 @@
     is_following: bool,
     known_revisions: Vec<(ObjectKind, u64)>,
     accepts_compression: bool,
+    /// Number of updates that were sent to a peer that acknowledges them, and that it has not
+    /// acknowledged yet.
+    unacknowledged: u32,
 }
 
 impl FollowState {
@@ -469,8 +489,15 @@
             is_following: false,
             known_revisions,
             accepts_compression,
+            unacknowledged: 0,
         }
     }
+
+    /// Returns whether an update is on its way to a follower. The revisions that it names are then
+    /// older than what it has been sent.
+    fn awaits_acknowledgement(&self) -> bool {
+        self.is_following && self.unacknowledged > 0
+    }
 }
 
 /// Removes a submitter when dropped.
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -91,9 +91,13 @@
     Updates {
         /// The known revisions.
         known_revisions: Vec<(ObjectKind, u64)>,
-        /// Whether each change from now on is requested, too.
+        /// Whether each change from now on is requested, too. A peer that follows already asks for
+        /// a confirmation; its known revisions count only if it has received all updates that were
+        /// sent to it.
         follow: bool,
     },
+    /// Acknowledges an update that was requested by [`PeerCommand::Updates`].
+    UpdateReceived,
 }
 
 /// A message to the instance that opened a connection.
