ownership: let the instances with the fastest links watch the store

Callers waited for seconds while a large configuration was distributed, and single instances were late. Any instance could be selected to watch the store for its group, also one with a link of 10 Mbit/s where others have 200.

Instances now write the bandwidth of their link, which the settings state, into their entry, and the watcher of a group is selected among the available instances with the fastest links.

Ruled out: a longer validity of confirmations (it bounds how late a change is when a watcher is lost).

--- a/crates/policy/src/serving/ownership.rs
+++ b/crates/policy/src/serving/ownership.rs
@@ -42,6 +42,8 @@
     pub name: &'a str,
     /// Failure domain of the instance.
     pub failure_domain: &'a str,
+    /// Bandwidth of its network link in Mbit/s; 0 if unknown.
+    pub link_mbps: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -178,7 +180,7 @@
 /// store itself.
 ///
 /// The instances of a failure domain are divided into groups by a hash of their names, and each
-/// group has one watcher. Since a watcher belongs to the group of its followers, no instance
+/// group has one watcher, which sends each change to all others: one with the fastest link. Since a watcher belongs to the group of its followers, no instance
 /// follows a follower as long as all instances have the same list. `peers` are the other
 /// instances. Instances that cannot reach the store are not followed. If the local instance cannot
 /// reach it either, it watches the store only when there is no instance to follow.
@@ -196,7 +198,7 @@
         .filter(|peer| peer.failure_domain == local.failure_domain);
     let groups = (in_local_domain.clone().count() + 1).div_ceil(MAX_INSTANCES_PER_WATCHER) as u64;
     let group_of = |name: &str| rendezvous::stable_hash(name.as_bytes()) % groups;
-    let group: Vec<Member<'a>> = in_local_domain
+    let mut group: Vec<Member<'a>> = in_local_domain
         .filter(|peer| {
             group_of(peer.name) == group_of(local.name) && !is_store_unreachable_from(peer.name)
         })
@@ -206,7 +208,15 @@
         service: STORE_WATCH_KEY.to_owned(),
         failure_domain: Some(local.failure_domain.to_owned()),
     };
-    let may_not_watch = is_shutting_down || is_store_unreachable_from(local.name);
+    let mut may_not_watch = is_shutting_down || is_store_unreachable_from(local.name);
+    let available = group
+        .iter()
+        .filter(|peer| !unavailable.is_unavailable(now, peer.name));
+    let candidates = available.chain((!may_not_watch).then_some(&local));
+    if let Some(fastest_mbps) = candidates.map(|member| member.link_mbps).max() {
+        group.retain(|peer| peer.link_mbps == fastest_mbps);
+        may_not_watch |= local.link_mbps < fastest_mbps;
+    }
     let watcher = owner(now, &queue, local, may_not_watch, &group, unavailable);
     (watcher != local.name).then_some(watcher)
 }
--- a/crates/policy/tests/serving/ownership.rs
+++ b/crates/policy/tests/serving/ownership.rs
@@ -33,6 +33,7 @@
         .map(|(name, failure_domain)| Member {
             name,
             failure_domain,
+            link_mbps: 0,
         })
         .collect();
     members
@@ -152,6 +153,7 @@
             let all = names.iter().map(|name| Member {
                 name,
                 failure_domain: "x",
+                link_mbps: 0,
             });
             let (local, others): (Vec<_>, Vec<_>) = all.partition(|member| member.name == local);
             let watcher = preferred_watcher(NOW, local[0], false, &others, &unavailable, |_| false);
@@ -179,10 +181,12 @@
     let local = Member {
         name: "i0",
         failure_domain: "x",
+        link_mbps: 0,
     };
     let other = Member {
         name: "i1",
         failure_domain: "x",
+        link_mbps: 0,
     };
     let unavailable = UnavailableInstances::default();
     let watcher_if_unreachable_from = |unreachable_from: &[&str]| {
@@ -195,3 +199,54 @@
     // If no instance can reach the store, each of them watches it itself.
     assert_eq!(watcher_if_unreachable_from(&["i0", "i1"]), None);
 }
+
+/// Guards against a large change that fills the slow link of a watcher for a second, in which
+/// confirmations and the requests of clients wait.
+#[test]
+fn the_instances_with_the_fastest_links_watch_the_store() {
+    let names: Vec<String> = (0..32).map(|index| format!("i{index}")).collect();
+    let members: Vec<Member<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| Member {
+            name,
+            failure_domain: "x",
+            link_mbps: [10, 10, 50, 200][index % 4],
+        })
+        .collect();
+    let watcher_of = |local: &Member<'_>, unavailable: &UnavailableInstances| {
+        let others: Vec<Member<'_>> = members
+            .iter()
+            .copied()
+            .filter(|other| other.name != local.name)
+            .collect();
+        preferred_watcher(NOW, *local, false, &others, unavailable, |_| false).map(str::to_owned)
+    };
+    let watchers = |unavailable: &UnavailableInstances| -> Vec<Member<'_>> {
+        let available = members
+            .iter()
+            .filter(|member| !unavailable.is_unavailable(NOW, member.name));
+        available
+            .copied()
+            .filter(|member| watcher_of(member, unavailable).is_none())
+            .collect()
+    };
+    let mut unavailable = UnavailableInstances::default();
+    let fastest = watchers(&unavailable);
+    assert_eq!(fastest.len(), 3, "{fastest:?}");
+    assert!(
+        fastest.iter().all(|member| member.link_mbps == 200),
+        "{fastest:?}"
+    );
+    // No instance follows a follower when the fastest ones are lost either.
+    for member in members.iter().filter(|member| member.link_mbps == 200) {
+        unavailable.record_unreachable(NOW, member.name, false);
+    }
+    let next = watchers(&unavailable);
+    assert_eq!(next.len(), 3, "{next:?}");
+    assert!(next.iter().all(|member| member.link_mbps == 50), "{next:?}");
+    for member in members.iter().filter(|member| member.link_mbps < 50) {
+        let watcher = watcher_of(member, &unavailable).expect("the instance follows another one");
+        assert!(next.iter().any(|member| member.name == watcher));
+    }
+}
--- a/crates/policy/tests/serving/store_role.rs
+++ b/crates/policy/tests/serving/store_role.rs
@@ -123,6 +123,7 @@
             let member = |name| Member {
                 name,
                 failure_domain: "x",
+                link_mbps: 0,
             };
             let others = self.names.iter().filter(|other| *other != name);
             let others: Vec<Member<'_>> = others.map(|name| member(name)).collect();
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -206,6 +206,7 @@
         address: peer_address,
         failure_domain: settings.failure_domain.clone(),
         peer_protocol: PEER_PROTOCOL,
+        link_mbps: settings.link_mbps,
     };
     let register_store = Rc::clone(&store);
     supervise("register", move || {
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -304,11 +304,13 @@
             .map(|entry| Member {
                 name: &entry.name,
                 failure_domain: &entry.failure_domain,
+                link_mbps: entry.link_mbps,
             })
             .collect();
         let local = Member {
             name: &self.shared.settings.name,
             failure_domain: &self.shared.settings.failure_domain,
+            link_mbps: self.shared.settings.link_mbps,
         };
         let is_shutting_down = self.shared.phase().is_shutting_down();
         let unavailable_peers = self.unavailable_peers.borrow();
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -76,6 +76,7 @@
             peer_ports: (7_740, 7_755),
             store_address: store,
             memory_bytes: 128 * 1_048_576,
+            link_mbps: 10,
             shutdown_grace_ms: SHUTDOWN_GRACE_MS,
             retry_limits: RetryLimits {
                 ratio: 0.2,
