update: keep only the last change of each object for followers

Found while looking for the cause of the late configuration elsewhere; no caller has seen it. The history for followers holds 64 changes, each with the whole object. 64 changes of a configuration of 1 MB are 64 MB, where the smallest instances have 112 MB, and a follower that is behind would be sent all of them. Followers need only the last change of an object, so earlier ones are dropped.

--- a/crates/serving/src/update.rs
+++ b/crates/serving/src/update.rs
@@ -1,6 +1,7 @@
 //! Versioned store objects, and the updates that instances send each other.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::io;
 use std::io::Read;
@@ -124,6 +125,13 @@
     changes: Vec<ObjectChange>,
 }
 
+fn change_name(change: &ObjectChange) -> &str {
+    match change {
+        ObjectChange::Written(object) => &object.name,
+        ObjectChange::Removed(name) => name,
+    }
+}
+
 /// The objects of one kind at a revision, with the history of recent changes.
 #[derive(Debug, Default)]
 pub struct ObjectCache {
@@ -171,6 +179,13 @@
                 }
             }
         }
+        // Followers need only the last change of an object.
+        let superseded: BTreeSet<&str> = changes.iter().map(change_name).collect();
+        for change_set in &mut self.history {
+            change_set
+                .changes
+                .retain(|earlier| !superseded.contains(change_name(earlier)));
+        }
         let to = revision;
         self.history.push_back(ChangeSet { from, to, changes });
         while self.history.len() > MAX_CHANGE_SETS {
--- a/crates/serving/tests/update.rs
+++ b/crates/serving/tests/update.rs
@@ -99,6 +99,28 @@
     assert_eq!(update_before_list.content, UpdateContent::Objects(all));
 }
 
+/// Guards against a history that keeps dozens of copies of a configuration of 1 MB, which is more
+/// than the smallest instances have memory for.
+#[test]
+fn history_keeps_only_the_last_change_of_each_object() {
+    let mut watcher = ObjectCache::default();
+    watcher.replace(3, objects(&["main", "other"]));
+    watcher.apply_changes(5, vec![written("main", 5)]);
+    watcher.apply_changes(8, vec![ObjectChange::Removed("other".to_owned())]);
+    watcher.apply_changes(9, vec![written("main", 9)]);
+    let update = watcher.update_since(3, false);
+    let changes = vec![
+        ObjectChange::Removed("other".to_owned()),
+        written("main", 9),
+    ];
+    assert_eq!(
+        update
+            .expect("the watcher should have a newer revision")
+            .content,
+        UpdateContent::Changes { from: 3, changes }
+    );
+}
+
 /// Guards against a late response to a list call that undoes changes received in the meantime.
 #[test]
 fn older_list_does_not_undo_newer_changes() {
