--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -82,6 +83,10 @@
     response_delay: Duration,
     /// Minimum size of a response body that is not a stream.
     min_body_bytes: usize,
+    /// Requests per second that the target names in its responses as its limit.
+    request_limit_per_s: Option<f64>,
+    /// When each request to the target arrived, stage calls included.
+    arrivals: Vec<Instant>,
     /// Prompt part that crashes the target when it begins to respond.
     deadly_part: Option<String>,
     /// Sources of the pieces of each stage call.
@@ -152,6 +157,17 @@
         self.lock().response_delay = delay;
     }
 
+    /// Names a limit, in requests per second, in every response from now on; `None` names none.
+    pub fn set_request_limit(&self, requests_per_s: Option<f64>) {
+        self.lock().request_limit_per_s = requests_per_s;
+    }
+
+    /// Returns when each request to the target arrived, stage calls included.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Extends response bodies that are not streams to at least this size, with `x`.
     pub fn set_min_body_bytes(&self, bytes: usize) {
         self.lock().min_body_bytes = bytes;
@@ -211,10 +227,23 @@
     }
 }
 
-/// Responds to a request.
+/// Responds to a request, and names the limit of the target.
 pub(super) async fn respond_to(
     target: Arc<Target>,
     request: Request<Incoming>,
+) -> io::Result<Response<TargetBody>> {
+    target.lock().arrivals.push(Instant::now());
+    let mut response = execute(Arc::clone(&target), request).await?;
+    if let Some(requests_per_s) = target.lock().request_limit_per_s {
+        let value = HeaderValue::from_str(&requests_per_s.to_string()).map_err(io::Error::other)?;
+        response.headers_mut().insert(names::REQUEST_LIMIT, value);
+    }
+    Ok(response)
+}
+
+async fn execute(
+    target: Arc<Target>,
+    request: Request<Incoming>,
 ) -> io::Result<Response<TargetBody>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
