--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -17,25 +17,22 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::info;
-use rand::RngExt;
 use tokio::time::timeout;
 
 use crate::connection;
 use crate::crashes;
 use crate::crashes::PromptSuspicion;
-use crate::net::sleep;
 use crate::pool::PooledConnection;
 use crate::request::RequestContext;
 use crate::shared::Shared;
 use crate::stages::RequestStages;
+use crate::target_choice;
 use arbutus_coord::Millis;
 use arbutus_platform::request::SystemHeaders;
 use arbutus_platform::response;
 use arbutus_platform::response::ResponseClass;
 use arbutus_policy::serving::model::RouteKind;
-use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::model::TargetEntry;
-use arbutus_policy::serving::target_selection::SelectionCriteria;
 use arbutus_policy::serving::target_selection::TargetOutcome;
 
 /// Time after which a connection that breaks was in use. A target that has dropped an idle
@@ -43,13 +40,6 @@
 const MIN_EXECUTION_MS: Millis = Millis(10);
 /// Maximum number of attempts per request, including those that no target executed.
 const MAX_ATTEMPTS: u32 = 4;
-/// Interval at which a waiting request checks whether a target is available.
-const TARGET_POLL_MS: Millis = Millis(25);
-/// Percentage of the latency objective for which a request waits for an available target.
-const TARGET_WAIT_PERCENT: u64 = 40;
-/// Percentage of a target's connection limit that the known instances share. The rest is reserved
-/// for instances that are not in the instance list yet.
-const USABLE_CONNECTIONS_PERCENT: usize = 80;
 /// Minimum time that a retryable attempt waits for the response head.
 const MIN_ATTEMPT_TIMEOUT_MS: Millis = Millis(250);
 /// Time that a retryable attempt waits for the response head, as a multiple of the latency
@@ -210,7 +200,8 @@
     last_event_id: Option<u64>,
 ) -> Result<TargetResponse, DispatchError> {
     loop {
-        let Some(entry) = wait_for_target(context, history).await else {
+        let Some(entry) = target_choice::wait_for_target(context, &history.tried_targets).await
+        else {
             return Err(dispatch_error(context, "no target available"));
         };
         // The quarantine may have begun while the request waited for its stages or for a target.
@@ -236,7 +227,7 @@
                     && context.route.is_retryable()
                     && context.possible_executions < context.route.max_attempts
                     && history.attempts < MAX_ATTEMPTS
-                    && has_other_target(context, history)
+                    && target_choice::has_untried_target(context, &history.tried_targets)
                     && context.shared.allows_retry(&context.service);
                 if !should_retry {
                     return Ok(*target_response);
@@ -517,78 +508,3 @@
         .times(ATTEMPT_TIMEOUT_OBJECTIVE_FACTOR);
     timeout_ms.max(MIN_ATTEMPT_TIMEOUT_MS).min(remaining_ms)
 }
-
-fn has_other_target(context: &RequestContext, history: &AttemptHistory) -> bool {
-    let directory = context.shared.directory.borrow();
-    directory
-        .usable(&context.service)
-        .any(|known| !history.tried_targets.contains(&known.entry.id))
-}
-
-/// Selects a target, waiting for one to become available if necessary. Returns `None` if
-/// none becomes available in time, or if the shutdown deadline has passed.
-async fn wait_for_target(
-    context: &RequestContext,
-    history: &AttemptHistory,
-) -> Option<TargetEntry> {
-    let shared = &context.shared;
-    let service = shared.service(&context.service)?;
-    let max_wait_ms = context.route.objective_ms.0 * TARGET_WAIT_PERCENT / 100;
-    let wait_until = shared.now() + Millis(max_wait_ms).min(context.remaining_ms());
-    loop {
-        if let Some(entry) = select_target(context, history, &service) {
-            return Some(entry);
-        }
-        if shared.now() >= wait_until || shared.is_past_shutdown_deadline() {
-            return None;
-        }
-        sleep(TARGET_POLL_MS).await;
-    }
-}
-
-/// Returns the failure domain in which the stage results should be computed: that of the target
-/// that would be selected now, or that of this instance if there is none.
-#[must_use]
-pub fn expected_failure_domain(context: &RequestContext) -> String {
-    let selected = context
-        .shared
-        .service(&context.service)
-        .and_then(|service| select_target(context, &AttemptHistory::default(), &service));
-    selected.map_or_else(
-        || context.shared.settings.failure_domain.clone(),
-        |entry| entry.failure_domain,
-    )
-}
-
-fn select_target(
-    context: &RequestContext,
-    history: &AttemptHistory,
-    service: &ServiceSpec,
-) -> Option<TargetEntry> {
-    let shared = &context.shared;
-    let now = shared.now();
-    let usable_connections = service.max_connections as usize * USABLE_CONNECTIONS_PERCENT / 100;
-    let connections_per_instance = (usable_connections / shared.instance_count()).max(1);
-    let directory = shared.directory.borrow();
-    let candidates: Vec<&TargetEntry> = directory
-        .usable(&context.service)
-        .filter(|known| !history.tried_targets.contains(&known.entry.id))
-        .filter(|known| {
-            !directory.is_cold(now, known, service.cold_duration_ms)
-                || shared.may_send_to_cold_target(service, &known.entry.id)
-        })
-        .map(|known| &known.entry)
-        .filter(|entry| {
-            shared.pool.has_idle(&entry.id)
-                || shared.pool.open_count(&entry.id) < connections_per_instance
-        })
-        .collect();
-    let criteria = SelectionCriteria {
-        local_domain: &shared.settings.failure_domain,
-        shared_prefix: context.client.shared_prefix(),
-        random: rand::rng().random(),
-    };
-    let target_states = shared.target_states.borrow();
-    let selected_index = target_states.select(now, &candidates, &criteria)?;
-    Some(candidates[selected_index].clone())
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod stages;
 pub mod store;
 pub mod stream;
+pub mod target_choice;
 pub mod update;
 pub mod watch;
 pub mod watcher_selection;
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -9,7 +9,6 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::dispatch;
 use crate::dispatch::DispatchError;
 use crate::peer_messages::SubmitMessage;
 use crate::request::RequestContext;
@@ -17,6 +16,7 @@
 use crate::stage_client::StageClient;
 use crate::stage_client::SubmissionHandle;
 use crate::stage_client::piece_source;
+use crate::target_choice;
 use arbutus_coord::Millis;
 use arbutus_platform::stage;
 use arbutus_policy::serving::admission;
@@ -69,7 +69,7 @@
             failure_domain: if stages.is_empty() {
                 String::new()
             } else {
-                dispatch::expected_failure_domain(context)
+                target_choice::expected_failure_domain(context)
             },
             objective_deadline: context.objective_deadline(),
             results_freed: false,
--- /dev/null
+++ b/crates/serving/src/target_choice.rs
@@ -0,0 +1,97 @@
+//! The targets that a request may be sent to now.
+
+use std::collections::BTreeSet;
+
+use rand::RngExt;
+
+use crate::net::sleep;
+use crate::request::RequestContext;
+use arbutus_coord::Millis;
+use arbutus_policy::serving::model::ServiceSpec;
+use arbutus_policy::serving::model::TargetEntry;
+use arbutus_policy::serving::target_selection::SelectionCriteria;
+
+/// Interval at which a waiting request checks whether a target is available.
+const TARGET_POLL_MS: Millis = Millis(25);
+/// Percentage of the latency objective for which a request waits for an available target.
+const TARGET_WAIT_PERCENT: u64 = 40;
+/// Percentage of a target's connection limit that the known instances share. The rest is reserved
+/// for instances that are not in the instance list yet.
+const USABLE_CONNECTIONS_PERCENT: usize = 80;
+
+/// Returns whether the service of a request has a target that was not tried yet.
+#[must_use]
+pub fn has_untried_target(context: &RequestContext, tried_targets: &BTreeSet<String>) -> bool {
+    let directory = context.shared.directory.borrow();
+    directory
+        .usable(&context.service)
+        .any(|known| !tried_targets.contains(&known.entry.id))
+}
+
+/// Selects a target, waiting for one to become available if necessary. Returns `None` if
+/// none becomes available in time, or if the shutdown deadline has passed.
+pub async fn wait_for_target(
+    context: &RequestContext,
+    tried_targets: &BTreeSet<String>,
+) -> Option<TargetEntry> {
+    let shared = &context.shared;
+    let service = shared.service(&context.service)?;
+    let max_wait_ms = context.route.objective_ms.0 * TARGET_WAIT_PERCENT / 100;
+    let wait_until = shared.now() + Millis(max_wait_ms).min(context.remaining_ms());
+    loop {
+        if let Some(entry) = select_target(context, tried_targets, &service) {
+            return Some(entry);
+        }
+        if shared.now() >= wait_until || shared.is_past_shutdown_deadline() {
+            return None;
+        }
+        sleep(TARGET_POLL_MS).await;
+    }
+}
+
+/// Returns the failure domain in which the stage results should be computed: that of the target
+/// that would be selected now, or that of this instance if there is none.
+#[must_use]
+pub fn expected_failure_domain(context: &RequestContext) -> String {
+    let selected = context
+        .shared
+        .service(&context.service)
+        .and_then(|service| select_target(context, &BTreeSet::new(), &service));
+    selected.map_or_else(
+        || context.shared.settings.failure_domain.clone(),
+        |entry| entry.failure_domain,
+    )
+}
+
+fn select_target(
+    context: &RequestContext,
+    tried_targets: &BTreeSet<String>,
+    service: &ServiceSpec,
+) -> Option<TargetEntry> {
+    let shared = &context.shared;
+    let now = shared.now();
+    let usable_connections = service.max_connections as usize * USABLE_CONNECTIONS_PERCENT / 100;
+    let connections_per_instance = (usable_connections / shared.instance_count()).max(1);
+    let directory = shared.directory.borrow();
+    let candidates: Vec<&TargetEntry> = directory
+        .usable(&context.service)
+        .filter(|known| !tried_targets.contains(&known.entry.id))
+        .filter(|known| {
+            !directory.is_cold(now, known, service.cold_duration_ms)
+                || shared.may_send_to_cold_target(service, &known.entry.id)
+        })
+        .map(|known| &known.entry)
+        .filter(|entry| {
+            shared.pool.has_idle(&entry.id)
+                || shared.pool.open_count(&entry.id) < connections_per_instance
+        })
+        .collect();
+    let criteria = SelectionCriteria {
+        local_domain: &shared.settings.failure_domain,
+        shared_prefix: context.client.shared_prefix(),
+        random: rand::rng().random(),
+    };
+    let target_states = shared.target_states.borrow();
+    let selected_index = target_states.select(now, &candidates, &criteria)?;
+    Some(candidates[selected_index].clone())
+}
