limits: keep to the limit that a target names, over all instances

No code read the header: the class of fault is a request of the other side that is ignored because it is new on the wire.

A limit holds over all instances, may be fractional, begins and ends at any moment. Some instances of the target's failure domain, found by rendezvous hashing, divide four fifths of it; stage calls are sent by the owner of their queue. Limits that begin, change or end are reported to all instances, and one that starts asks four of them. Only the response to a later request shows that a limit has ended; one that nothing confirms for 30 s ends by itself, and a target is asked at 0.1 requests a second at least. Requests that no limit lets through in time are refused at once.

Ruled out: an equal share for each instance (17 of them may send at the same moment, where a limit of 1 allows 11 in 4 s); grants by one instance (a round trip before each request, and nobody to ask when it is lost); a response without the header as the end in every case (responses overtake each other).

--- a/crates/daemon/tests/platform_request_limit.rs
+++ b/crates/daemon/tests/platform_request_limit.rs
@@ -96,37 +96,43 @@
 /// goes by its own view, and one that restarts knows of no limit. The other target serves all.
 #[test]
 fn a_target_gets_no_more_requests_than_its_limit_from_all_instances() {
-    for requests_per_s in [0.5, 1.0, 3.5] {
-        let mut cluster = start_cluster(INSTANCES);
-        let targets = cluster.platform.targets.clone();
-        let clients = Clients::start(&cluster, |number| {
-            ClientRequest::new("GET", &format!("/safe/{number}"), &format!("s{number}"))
-        });
-        thread::sleep(Duration::from_secs(1));
-        targets[0].set_request_limit(Some(requests_per_s));
-        let named_at = Instant::now();
-        thread::sleep(CONTACT_TIME + Duration::from_secs(2));
-        cluster.instances[0].kill().expect("the process ends");
-        cluster.instances[0].restart().expect("the process starts");
-        thread::sleep(WINDOW);
-        let limited = most_in_window(&targets[0], named_at + CONTACT_TIME);
-        targets[0].set_request_limit(None);
-        let ended_at = Instant::now();
-        thread::sleep(Duration::from_secs(12));
-        let after_end = targets[0].arrivals();
-        let after_end = after_end.iter().filter(|&&arrival| arrival > ended_at);
-        let (sent, served) = clients.stop();
-        assert!(
-            limited <= allowed_in_window(requests_per_s),
-            "{limited} requests in a window at {requests_per_s} a second"
-        );
-        assert!(limited > 0, "no requests at {requests_per_s} a second");
-        // Without its limit, the target serves about half of the requests again.
-        let after_end = after_end.count();
-        assert!(after_end > 200, "{after_end} requests after the limit");
-        // The instance that is killed loses a few.
-        assert!(served + 60 > sent, "{served} of {sent} served");
-    }
+    thread::scope(|scope| {
+        for requests_per_s in [0.5, 1.0, 3.5] {
+            scope.spawn(move || check_limit(requests_per_s));
+        }
+    });
+}
+
+fn check_limit(requests_per_s: f64) {
+    let mut cluster = start_cluster(INSTANCES);
+    let targets = cluster.platform.targets.clone();
+    let clients = Clients::start(&cluster, |number| {
+        ClientRequest::new("GET", &format!("/safe/{number}"), &format!("s{number}"))
+    });
+    thread::sleep(Duration::from_secs(1));
+    targets[0].set_request_limit(Some(requests_per_s));
+    let named_at = Instant::now();
+    thread::sleep(CONTACT_TIME + Duration::from_secs(2));
+    cluster.instances[0].kill().expect("the process ends");
+    cluster.instances[0].restart().expect("the process starts");
+    thread::sleep(WINDOW);
+    let limited = most_in_window(&targets[0], named_at + CONTACT_TIME);
+    targets[0].set_request_limit(None);
+    let ended_at = Instant::now();
+    thread::sleep(Duration::from_secs(12));
+    let after_end = targets[0].arrivals();
+    let after_end = after_end.iter().filter(|&&arrival| arrival > ended_at);
+    let (sent, served) = clients.stop();
+    assert!(
+        limited <= allowed_in_window(requests_per_s),
+        "{limited} requests in a window at {requests_per_s} a second"
+    );
+    assert!(limited > 0, "no requests at {requests_per_s} a second");
+    // Without its limit, the target serves about half of the requests again.
+    let after_end = after_end.count();
+    assert!(after_end > 200, "{after_end} requests after the limit");
+    // The instance that is killed loses a few.
+    assert!(served + 60 > sent, "{served} of {sent} served");
 }
 
 /// Guards against calls of stages that exceed the limit of a target: one owner of a queue sends
--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -21,4 +21,5 @@
 pub mod stage_graph;
 pub mod store_role;
 pub mod target_directory;
+pub mod target_limits;
 pub mod target_selection;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -13,4 +13,5 @@
 mod store_role;
 mod support;
 mod target_directory;
+mod target_limits;
 mod target_selection;
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -14,6 +14,7 @@
 use crate::shared::Shared;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
+use arbutus_policy::serving::target_limits::LimitReport;
 
 /// How often an instance that starts checks whether its peers are known.
 const PEER_LIST_POLL_MS: Millis = Millis(50);
@@ -50,19 +51,31 @@
         if !reports.cleared_parts.is_empty() {
             commands.push(PeerCommand::ClearedParts(reports.cleared_parts));
         }
-        if commands.is_empty() {
+        let now = shared.now();
+        let observed_limits = reports.limits.into_iter();
+        let limits: Vec<LimitReport> = observed_limits
+            .map(|(observed_at, report)| LimitReport {
+                age_ms: now - observed_at,
+                ..report
+            })
+            .collect();
+        if commands.is_empty() && limits.is_empty() {
             continue;
         }
         for peer in shared.peers() {
             for command in &commands {
                 connections.send(&peer.name, command.clone());
             }
+            if !limits.is_empty() {
+                connections.send_limit_command(&peer, PeerCommand::TargetLimits(limits.clone()));
+            }
         }
     }
 }
 
-/// Asks some peers for the quarantined prompt parts once the instances are known. Without them, an
-/// instance that starts would have to observe a crash of its own.
+/// Asks some peers for the quarantined prompt parts and the limits of targets once the instances are
+/// known. Without them, an instance that starts would have to observe a crash of its own, and would
+/// send to limited targets until they respond.
 ///
 /// # Errors
 ///
@@ -77,6 +90,7 @@
     let peers = shared.peers();
     for peer in peers.sample(&mut rand::rng(), QUARANTINE_SOURCES) {
         connections.send(&peer.name, PeerCommand::QuarantinedPrompts);
+        connections.send_limit_command(peer, PeerCommand::KnownTargetLimits);
     }
     std::future::pending().await
 }
@@ -124,6 +138,9 @@
             info!(targets = expired.len(); "removing targets that did not re-register after the store outage");
             shared.apply_target_changes(&expired);
         }
+        let limited = shared.target_limits.borrow().reports(now).len();
+        let limited = i64::try_from(limited).unwrap_or(i64::MAX);
+        shared.metrics.limited_targets.set(limited);
         let total = dropped_lines.total();
         shared
             .metrics
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::crashes::PromptSuspicion;
 use crate::pool::PooledConnection;
 use crate::request::RequestContext;
+use crate::request_limits;
 use crate::shared::Shared;
 use crate::stages::RequestStages;
 use crate::target_choice;
@@ -444,18 +445,37 @@
             ));
         }
     };
-    classify_response(context, attempt, http_response)
+    classify_response(context, attempt, http_response, sent_at)
 }
 
-/// Determines the outcome of an attempt from the response head. Also records the load that the
-/// target reports.
+/// Determines the outcome of an attempt from the response head. Also records the load and the limit
+/// that the target reports.
 fn classify_response(
     context: &RequestContext,
     attempt: TargetAttempt,
     http_response: Response<Incoming>,
+    sent_at: Millis,
 ) -> AttemptOutcome {
     let headers = http_response.headers();
     let response_class = response::classify(http_response.status(), headers, &context.client.id);
+    let is_from_target = !matches!(
+        response_class,
+        ResponseClass::Invalid
+            | ResponseClass::NotExecuted {
+                misdirected: true,
+                ..
+            }
+    );
+    if is_from_target {
+        let executed = !matches!(response_class, ResponseClass::NotExecuted { .. });
+        request_limits::record_response(
+            &context.shared,
+            &attempt.target().id,
+            headers,
+            sent_at,
+            executed,
+        );
+    }
     if response_class != ResponseClass::Invalid
         && let Some(load) = response::reported_load(headers)
     {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pool;
 pub mod readiness;
 pub mod request;
+pub mod request_limits;
 pub mod response;
 pub mod run;
 pub mod shared;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -69,6 +69,8 @@
     pub accepted_during_shutdown: Counter,
     /// Log lines dropped since the process started.
     pub log_lines_dropped: Gauge,
+    /// Targets that name a limit on their requests.
+    pub limited_targets: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -139,6 +141,12 @@
             "Lines that the log dropped",
             log_lines_dropped.clone(),
         );
+        let limited_targets = Gauge::default();
+        registry.register(
+            "limited_targets",
+            "Targets that name a limit on their requests",
+            limited_targets.clone(),
+        );
         Self {
             registry,
             requests,
@@ -152,6 +160,7 @@
             client_connections,
             accepted_during_shutdown,
             log_lines_dropped,
+            limited_targets,
         }
     }
 
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -31,12 +31,15 @@
 use crate::peer_messages::COMPRESSED_UPDATES_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
+use crate::peer_messages::TARGET_LIMITS_PROTOCOL;
+use crate::request_limits;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
 use crate::update::StateUpdate;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
+use arbutus_platform::store::InstanceEntry;
 use arbutus_platform::store::ObjectKind;
 use arbutus_policy::serving::batch::PieceReport;
 use arbutus_policy::serving::batch::SubmissionId;
@@ -124,6 +127,14 @@
         entry.is_some_and(|entry| entry.peer_protocol >= COMPRESSED_UPDATES_PROTOCOL)
     }
 
+    /// Sends what this instance knows of the limits of targets, or asks for what a peer knows, if
+    /// the peer understands such messages.
+    pub fn send_limit_command(self: &Rc<Self>, peer: &InstanceEntry, command: PeerCommand) {
+        if peer.peer_protocol >= TARGET_LIMITS_PROTOCOL {
+            self.send(&peer.name, command);
+        }
+    }
+
     async fn run_connection(
         self: Rc<Self>,
         peer: String,
@@ -240,6 +251,9 @@
             PeerReply::PromptCrashes(earlier) => {
                 crashes::merge_earlier_crashes(&self.shared, &earlier);
             }
+            PeerReply::TargetLimits(reports) => {
+                request_limits::merge_reports(&self.shared, &reports);
+            }
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -467,6 +481,15 @@
                     replies.push(PeerReply::PromptCrashes(crashes));
                 }
             }
+            PeerCommand::TargetLimits(reports) => {
+                request_limits::merge_reports(&self.shared, &reports);
+            }
+            PeerCommand::KnownTargetLimits => {
+                let reports = self.shared.target_limits.borrow().reports(now);
+                if !reports.is_empty() {
+                    replies.push(PeerReply::TargetLimits(reports));
+                }
+            }
             PeerCommand::ClearedParts(parts) => crashes::clear_parts(&self.shared, &parts),
         }
     }
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -18,12 +18,15 @@
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
+use arbutus_policy::serving::target_limits::LimitReport;
 
 /// Version of the messages in this module. An instance writes it to its entry in the store, and
 /// sends messages of a later version than the peer's only in reply to such messages.
-pub const PEER_PROTOCOL: u32 = 2;
+pub const PEER_PROTOCOL: u32 = 3;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
+/// First version that has [`PeerCommand::TargetLimits`].
+pub const TARGET_LIMITS_PROTOCOL: u32 = 3;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -98,6 +101,10 @@
     },
     /// Acknowledges an update that was requested by [`PeerCommand::Updates`].
     UpdateReceived,
+    /// Reports limits that targets name.
+    TargetLimits(Vec<LimitReport>),
+    /// Requests the limits of all targets.
+    KnownTargetLimits,
 }
 
 /// A message to the instance that opened a connection.
@@ -141,4 +148,6 @@
     PromptCrashes(Vec<PromptCrash>),
     /// Newer store objects of one kind: a compressed [`StateUpdate`].
     CompressedObjects(ObjectKind, Bytes),
+    /// The limits of all targets that have one.
+    TargetLimits(Vec<LimitReport>),
 }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -29,6 +29,9 @@
 use arbutus_policy::serving::routes::RouteTable;
 use arbutus_policy::serving::target_directory::TargetChange;
 use arbutus_policy::serving::target_directory::TargetDirectory;
+use arbutus_policy::serving::target_limits::LimitReport;
+use arbutus_policy::serving::target_limits::SenderRank;
+use arbutus_policy::serving::target_limits::TargetLimits;
 use arbutus_policy::serving::target_selection::TargetStates;
 
 /// Time reserved before the end of the grace period for sending the last responses.
@@ -70,6 +73,8 @@
     pub prompt_crashes: Vec<(Millis, PromptCrash)>,
     /// Suspected prompt parts of requests that got a response.
     pub cleared_parts: BTreeSet<PartHash>,
+    /// Limits of targets, and when they were observed.
+    pub limits: Vec<(Millis, LimitReport)>,
 }
 
 /// State shared by all tasks of an instance, which run on one thread.
@@ -89,6 +94,8 @@
     pub target_states: RefCell<TargetStates>,
     /// Limits the rate of requests to cold targets, which were started recently.
     pub cold_target_pacer: RefCell<ColdTargetPacer>,
+    /// The limits that targets name.
+    pub target_limits: RefCell<TargetLimits>,
     /// The requests that are suspected of crashing targets.
     pub crash_quarantine: RefCell<CrashQuarantine>,
     /// The prompt parts that are suspected of crashing targets.
@@ -127,6 +134,7 @@
             directory: RefCell::new(TargetDirectory::default()),
             target_states: RefCell::new(TargetStates::default()),
             cold_target_pacer: RefCell::new(ColdTargetPacer::default()),
+            target_limits: RefCell::new(TargetLimits::default()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             prompt_quarantine: RefCell::new(PromptQuarantine::new()),
             in_progress: Cell::new(0),
@@ -185,6 +193,7 @@
             let id = match change {
                 TargetChange::Appeared(id) | TargetChange::Gone(id) => {
                     self.target_states.borrow_mut().remove(id);
+                    self.target_limits.borrow_mut().remove(id);
                     self.pool.close_idle(id);
                     id
                 }
@@ -262,6 +271,25 @@
         ) && self.cold_target_pacer.borrow().may_send(self.now(), target)
     }
 
+    /// Returns the position of this instance among those that may send to a limited target.
+    #[must_use]
+    pub fn sender_rank(&self, target: &str) -> SenderRank {
+        let directory = self.directory.borrow();
+        let target_domain = directory
+            .get(target)
+            .map_or("", |known| known.entry.failure_domain.as_str());
+        let instances = self.instances.borrow();
+        let local = (
+            self.settings.name.as_str(),
+            self.settings.failure_domain.as_str(),
+        );
+        let peers = instances
+            .values()
+            .map(|entry| (entry.name.as_str(), entry.failure_domain.as_str()))
+            .filter(|(name, _)| *name != local.0);
+        SenderRank::of(target, target_domain, local, peers)
+    }
+
     /// Counts a request, which adds to the retry budget of its service.
     pub fn record_request(&self, service: &str) {
         let limits = &self.settings.retry_limits;
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -28,6 +28,8 @@
 
 use crate::connection::CallError;
 use crate::net::sleep;
+use crate::request_limits;
+use crate::request_limits::Sender;
 use crate::shared::Shared;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
@@ -471,6 +473,15 @@
     body: Vec<u8>,
     is_work: bool,
 ) -> Result<PostOutcome, CallError> {
+    let is_allowed = if is_work {
+        request_limits::try_take(shared, &entry.id, Sender::QueueOwner)
+    } else {
+        // Results expire by themselves, so a limited target gets calls only.
+        !request_limits::is_limited(shared, &entry.id)
+    };
+    if !is_allowed {
+        return Ok(PostOutcome::NotExecuted);
+    }
     let mut connection = shared.pool.acquire(shared.now(), entry).await?;
     let may_send = shared
         .directory
@@ -487,9 +498,15 @@
         .header(names::EXPECTED_TARGET, &entry.id)
         .body(Full::new(Bytes::from(body)))
         .map_err(|error| CallError::Connect(std::io::Error::other(error)))?;
+    let sent_at = shared.now();
     let response = connection.get()?.send(request).await?;
     let status = response.status();
     let headers = response.headers().clone();
+    let not_executed =
+        headers.contains_key(names::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        request_limits::record_response(shared, &entry.id, &headers, sent_at, !not_executed);
+    }
     let body = response
         .into_body()
         .collect()
@@ -504,7 +521,7 @@
     if status == StatusCode::OK {
         return Ok(PostOutcome::Succeeded(body));
     }
-    if headers.contains_key(names::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST {
+    if not_executed {
         return Ok(PostOutcome::NotExecuted);
     }
     Ok(PostOutcome::UnexpectedStatus(status))
--- a/crates/serving/src/target_choice.rs
+++ b/crates/serving/src/target_choice.rs
@@ -6,6 +6,8 @@
 
 use crate::net::sleep;
 use crate::request::RequestContext;
+use crate::request_limits;
+use crate::request_limits::Sender;
 use arbutus_coord::Millis;
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::model::TargetEntry;
@@ -39,9 +41,15 @@
     let max_wait_ms = context.route.objective_ms.0 * TARGET_WAIT_PERCENT / 100;
     let wait_until = shared.now() + Millis(max_wait_ms).min(context.remaining_ms());
     loop {
-        if let Some(entry) = select_target(context, tried_targets, &service) {
+        if let Some(entry) = select_target(context, tried_targets, &service)
+            && request_limits::try_take(shared, &entry.id, Sender::AnyInstance)
+        {
             return Some(entry);
         }
+        let remaining_wait_ms = wait_until - shared.now();
+        if limits_exclude_all_targets(context, tried_targets, remaining_wait_ms) {
+            return None;
+        }
         if shared.now() >= wait_until || shared.is_past_shutdown_deadline() {
             return None;
         }
@@ -49,6 +57,23 @@
     }
 }
 
+/// Returns whether the limits of all targets that could get a request allow none for some time.
+fn limits_exclude_all_targets(
+    context: &RequestContext,
+    tried_targets: &BTreeSet<String>,
+    time_ms: Millis,
+) -> bool {
+    let shared = &context.shared;
+    let directory = shared.directory.borrow();
+    let mut waits = directory
+        .usable(&context.service)
+        .filter(|known| !tried_targets.contains(&known.entry.id))
+        .map(|known| request_limits::wait_ms(shared, &known.entry.id, Sender::AnyInstance))
+        .peekable();
+    // Without any target, the request waits for one to appear.
+    waits.peek().is_some() && waits.all(|wait_ms| wait_ms.is_none_or(|wait_ms| wait_ms > time_ms))
+}
+
 /// Returns the failure domain in which the stage results should be computed: that of the target
 /// that would be selected now, or that of this instance if there is none.
 #[must_use]
@@ -81,6 +106,9 @@
                 || shared.may_send_to_cold_target(service, &known.entry.id)
         })
         .map(|known| &known.entry)
+        .filter(|entry| {
+            request_limits::wait_ms(shared, &entry.id, Sender::AnyInstance) == Some(Millis::ZERO)
+        })
         .filter(|entry| {
             shared.pool.has_idle(&entry.id)
                 || shared.pool.open_count(&entry.id) < connections_per_instance
