quarantine: learn from peers that a reported request got a response

A request that got a response in the last 30 s is not quarantined, but only the instances that got the response knew of it.

The class of fault is a decision on evidence that others have and are not asked for. An instance that reports a request to its peers now gets back from those that had a response how long ago that was, and tells all of them once. Crashes that are known are then removed, so that the quarantine does not come back 30 s later. A request that crashes targets gets no response anywhere and stays refused.

Instances of earlier versions are sent the old message and are not asked.

--- a/crates/daemon/tests/platform_quarantine.rs
+++ b/crates/daemon/tests/platform_quarantine.rs
@@ -297,3 +297,37 @@
     calls.retain(|(_, status, body)| *status != 200 || *body != complete_stream_body());
     assert!(calls.is_empty(), "{closed_count} closed: {calls:?}");
 }
+
+/// Guards against a popular request that is refused for a minute by instances that had no response
+/// of their own to it, after targets of its service have crashed under other requests.
+#[test]
+fn a_request_that_another_instance_got_a_response_to_is_not_quarantined() {
+    let cluster = start_cluster(3);
+    let status = |instance: usize, path: &str, id: &str| {
+        let response =
+            ClientRequest::new("GET", path, id).call(cluster.instances[instance].client_address());
+        response.expect("the instance accepts connections").status
+    };
+    let break_connections = || {
+        for target in &cluster.platform.targets {
+            if target.entry().service == "desk" {
+                target.add_fault(Fault::CloseWithoutResponse);
+            }
+        }
+    };
+    thread::sleep(DISCOVERY_TIME);
+    assert_eq!(status(0, "/safe/popular", "first"), 200);
+    break_connections();
+    assert_ne!(status(1, "/safe/popular", "broken"), 200);
+    break_connections();
+    assert_ne!(status(1, "/safe/unknown", "broken-too"), 200);
+    // The crashes have been reported to all instances, and the response of the first one, too.
+    thread::sleep(Duration::from_secs(1));
+    for instance in 0..3 {
+        let id = format!("popular-{instance}");
+        assert_eq!(status(instance, "/safe/popular", &id), 200, "{instance}");
+        // A request that nobody got a response to stays refused.
+        let id = format!("unknown-{instance}");
+        assert_eq!(status(instance, "/safe/unknown", &id), 503, "{instance}");
+    }
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Removes all recorded failures of a request, which ends its quarantine.
+    pub fn remove(&mut self, fingerprint: Fingerprint) {
+        self.records.remove(&fingerprint);
+    }
+
     /// Merges an entry from another instance, and returns whether it added a failure.
     pub fn merge(&mut self, now: Millis, entry: &QuarantineEntry) -> bool {
         if entry.remaining_ms == Millis::ZERO || entry.failures.is_empty() {
--- a/crates/policy/src/serving/crash_quarantine.rs
+++ b/crates/policy/src/serving/crash_quarantine.rs
@@ -78,7 +78,45 @@
     /// Records that a request got a response.
     pub fn record_response(&mut self, now: Millis, fingerprint: Fingerprint) {
         self.quarantine.record_success(fingerprint);
-        self.last_response_at.insert(fingerprint, now);
+        self.insert_response(fingerprint, now);
+    }
+
+    /// Merges an entry from another instance, and returns whether it added a crash.
+    pub fn merge(&mut self, now: Millis, entry: &QuarantineEntry) -> bool {
+        self.quarantine.merge(now, entry)
+    }
+
+    /// Returns the time since the last response to a request if that was recent.
+    #[must_use]
+    pub fn recent_response_age(&self, now: Millis, fingerprint: Fingerprint) -> Option<Millis> {
+        let responded_at = *self.last_response_at.get(&fingerprint)?;
+        (responded_at + RECENT_RESPONSE_MS > now).then(|| now - responded_at)
+    }
+
+    /// Records a recent response that another instance got, and returns whether this instance knew of
+    /// none.
+    ///
+    /// `age_ms` is the time since the response. The crashes that are recorded here are removed, since
+    /// the other instance got its response shortly before them.
+    pub fn record_peer_response(
+        &mut self,
+        now: Millis,
+        fingerprint: Fingerprint,
+        age_ms: Millis,
+    ) -> bool {
+        if age_ms >= RECENT_RESPONSE_MS || age_ms > now {
+            return false;
+        }
+        let is_first = !self.has_recent_response(now, fingerprint);
+        self.quarantine.remove(fingerprint);
+        let known = self.last_response_at.get(&fingerprint).copied();
+        let responded_at = known.unwrap_or_default().max(now - age_ms);
+        self.insert_response(fingerprint, responded_at);
+        is_first
+    }
+
+    fn insert_response(&mut self, fingerprint: Fingerprint, responded_at: Millis) {
+        self.last_response_at.insert(fingerprint, responded_at);
         if self.last_response_at.len() > MAX_FINGERPRINTS {
             let oldest = self.last_response_at.iter().min_by_key(|(_, at)| **at);
             if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
@@ -87,14 +125,8 @@
         }
     }
 
-    /// Merges an entry from another instance, and returns whether it added a crash.
-    pub fn merge(&mut self, now: Millis, entry: &QuarantineEntry) -> bool {
-        self.quarantine.merge(now, entry)
-    }
-
     fn has_recent_response(&self, now: Millis, fingerprint: Fingerprint) -> bool {
-        let responded_at = self.last_response_at.get(&fingerprint);
-        responded_at.is_some_and(|&at| at + RECENT_RESPONSE_MS > now)
+        self.recent_response_age(now, fingerprint).is_some()
     }
 }
 
--- a/crates/policy/tests/serving/limits.rs
+++ b/crates/policy/tests/serving/limits.rs
@@ -134,6 +134,30 @@
     assert_eq!(quarantine.remaining(now, fingerprint), None);
 }
 
+/// Guards against a frequent request that is refused for a minute at instances that had no response
+/// of their own before connections broke.
+#[test]
+fn a_recent_response_of_a_peer_ends_a_quarantine() {
+    let fingerprint = crash_quarantine::fingerprint("/popular", "bakers", b"");
+    let mut peer = CrashQuarantine::new();
+    peer.record_response(Millis(20_000), fingerprint);
+    let age_ms = peer.recent_response_age(Millis(45_000), fingerprint);
+    assert_eq!(age_ms, Some(Millis(25_000)));
+    assert_eq!(peer.recent_response_age(Millis(50_000), fingerprint), None);
+    let mut quarantine = CrashQuarantine::new();
+    for target in ["a", "b"] {
+        quarantine.record_crash(Millis(44_000), fingerprint, target);
+    }
+    assert!(quarantine.remaining(Millis(45_000), fingerprint).is_some());
+    assert!(!quarantine.record_peer_response(Millis(45_000), fingerprint, Millis(30_000)));
+    assert!(quarantine.record_peer_response(Millis(45_000), fingerprint, Millis(25_000)));
+    assert_eq!(quarantine.remaining(Millis(45_000), fingerprint), None);
+    // The quarantine does not come back when the response is no longer recent.
+    assert_eq!(quarantine.remaining(Millis(51_000), fingerprint), None);
+    // The instance already knows of a response, and tells its peers no more of it.
+    assert!(!quarantine.record_peer_response(Millis(46_000), fingerprint, Millis(1_000)));
+}
+
 #[test]
 fn a_request_with_a_recent_response_is_not_quarantined() {
     // Otherwise two broken connections would block a frequent request at all instances for a
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -39,9 +39,6 @@
         sleep(HOUSEKEEPING_INTERVAL_MS).await;
         let reports = shared.pending_reports.take();
         let mut commands = Vec::new();
-        if !reports.crashes.is_empty() {
-            commands.push(PeerCommand::Crashes(reports.crashes));
-        }
         if !reports.prompt_crashes.is_empty() {
             let now = shared.now();
             let crashes = reports.prompt_crashes.into_iter();
@@ -59,10 +56,13 @@
                 ..report
             })
             .collect();
-        if commands.is_empty() && limits.is_empty() {
+        if commands.is_empty() && limits.is_empty() && reports.crashes.is_empty() {
             continue;
         }
         for peer in shared.peers() {
+            if !reports.crashes.is_empty() {
+                connections.report_crashes(&peer, reports.crashes.clone());
+            }
             for command in &commands {
                 connections.send(&peer.name, command.clone());
             }
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -9,6 +9,8 @@
 use crate::request::RequestContext;
 use crate::shared::Shared;
 use arbutus_coord::Millis;
+use arbutus_policy::quarantine::Fingerprint;
+use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::model::TargetEntry;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
@@ -116,6 +118,41 @@
     log_reached(shared, &reached);
 }
 
+/// Records crashes that a peer reports, and returns the requests among them that this instance got
+/// a response to, with the time since then.
+pub fn merge_crashes(shared: &Shared, entries: &[QuarantineEntry]) -> Vec<(Fingerprint, Millis)> {
+    let now = shared.now();
+    let mut quarantine = shared.crash_quarantine.borrow_mut();
+    for entry in entries {
+        if quarantine.merge(now, entry) {
+            warn!(fingerprint:? = entry.fingerprint, failures = entry.failures.len(); "a peer reported a request that crashes targets");
+        }
+    }
+    let answered = entries.iter().filter_map(|entry| {
+        let age_ms = quarantine.recent_response_age(now, entry.fingerprint)?;
+        Some((entry.fingerprint, age_ms))
+    });
+    answered.collect()
+}
+
+/// Records responses to reported requests that peers got, and returns those that this instance knew
+/// no response to.
+pub fn record_peer_responses(
+    shared: &Shared,
+    responses: &[(Fingerprint, Millis)],
+) -> Vec<(Fingerprint, Millis)> {
+    let now = shared.now();
+    let mut quarantine = shared.crash_quarantine.borrow_mut();
+    let mut learnt = Vec::new();
+    for &(fingerprint, age_ms) in responses {
+        if quarantine.record_peer_response(now, fingerprint, age_ms) {
+            info!(fingerprint:? = fingerprint, age_ms = age_ms.0; "a peer got a response to a request that was reported to crash targets");
+            learnt.push((fingerprint, age_ms));
+        }
+    }
+    learnt
+}
+
 /// Records crashes that a peer remembers.
 pub fn merge_earlier_crashes(shared: &Shared, crashes: &[PromptCrash]) {
     let now = shared.now();
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -29,6 +29,7 @@
 use crate::peer_frames::FrameReader;
 use crate::peer_frames::FrameWriter;
 use crate::peer_messages::COMPRESSED_UPDATES_PROTOCOL;
+use crate::peer_messages::CONFIRMED_CRASHES_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
 use crate::peer_messages::TARGET_LIMITS_PROTOCOL;
@@ -41,6 +42,8 @@
 use arbutus_coord::Millis;
 use arbutus_platform::store::InstanceEntry;
 use arbutus_platform::store::ObjectKind;
+use arbutus_policy::quarantine::Fingerprint;
+use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceReport;
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::stage_graph::PieceProgress;
@@ -161,7 +164,7 @@
 
     /// Exchanges messages until the peer has shut down or the connection fails.
     async fn exchange_messages(
-        &self,
+        self: &Rc<Self>,
         peer: &str,
         address: SocketAddrV4,
         commands: &mut UnboundedReceiver<PeerCommand>,
@@ -225,7 +228,30 @@
         }
     }
 
-    fn handle_reply(&self, peer: &str, reply: PeerReply) {
+    /// Tells all peers, to which this instance has reported the same requests, that these got a
+    /// response.
+    fn report_responses(self: &Rc<Self>, responses: &[(Fingerprint, Millis)]) {
+        if responses.is_empty() {
+            return;
+        }
+        for peer in self.shared.peers() {
+            if peer.peer_protocol >= CONFIRMED_CRASHES_PROTOCOL {
+                self.send(&peer.name, PeerCommand::RecentResponses(responses.to_vec()));
+            }
+        }
+    }
+
+    /// Reports requests that crash targets to a peer.
+    pub fn report_crashes(self: &Rc<Self>, peer: &InstanceEntry, entries: Vec<QuarantineEntry>) {
+        let command = if peer.peer_protocol >= CONFIRMED_CRASHES_PROTOCOL {
+            PeerCommand::CrashesToConfirm(entries)
+        } else {
+            PeerCommand::Crashes(entries)
+        };
+        self.send(&peer.name, command);
+    }
+
+    fn handle_reply(self: &Rc<Self>, peer: &str, reply: PeerReply) {
         match reply {
             PeerReply::Followed => self.store.record_follow_confirmation(peer),
             PeerReply::StoreUnreachable => self.store.record_follow_refusal(peer, true),
@@ -251,6 +277,10 @@
             PeerReply::PromptCrashes(earlier) => {
                 crashes::merge_earlier_crashes(&self.shared, &earlier);
             }
+            PeerReply::RecentResponses(responses) => {
+                let learnt = crashes::record_peer_responses(&self.shared, &responses);
+                self.report_responses(&learnt);
+            }
             PeerReply::TargetLimits(reports) => {
                 request_limits::merge_reports(&self.shared, &reports);
             }
@@ -456,12 +486,19 @@
                 follower.unacknowledged = follower.unacknowledged.saturating_sub(1);
             }
             PeerCommand::Crashes(entries) => {
-                for entry in entries {
-                    if self.shared.crash_quarantine.borrow_mut().merge(now, &entry) {
-                        warn!(fingerprint:? = entry.fingerprint, failures = entry.failures.len(); "a peer reported a request that crashes targets");
-                    }
+                // The peer understands no reply.
+                let _answered = crashes::merge_crashes(&self.shared, &entries);
+            }
+            PeerCommand::CrashesToConfirm(entries) => {
+                let answered = crashes::merge_crashes(&self.shared, &entries);
+                if !answered.is_empty() {
+                    replies.push(PeerReply::RecentResponses(answered));
                 }
             }
+            PeerCommand::RecentResponses(responses) => {
+                // The peer has told all others.
+                let _learnt = crashes::record_peer_responses(&self.shared, &responses);
+            }
             PeerCommand::PromptCrashes(reported) => {
                 for (age_ms, crash) in &reported {
                     let earlier = self
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -12,6 +12,7 @@
 use crate::update::StateUpdate;
 use arbutus_coord::Millis;
 use arbutus_platform::store::ObjectKind;
+use arbutus_policy::quarantine::Fingerprint;
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceSource;
 use arbutus_policy::serving::batch::QueueName;
@@ -22,12 +23,15 @@
 
 /// Version of the messages in this module. An instance writes it to its entry in the store, and
 /// sends messages of a later version than the peer's only in reply to such messages.
-pub const PEER_PROTOCOL: u32 = 3;
+pub const PEER_PROTOCOL: u32 = 4;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
 /// First version that has [`PeerCommand::TargetLimits`].
 pub const TARGET_LIMITS_PROTOCOL: u32 = 3;
 
+/// First version that has [`PeerCommand::CrashesToConfirm`].
+pub const CONFIRMED_CRASHES_PROTOCOL: u32 = 4;
+
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SubmitMessage {
@@ -105,6 +109,11 @@
     TargetLimits(Vec<LimitReport>),
     /// Requests the limits of all targets.
     KnownTargetLimits,
+    /// The same as [`PeerCommand::Crashes`], of a peer that understands
+    /// [`PeerReply::RecentResponses`].
+    CrashesToConfirm(Vec<QuarantineEntry>),
+    /// Reports requests that got a response although their targets crashed, and how long ago.
+    RecentResponses(Vec<(Fingerprint, Millis)>),
 }
 
 /// A message to the instance that opened a connection.
@@ -150,4 +159,6 @@
     CompressedObjects(ObjectKind, Bytes),
     /// The limits of all targets that have one.
     TargetLimits(Vec<LimitReport>),
+    /// The reported requests that the sender got a response to, and how long ago.
+    RecentResponses(Vec<(Fingerprint, Millis)>),
 }
