--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -1,4 +1,4 @@
-//! Background tasks: crash reports to peers, requests for store objects during a store outage, and
+//! Background tasks: reports to peers, requests for store objects during a store outage, and
 //! housekeeping.
 
 use std::rc::Rc;
@@ -18,29 +18,29 @@
 
 /// How often an instance that starts checks whether its peers are known.
 const PEER_LIST_POLL_MS: Millis = Millis(50);
-/// Number of peers that are asked for quarantined prompt parts; some of them may be starting, too.
-const QUARANTINE_SOURCES: usize = 4;
+/// Number of peers that are asked for what they have been told; some of them may be starting, too.
+const REPORT_SOURCES: usize = 4;
 /// How often a peer is asked for store objects during a store outage.
 const PEER_REQUEST_INTERVAL_MS: Millis = Millis(400);
-/// How often queued crash reports are sent, expired connections and targets are removed, and
+/// How often queued reports are sent, expired connections and targets are removed, and
 /// metrics are updated.
 const HOUSEKEEPING_INTERVAL_MS: Millis = Millis(250);
 
-/// Sends queued reports about crashes to all peers.
+/// Sends queued reports about crashes and about limits of targets to all peers.
 ///
 /// # Errors
 ///
 /// Never returns; supervised tasks must have a `Result` as their return type.
-pub async fn send_crash_reports(
+pub async fn send_reports(
     shared: Rc<Shared>,
     connections: Rc<PeerConnections>,
 ) -> Result<(), String> {
     loop {
         sleep(HOUSEKEEPING_INTERVAL_MS).await;
         let reports = shared.pending_reports.take();
+        let now = shared.now();
         let mut commands = Vec::new();
         if !reports.prompt_crashes.is_empty() {
-            let now = shared.now();
             let crashes = reports.prompt_crashes.into_iter();
             let with_age = crashes.map(|(crashed_at, crash)| (now - crashed_at, crash));
             commands.push(PeerCommand::PromptCrashes(with_age.collect()));
@@ -48,7 +48,6 @@
         if !reports.cleared_parts.is_empty() {
             commands.push(PeerCommand::ClearedParts(reports.cleared_parts));
         }
-        let now = shared.now();
         let observed_limits = reports.limits.into_iter();
         let limits: Vec<LimitReport> = observed_limits
             .map(|(observed_at, report)| LimitReport {
@@ -80,7 +79,7 @@
 /// # Errors
 ///
 /// Never returns; supervised tasks must have a `Result` as their return type.
-pub async fn request_quarantined_prompts(
+pub async fn request_peer_reports(
     shared: Rc<Shared>,
     connections: Rc<PeerConnections>,
 ) -> Result<(), String> {
@@ -88,7 +87,7 @@
         sleep(PEER_LIST_POLL_MS).await;
     }
     let peers = shared.peers();
-    for peer in peers.sample(&mut rand::rng(), QUARANTINE_SOURCES) {
+    for peer in peers.sample(&mut rand::rng(), REPORT_SOURCES) {
         connections.send(&peer.name, PeerCommand::QuarantinedPrompts);
         connections.send_limit_command(peer, PeerCommand::KnownTargetLimits);
     }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -254,7 +254,7 @@
             Rc::clone(&request_connections),
         )
     });
-    start_crash_tasks(shared, connections);
+    start_report_tasks(shared, connections);
     let housekeeping_shared = Rc::clone(shared);
     supervise("housekeeping", move || {
         background::run_housekeeping(Rc::clone(&housekeeping_shared), dropped_lines.clone())
@@ -262,18 +262,18 @@
     Ok(())
 }
 
-/// Starts the exchange of reports about crashes with the other instances.
-fn start_crash_tasks(shared: &Rc<Shared>, connections: Rc<PeerConnections>) {
+/// Starts the exchange of reports about crashes and limits with the other instances.
+fn start_report_tasks(shared: &Rc<Shared>, connections: Rc<PeerConnections>) {
     let (request_shared, request_connections) = (Rc::clone(shared), Rc::clone(&connections));
     supervise("ask-quarantine", move || {
-        background::request_quarantined_prompts(
+        background::request_peer_reports(
             Rc::clone(&request_shared),
             Rc::clone(&request_connections),
         )
     });
     let report_shared = Rc::clone(shared);
     supervise("share-crashes", move || {
-        background::send_crash_reports(Rc::clone(&report_shared), Rc::clone(&connections))
+        background::send_reports(Rc::clone(&report_shared), Rc::clone(&connections))
     });
 }
 
