--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -233,19 +233,13 @@
         }
     }
 
-    /// Repeatedly lists the objects of a kind and then watches for changes. Objects that are known
-    /// from a peer are not listed as long as the store has the history since their revision.
+    /// Repeatedly lists the objects of a kind and then watches for changes.
+    ///
+    /// The objects are listed even if a peer has sent them: a store that has dropped its history does
+    /// not tell a watch from an earlier revision which changes it misses.
     async fn watch_kind(&self, kind: ObjectKind) {
         let mut delay_ms = MIN_RETRY_DELAY_MS;
         let mut reachability = self.reachability.subscribe();
-        let known_revision = self
-            .caches
-            .borrow()
-            .get(&kind)
-            .map_or(0, ObjectCache::revision);
-        if known_revision > 0 {
-            self.watch_changes(kind, known_revision).await;
-        }
         loop {
             match self.client.list(kind).await {
                 Ok((objects, revision)) => {
--- a/crates/standins/src/simulated_platform/store.rs
+++ b/crates/standins/src/simulated_platform/store.rs
@@ -77,6 +77,29 @@
         Ok(())
     }
 
+    /// Writes the configuration object as a store does that drops its history: watches that wait
+    /// and watches from an earlier revision hear nothing of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be encoded.
+    pub fn put_configuration_without_history(
+        &self,
+        configuration: &Configuration,
+    ) -> io::Result<()> {
+        let content = configuration::encode(configuration)?;
+        let mut state = self.lock();
+        state.revision += 1;
+        let object = StoredObject {
+            name: CONFIGURATION_OBJECT_NAME.to_owned(),
+            revision: state.revision,
+            content,
+        };
+        let objects = state.objects.entry(ObjectKind::Configuration).or_default();
+        objects.insert(object.name.clone(), object);
+        Ok(())
+    }
+
     /// Writes the object of a target.
     ///
     /// # Errors
