tests: count requests in a window with one function

The tests of request limits had a second copy of the function that the tests of retries and cold targets use. It moves to the shared module. The checks are the same.

--- a/crates/policy/tests/serving/limits.rs
+++ b/crates/policy/tests/serving/limits.rs
@@ -2,6 +2,7 @@
 //! that crash no targets. The limits on retries and on requests to cold targets apply to the sum
 //! over all instances, which do not communicate about them.
 
+use crate::support::most_in_window;
 use arbutus_coord::Millis;
 use arbutus_policy::serving::cold_targets;
 use arbutus_policy::serving::cold_targets::ColdTargetPacer;
@@ -16,20 +17,6 @@
     window_ms: Millis(10_000),
 };
 
-/// Returns the maximum number of times in any window of the given length.
-fn most_in_window(times: &[Millis], length_ms: u64) -> usize {
-    times
-        .iter()
-        .map(|&start| {
-            let inside = times
-                .iter()
-                .filter(|&&time| time >= start && time < start + Millis(length_ms));
-            inside.count()
-        })
-        .max()
-        .unwrap_or(0)
-}
-
 #[test]
 fn retries_of_all_instances_stay_within_the_bound_when_every_request_fails() {
     for instances in [1, 17, 126] {
--- a/crates/policy/tests/serving/support.rs
+++ b/crates/policy/tests/serving/support.rs
@@ -68,3 +68,17 @@
         client_limits: ClientLimits::default(),
     }
 }
+
+/// Returns the maximum number of times in any window of the given length.
+pub fn most_in_window(times: &[Millis], length_ms: u64) -> usize {
+    times
+        .iter()
+        .map(|&start| {
+            let inside = times
+                .iter()
+                .filter(|&&time| time >= start && time < start + Millis(length_ms));
+            inside.count()
+        })
+        .max()
+        .unwrap_or(0)
+}
--- a/crates/policy/tests/serving/target_limits.rs
+++ b/crates/policy/tests/serving/target_limits.rs
@@ -1,6 +1,7 @@
 //! Guards against instances that together send a target more requests than the limit that it names,
 //! although each of them keeps to a limit of its own.
 
+use crate::support::most_in_window;
 use arbutus_coord::Millis;
 use arbutus_policy::serving::target_limits::LimitReport;
 use arbutus_policy::serving::target_limits::SenderRank;
@@ -41,7 +42,7 @@
 
 /// Returns when instances send requests to a target that names a limit at time 0, if each of them
 /// has more requests than it may send.
-fn sends(instances: usize, max_requests_per_s: f64, duration_ms: u64) -> Vec<u64> {
+fn sends(instances: usize, max_requests_per_s: f64, duration_ms: u64) -> Vec<Millis> {
     let names = names(instances);
     let mut states: Vec<(SenderRank, TargetLimits)> = names
         .iter()
@@ -58,7 +59,7 @@
             if !has_request || !limits.try_take(Millis(now), TARGET, *rank) {
                 continue;
             }
-            sends.push(now);
+            sends.push(Millis(now));
             let (sent_at, responded_at) = (Millis(now), Millis(now + 5));
             let report =
                 limits.record_response(responded_at, TARGET, Some(max_requests_per_s), sent_at);
@@ -72,23 +73,13 @@
     sends
 }
 
-fn most_in_window(sends: &[u64]) -> usize {
-    let counts = sends.iter().map(|&start| {
-        let inside = sends
-            .iter()
-            .filter(|&&time| time >= start && time < start + WINDOW_MS);
-        inside.count()
-    });
-    counts.max().unwrap_or(0)
-}
-
 #[test]
 fn all_instances_together_keep_to_the_limit_and_use_most_of_it() {
     for instances in [1, 2, 17, 126] {
         for max_requests_per_s in [0.25, 1.0, 2.5, 8.0, 40.0] {
             let sends = sends(instances, max_requests_per_s, 40_000);
             let case = format!("{instances} instances, {max_requests_per_s} a second");
-            let most = most_in_window(&sends);
+            let most = most_in_window(&sends, WINDOW_MS);
             let allowed = 1.5 * max_requests_per_s * 4.0 + 5.0;
             assert!(most as f64 <= allowed, "{case}: {most}");
             // The demand of a single instance is 10 requests per second.
