docs: say in comments what versions of messages and limits do

Comments that a newcomer stumbled over: which messages a peer of an earlier version is sent, what a report of responses says, how many instances divide a limit, and which instance watches the store. No code changes.

--- a/crates/policy/src/serving/ownership.rs
+++ b/crates/policy/src/serving/ownership.rs
@@ -180,9 +180,9 @@
 /// store itself.
 ///
 /// The instances of a failure domain are divided into groups by a hash of their names, and each
-/// group has one watcher, which sends each change to all others: one with the fastest link. Since a watcher belongs to the group of its followers, no instance
-/// follows a follower as long as all instances have the same list. `peers` are the other
-/// instances. Instances that cannot reach the store are not followed. If the local instance cannot
+/// group has one watcher. It has one of the fastest links, since it sends each change to all others.
+/// Since a watcher belongs to the group of its followers, no instance follows a follower as long as
+/// all instances have the same list. `peers` are the other instances. Instances that cannot reach the store are not followed. If the local instance cannot
 /// reach it either, it watches the store only when there is no instance to follow.
 #[must_use]
 pub fn preferred_watcher<'a>(
--- a/crates/policy/src/serving/target_limits.rs
+++ b/crates/policy/src/serving/target_limits.rs
@@ -1,10 +1,10 @@
 //! Limits that targets set on the rate of their requests from all instances together.
 //!
 //! A target names its limit in each response for as long as it applies. Instances tell each other
-//! when a limit begins, changes or ends. Without further communication, some of the instances,
-//! which rendezvous hashing determines for each target, divide the limit among themselves: slightly
-//! more than the requests per second that it allows, so that one of them may be missing. Calls of
-//! stages are sent by the owner of their queue alone.
+//! when a limit begins, changes or ends. Without further communication, rendezvous hashing determines
+//! for each target which instances divide its limit. There are slightly more of them than the limit
+//! allows requests per second, so that one may be missing. Calls of stages are sent by the owner of
+//! their queue alone.
 
 use std::collections::BTreeMap;
 
--- a/crates/serving/src/peer_frames.rs
+++ b/crates/serving/src/peer_frames.rs
@@ -24,7 +24,7 @@
 use arbutus_wire::frame::HEADER_BYTES;
 use arbutus_wire::frame::MAX_FRAME_BYTES;
 
-/// Transfers of at least this size are logged. Only updates of store objects reach it.
+/// Transfers of at least this size are logged.
 const MIN_LOGGED_BYTES: usize = 16 * 1024;
 /// Space for the bytes that one read returns.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -21,14 +21,14 @@
 use arbutus_policy::serving::stage_graph::PieceProgress;
 use arbutus_policy::serving::target_limits::LimitReport;
 
-/// Version of the messages in this module. An instance writes it to its entry in the store, and
-/// sends messages of a later version than the peer's only in reply to such messages.
+/// Version of the messages in this module. An instance writes it to its entry in the store. It sends
+/// a peer only commands of versions that the entry of the peer names, and uses later replies only for
+/// such commands.
 pub const PEER_PROTOCOL: u32 = 4;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
 /// First version that has [`PeerCommand::TargetLimits`].
 pub const TARGET_LIMITS_PROTOCOL: u32 = 3;
-
 /// First version that has [`PeerCommand::CrashesToConfirm`].
 pub const CONFIRMED_CRASHES_PROTOCOL: u32 = 4;
 
@@ -112,7 +112,7 @@
     /// The same as [`PeerCommand::Crashes`], of a peer that understands
     /// [`PeerReply::RecentResponses`].
     CrashesToConfirm(Vec<QuarantineEntry>),
-    /// Reports requests that got a response although their targets crashed, and how long ago.
+    /// Reports that requests which were reported to crash targets got a response, and how long ago.
     RecentResponses(Vec<(Fingerprint, Millis)>),
 }
 
