tests: add failing tests of targets that leave or ask for pauses

A target that shuts down says so in its responses, and a target that refuses with 503 may name a pause. Instances ignore both headers: they go by the list of targets and by a pause of 60 ms.

Before: 4 of 4 tests fail. A leaving target gets 20 of 40 further requests; requests for a service whose targets all leave or pause are sent on or wait; ten staged requests wait 16.2 s for a stage target that asked for 4 s.

--- /dev/null
+++ b/crates/daemon/tests/platform_target_notices.rs
@@ -0,0 +1,141 @@
+//! Tests of targets that say in their responses that they shut down or want a pause, with real
+//! processes.
+
+mod common;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::common::TestCluster;
+use crate::common::start_cluster;
+use arbutus_standins::simulated_platform::client::ClientRequest;
+use arbutus_standins::simulated_platform::client::ClientResponse;
+use arbutus_standins::simulated_platform::example::staged_stream_request;
+use arbutus_standins::simulated_platform::target::Target;
+
+/// Time in which requests that were sent before a response arrive.
+const IN_FLIGHT: Duration = Duration::from_millis(500);
+
+fn target(cluster: &TestCluster, id: &str) -> Arc<Target> {
+    let targets = &cluster.platform.targets;
+    let target = targets.iter().find(|target| target.entry().id == id);
+    Arc::clone(target.expect("the target exists"))
+}
+
+fn arrivals_since(target: &Target, from: Instant) -> usize {
+    let arrivals = target.arrivals();
+    arrivals.iter().filter(|&&arrival| arrival >= from).count()
+}
+
+/// Sends safe requests, one after the other, and returns the responses.
+fn send_safe(cluster: &TestCluster, instance: usize, count: usize) -> Vec<ClientResponse> {
+    let address = cluster.instances[instance].client_address();
+    let responses = (0..count).map(|number| {
+        ClientRequest::new("GET", &format!("/safe/{number}"), &format!("s{number}"))
+            .call(address)
+            .expect("the instance accepts connections")
+    });
+    responses.collect()
+}
+
+fn retry_after_s(response: &ClientResponse) -> f64 {
+    let text = response.headers.get("retry-after").map(String::as_str);
+    let seconds = text.and_then(|text| text.parse().ok());
+    seconds.unwrap_or_else(|| panic!("no delay in {:?}", response.headers))
+}
+
+/// Guards against requests for a target that shuts down while the list of targets, which lags or
+/// cannot be read, still names it as ready. Peers learn of it too.
+#[test]
+fn a_target_that_says_that_it_leaves_gets_no_more_requests() {
+    let cluster = start_cluster(2);
+    let leaving = target(&cluster, "d1");
+    leaving.set_leaving();
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while leaving.arrivals().is_empty() {
+        assert!(Instant::now() < deadline, "the target gets no request");
+        send_safe(&cluster, 0, 1);
+    }
+    thread::sleep(IN_FLIGHT);
+    let told_at = Instant::now();
+    for instance in 0..2 {
+        for response in send_safe(&cluster, instance, 20) {
+            assert_eq!(response.status, 200);
+        }
+    }
+    assert_eq!(arrivals_since(&leaving, told_at), 0);
+}
+
+/// Guards against clients that wait although all targets of a service have said that they leave.
+#[test]
+fn requests_are_refused_at_once_if_all_targets_leave() {
+    let cluster = start_cluster(1);
+    for id in ["d1", "d2"] {
+        target(&cluster, id).set_leaving();
+    }
+    send_safe(&cluster, 0, 4);
+    let started_at = Instant::now();
+    let responses = send_safe(&cluster, 0, 1);
+    assert!(started_at.elapsed() < Duration::from_millis(100));
+    assert_eq!(responses[0].status, 503);
+    assert!(retry_after_s(&responses[0]) > 0.0);
+}
+
+/// Guards against requests for a target during the pause that it has asked for, and against clients
+/// that wait for a pause to end that lasts longer than they do.
+#[test]
+fn a_target_that_asks_for_a_pause_gets_no_requests_until_its_end() {
+    let cluster = start_cluster(1);
+    let busy = target(&cluster, "d1");
+    busy.set_retry_after(Some("2.5"));
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while busy.arrivals().is_empty() {
+        assert!(Instant::now() < deadline, "the target gets no request");
+        send_safe(&cluster, 0, 1);
+    }
+    let asked_at = Instant::now();
+    let served = send_safe(&cluster, 0, 50);
+    assert!(served.iter().all(|response| response.status == 200));
+    assert_eq!(arrivals_since(&busy, asked_at), 0, "requests in the pause");
+    let other = target(&cluster, "d2");
+    other.set_retry_after(Some("1.5"));
+    send_safe(&cluster, 0, 1);
+    let started_at = Instant::now();
+    let refused = send_safe(&cluster, 0, 1);
+    assert!(started_at.elapsed() < Duration::from_millis(100));
+    assert_eq!(refused[0].status, 503);
+    let delay_s = retry_after_s(&refused[0]);
+    assert!(delay_s > 1.0 && delay_s <= 1.5, "{delay_s} s");
+    busy.set_retry_after(None);
+    thread::sleep((asked_at + Duration::from_millis(3_200)) - Instant::now());
+    assert_eq!(send_safe(&cluster, 0, 1)[0].status, 200);
+    assert!(
+        arrivals_since(&busy, asked_at) > 0,
+        "no requests afterwards"
+    );
+}
+
+/// Guards against stage calls, and calls that free results, during the pause of a stage target.
+#[test]
+fn a_stage_target_that_asks_for_a_pause_gets_no_calls_until_its_end() {
+    let cluster = start_cluster(1);
+    let address = cluster.instances[0].client_address();
+    let stage_target = target(&cluster, "f1");
+    stage_target.set_retry_after(Some("4"));
+    let first = staged_stream_request("p0", "1,1", "key0").call(address);
+    assert_eq!(first.expect("the instance responds").status, 503);
+    let asked_at = Instant::now();
+    for number in 1..10 {
+        let id = format!("p{number}");
+        let response = staged_stream_request(&id, "1,1", &id).call(address);
+        assert_eq!(response.expect("the instance responds").status, 503);
+    }
+    assert!(
+        asked_at.elapsed() < Duration::from_secs(1),
+        "requests waited {:?} for the end of the pause",
+        asked_at.elapsed()
+    );
+    assert_eq!(arrivals_since(&stage_target, asked_at), 0);
+}
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -85,6 +85,10 @@
     min_body_bytes: usize,
     /// Requests per second that the target names in its responses as its limit.
     request_limit_per_s: Option<f64>,
+    /// Whether every response says that the target shuts down.
+    is_leaving: bool,
+    /// Value of the Retry-After header with which the target rejects every request.
+    rejects_with_retry_after: Option<String>,
     /// When each request to the target arrived, stage calls included.
     arrivals: Vec<Instant>,
     /// Prompt part that crashes the target when it begins to respond.
@@ -162,6 +166,17 @@
         self.lock().request_limit_per_s = requests_per_s;
     }
 
+    /// Says in every response from now on that the target shuts down.
+    pub fn set_leaving(&self) {
+        self.lock().is_leaving = true;
+    }
+
+    /// Rejects every request from now on with status 503 and this value of the Retry-After header;
+    /// `None` rejects none.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        self.lock().rejects_with_retry_after = value.map(str::to_owned);
+    }
+
     /// Returns when each request to the target arrived, stage calls included.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -227,13 +242,17 @@
     }
 }
 
-/// Responds to a request, and names the limit of the target.
+/// Responds to a request, and says what the target asks of the instances.
 pub(super) async fn respond_to(
     target: Arc<Target>,
     request: Request<Incoming>,
 ) -> io::Result<Response<TargetBody>> {
     target.lock().arrivals.push(Instant::now());
     let mut response = execute(Arc::clone(&target), request).await?;
+    if target.lock().is_leaving {
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert(names::TARGET_LEAVING, value);
+    }
     if let Some(requests_per_s) = target.lock().request_limit_per_s {
         let value = HeaderValue::from_str(&requests_per_s.to_string()).map_err(io::Error::other)?;
         response.headers_mut().insert(names::REQUEST_LIMIT, value);
@@ -254,6 +273,17 @@
     if header_text(&names::EXPECTED_TARGET) != target.id {
         return respond(StatusCode::MISDIRECTED_REQUEST, &[], TargetBody::empty());
     }
+    if let Some(retry_after) = target.lock().rejects_with_retry_after.clone() {
+        let headers = [
+            (names::NOT_EXECUTED, "1".to_owned()),
+            (http::header::RETRY_AFTER, retry_after),
+        ];
+        return respond(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &headers,
+            TargetBody::empty(),
+        );
+    }
     match head.uri.path() {
         names::STAGE_RUN_PATH => return respond_to_stage_call(&target, &body).await,
         names::STAGE_FREE_PATH => {
