target notices: leave targets alone that shut down or ask for a pause

What a target says of itself was read for limits only.

Ruled out: to pass on pauses to peers (the pause is for one instance); to send leaving targets requests for the rest of the drain time when no other is left (the first of them may be seconds into it already); to share the field of the list's state (an entry that expires and returns would forget it).

Change: LeavingTargets and TargetBackoffs decide; the directory holds the first, so choice, the check before a send, queues and stage domains follow it. request_limits becomes target_notices, which records all three notices of a response head. Stage queues keep pauses, fail pieces that cannot be computed before the first one ends, and report the time as their backlog. Peers exchange leaving targets (message version 5). Both rules are in one commit, since they share these places.

--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -12,6 +12,7 @@
 //! From then on, the stage counts as started, and its pieces go before those of other stages.
 //! Otherwise the results of incomplete stages would fill the space, and no stage would complete.
 
+mod backlog;
 mod result_space;
 mod types;
 
@@ -100,6 +101,8 @@
     failure_domain: String,
     call: Option<RunningCall>,
     paused_until: Millis,
+    /// End of the pause that the target has asked for.
+    backoff_until: Millis,
     /// Number of broken calls since the last response.
     consecutive_failures: u32,
     /// Moving average of the ratio of the actual to the nominal duration of calls.
@@ -170,6 +173,7 @@
                 failure_domain: entry.failure_domain.clone(),
                 call: None,
                 paused_until: Millis::ZERO,
+                backoff_until: Millis::ZERO,
                 consecutive_failures: 0,
                 slowness: 1.0,
                 results: BTreeMap::new(),
@@ -300,9 +304,14 @@
                     }
                 }
             }
-            CallOutcome::Full => {
-                self.contention_until = now + CONTENTION_MS;
-                target.paused_until = now + FULL_PAUSE_MS;
+            CallOutcome::Full { backoff_ms } => {
+                if let Some(backoff_ms) = backoff_ms {
+                    target.backoff_until = now + backoff_ms;
+                    target.paused_until = target.backoff_until;
+                } else {
+                    self.contention_until = now + CONTENTION_MS;
+                    target.paused_until = now + FULL_PAUSE_MS;
+                }
                 for key in call.piece_keys {
                     if let Some(piece) = self.pieces.get_mut(&key) {
                         piece.in_call = false;
@@ -399,12 +408,14 @@
         read
     }
 
-    /// Removes the waiting pieces whose deadline has passed, and returns their reports as late.
+    /// Removes the waiting pieces whose deadline has passed, or will pass before a target takes
+    /// calls again, and returns their reports as late.
     pub fn expire(&mut self, now: Millis) -> Vec<PieceReport> {
+        let earliest_call_at = self.backoff_end().unwrap_or(now).max(now);
         let expired: Vec<u64> = self
             .pieces
             .iter()
-            .filter(|(_, piece)| !piece.in_call && piece.deadline <= now)
+            .filter(|(_, piece)| !piece.in_call && piece.deadline <= earliest_call_at)
             .map(|(&key, _)| key)
             .collect();
         expired
@@ -462,34 +473,6 @@
         pauses.chain(waits).filter(|&time| time > now).min()
     }
 
-    /// Returns how long the targets need to compute the waiting pieces whose due time has not
-    /// passed.
-    #[must_use]
-    pub fn backlog_ms(&self, now: Millis) -> Millis {
-        let waiting = self
-            .pieces
-            .values()
-            .filter(|piece| !piece.in_call && piece.due >= now)
-            .count();
-        let usable = self
-            .targets
-            .values()
-            .filter(|target| target.paused_until <= now + FULL_PAUSE_MS);
-        // Calls contain fewer pieces than their maximum while result space is short.
-        let pieces_per_call = self.spec.max_pieces_per_call as f64 * self.mean_fill;
-        let call_ms = self.spec.call_overhead_ms + self.spec.ms_per_piece * pieces_per_call;
-        let pieces_per_ms: f64 = usable
-            .map(|target| pieces_per_call / (call_ms * target.slowness))
-            .sum();
-        if waiting == 0 {
-            return Millis::ZERO;
-        }
-        if pieces_per_ms <= 0.0 {
-            return Millis(MAX_PAUSE_MS);
-        }
-        Millis((waiting as f64 / pieces_per_ms) as u64)
-    }
-
     fn try_start_call(
         &mut self,
         now: Millis,
--- a/crates/policy/src/serving/batch/types.rs
+++ b/crates/policy/src/serving/batch/types.rs
@@ -109,7 +109,11 @@
     /// call.
     Responded(Vec<Result<String, PieceFailure>>),
     /// The target was full and executed nothing.
-    Full,
+    Full {
+        /// How long the target gets no further calls because it asked for that; `None` if it did
+        /// not.
+        backoff_ms: Option<Millis>,
+    },
     /// The target did not respond, or its response was unusable.
     Broken,
 }
--- a/crates/policy/src/serving/target_directory.rs
+++ b/crates/policy/src/serving/target_directory.rs
@@ -4,12 +4,15 @@
 //! expire during an outage of the store stay in use for a grace period, because their targets
 //! register again after the outage. Targets of a failure domain whose evacuation has ended are
 //! treated as cold for a time, whatever their entries say. Callers check a target again right
-//! before they send to it, since its state may have changed after its selection.
+//! before they send to it, since its state may have changed after its selection. A target that has
+//! said that it shuts down gets no requests, however the list shows it.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
+use crate::serving::leaving_targets::LeavingReport;
+use crate::serving::leaving_targets::LeavingTargets;
 use crate::serving::model::TargetEntry;
 use arbutus_coord::Millis;
 
@@ -44,6 +47,7 @@
 #[derive(Debug, Default)]
 pub struct TargetDirectory {
     targets: BTreeMap<String, KnownTarget>,
+    leaving: LeavingTargets,
     evacuated: BTreeSet<String>,
     /// When the last evacuation of each failure domain ended.
     evacuation_ended_at: BTreeMap<String, Millis>,
@@ -156,6 +160,43 @@
         (evacuated, ended)
     }
 
+    /// Records that an incarnation of a target has said that it shuts down. Returns the resulting
+    /// change, or `None` if the incarnation was known to shut down or is not in the list.
+    pub fn mark_leaving(
+        &mut self,
+        now: Millis,
+        id: &str,
+        incarnation: Option<u64>,
+    ) -> Option<TargetChange> {
+        let is_new = self.leaving.mark(now, id, incarnation);
+        let is_listed = self.get(id)?.entry.incarnation == incarnation;
+        (is_new && is_listed).then(|| TargetChange::Draining(id.to_owned()))
+    }
+
+    /// Returns whether an incarnation of a target has said that it shuts down.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str, incarnation: Option<u64>) -> bool {
+        self.leaving.contains(id, incarnation)
+    }
+
+    /// Returns all targets that have said that they shut down.
+    #[must_use]
+    pub fn leaving_reports(&self) -> Vec<LeavingReport> {
+        self.leaving.reports()
+    }
+
+    /// Returns whether a service has targets, but none of them may get requests.
+    #[must_use]
+    pub fn is_closed(&self, service: &str) -> bool {
+        let mut targets = self.iter().filter(|known| known.entry.service == service);
+        let mut has_targets = false;
+        let may_send = targets.any(|known| {
+            has_targets = true;
+            self.may_get_requests(known)
+        });
+        has_targets && !may_send
+    }
+
     /// Returns a target, including draining and evacuated ones.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&KnownTarget> {
@@ -201,6 +242,9 @@
     }
 
     fn may_get_requests(&self, known: &KnownTarget) -> bool {
-        known.entry.accepts_work && !self.evacuated.contains(&known.entry.failure_domain)
+        let entry = &known.entry;
+        entry.accepts_work
+            && !self.evacuated.contains(&entry.failure_domain)
+            && !self.leaving.contains(&entry.id, entry.incarnation)
     }
 }
--- a/crates/policy/tests/serving/batches.rs
+++ b/crates/policy/tests/serving/batches.rs
@@ -169,7 +169,7 @@
     queue.submit(Millis(0), &submission(0, 1, AFTER_CONTENTION));
     queue.start_calls(Millis(0));
     assert_eq!(queue.mark_inputs_read(Millis(120), "a"), []);
-    queue.record_call_end(Millis(266), "a", CallOutcome::Full);
+    queue.record_call_end(Millis(266), "a", CallOutcome::Full { backoff_ms: None });
     queue.start_calls(AFTER_CONTENTION);
     assert_eq!(
         queue
@@ -177,7 +177,11 @@
             .len(),
         1
     );
-    queue.record_call_end(AFTER_CONTENTION + Millis(300), "a", CallOutcome::Full);
+    queue.record_call_end(
+        AFTER_CONTENTION + Millis(300),
+        "a",
+        CallOutcome::Full { backoff_ms: None },
+    );
     queue.start_calls(AFTER_CONTENTION + Millis(400));
     assert_eq!(
         queue.mark_inputs_read(AFTER_CONTENTION + Millis(520), "a"),
@@ -293,3 +297,34 @@
         "the 99th percentile of piece latencies is {p99_ms} ms"
     );
 }
+
+/// Guards against pieces that wait for targets that have asked for a pause which lasts longer than
+/// their requests, and against requests that are admitted meanwhile.
+#[test]
+fn pieces_that_cannot_be_computed_before_the_pauses_end_fail_at_once() {
+    let mut queue = queue(&[target("a", "s", "x"), target("b", "s", "x")]);
+    for (number, target) in ["a", "b"].into_iter().enumerate() {
+        queue.submit(Millis(0), &submission(number as u64, 8, Millis(100)));
+        let calls = queue.start_calls(Millis(0));
+        assert_eq!(calls[0].target, target);
+    }
+    let paused = |backoff_ms| CallOutcome::Full {
+        backoff_ms: Some(Millis(backoff_ms)),
+    };
+    queue.record_call_end(Millis(10), "a", paused(20_000));
+    assert_eq!(queue.expire(Millis(10)), [], "another target may take them");
+    queue.record_call_end(Millis(20), "b", paused(30_000));
+    assert_eq!(queue.start_calls(Millis(20)), []);
+    assert_eq!(queue.backlog_ms(Millis(20)), Millis(19_990));
+    let failed = queue.expire(Millis(20));
+    assert_eq!(failed.len(), 16);
+    let late = PieceProgress::Failed(PieceFailure::Late);
+    assert!(failed.iter().all(|report| report.progress == late));
+    assert_eq!(queue.backlog_ms(Millis(20)), Millis(19_990));
+    // A piece that has the time waits for the first target that takes calls.
+    queue.submit(Millis(20), &submission(9, 1, Millis(15_000)));
+    assert_eq!(queue.expire(Millis(20)), []);
+    assert_eq!(queue.next_wakeup(Millis(1_000)), Some(Millis(20_010)));
+    let calls = queue.start_calls(Millis(20_010));
+    assert_eq!(calls[0].target, "a");
+}
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod batches;
 mod event_splitter;
+mod leaving_targets;
 mod limits;
 mod ownership;
 mod placement;
@@ -12,6 +13,7 @@
 mod stage_graph;
 mod store_role;
 mod support;
+mod target_backoff;
 mod target_directory;
 mod target_limits;
 mod target_selection;
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -10,7 +10,9 @@
 use crate::logging::DroppedLineCount;
 use crate::net::sleep;
 use crate::peer::PeerConnections;
+use crate::peer_messages::LEAVING_TARGETS_PROTOCOL;
 use crate::peer_messages::PeerCommand;
+use crate::peer_messages::TARGET_LIMITS_PROTOCOL;
 use crate::shared::Shared;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
@@ -26,7 +28,7 @@
 /// metrics are updated.
 const HOUSEKEEPING_INTERVAL_MS: Millis = Millis(250);
 
-/// Sends queued reports about crashes and about limits of targets to all peers.
+/// Sends queued reports about crashes, and about limits and shutdowns of targets, to all peers.
 ///
 /// # Errors
 ///
@@ -55,7 +57,12 @@
                 ..report
             })
             .collect();
-        if commands.is_empty() && limits.is_empty() && reports.crashes.is_empty() {
+        let leaving = reports.leaving;
+        if commands.is_empty()
+            && limits.is_empty()
+            && leaving.is_empty()
+            && reports.crashes.is_empty()
+        {
             continue;
         }
         for peer in shared.peers() {
@@ -66,14 +73,19 @@
                 connections.send(&peer.name, command.clone());
             }
             if !limits.is_empty() {
-                connections.send_limit_command(&peer, PeerCommand::TargetLimits(limits.clone()));
+                let command = PeerCommand::TargetLimits(limits.clone());
+                connections.send_if_understood(&peer, TARGET_LIMITS_PROTOCOL, command);
+            }
+            if !leaving.is_empty() {
+                let command = PeerCommand::LeavingTargets(leaving.clone());
+                connections.send_if_understood(&peer, LEAVING_TARGETS_PROTOCOL, command);
             }
         }
     }
 }
 
-/// Asks some peers for the quarantined prompt parts and the limits of targets once the instances are
-/// known. Without them, an instance that starts would have to observe a crash of its own, and would
+/// Asks some peers for the quarantined prompt parts, and the limits and shutdowns of targets, once the
+/// instances are known. Without them, an instance that starts would have to observe a crash of its own, and would
 /// send to limited targets until they respond.
 ///
 /// # Errors
@@ -89,7 +101,10 @@
     let peers = shared.peers();
     for peer in peers.sample(&mut rand::rng(), REPORT_SOURCES) {
         connections.send(&peer.name, PeerCommand::QuarantinedPrompts);
-        connections.send_limit_command(peer, PeerCommand::KnownTargetLimits);
+        let limits = PeerCommand::KnownTargetLimits;
+        connections.send_if_understood(peer, TARGET_LIMITS_PROTOCOL, limits);
+        let leaving = PeerCommand::KnownLeavingTargets;
+        connections.send_if_understood(peer, LEAVING_TARGETS_PROTOCOL, leaving);
     }
     std::future::pending().await
 }
@@ -140,6 +155,9 @@
         let limited = shared.target_limits.borrow().reports(now).len();
         let limited = i64::try_from(limited).unwrap_or(i64::MAX);
         shared.metrics.limited_targets.set(limited);
+        let paused = shared.target_backoffs.borrow_mut().expire(now);
+        let paused = i64::try_from(paused).unwrap_or(i64::MAX);
+        shared.metrics.paused_targets.set(paused);
         let total = dropped_lines.total();
         shared
             .metrics
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -24,10 +24,10 @@
 use crate::crashes::PromptSuspicion;
 use crate::pool::PooledConnection;
 use crate::request::RequestContext;
-use crate::request_limits;
 use crate::shared::Shared;
 use crate::stages::RequestStages;
 use crate::target_choice;
+use crate::target_notices;
 use arbutus_coord::Millis;
 use arbutus_platform::request::SystemHeaders;
 use arbutus_platform::response;
@@ -55,6 +55,8 @@
     NotExecuted {
         /// The cause, for the log.
         reason: String,
+        /// Time after which the client should retry, if it is known.
+        retry_after_ms: Option<Millis>,
     },
     /// The request is suspected of crashing targets and was not executed.
     Quarantined {
@@ -201,9 +203,16 @@
     last_event_id: Option<u64>,
 ) -> Result<TargetResponse, DispatchError> {
     loop {
-        let Some(entry) = target_choice::wait_for_target(context, &history.tried_targets).await
-        else {
-            return Err(dispatch_error(context, "no target available"));
+        let selected = target_choice::wait_for_target(context, &history.tried_targets).await;
+        let entry = match selected {
+            Ok(entry) => entry,
+            Err(no_target) => {
+                let mut error = dispatch_error(context, "no target available");
+                if let DispatchError::NotExecuted { retry_after_ms, .. } = &mut error {
+                    *retry_after_ms = no_target.retry_after_ms;
+                }
+                return Err(error);
+            }
         };
         // The quarantine may have begun while the request waited for its stages or for a target.
         if let Some(reason) = crashes::quarantine_reason(context) {
@@ -271,7 +280,10 @@
 fn dispatch_error(context: &RequestContext, reason: &str) -> DispatchError {
     let reason = reason.to_owned();
     if context.possible_executions == 0 {
-        DispatchError::NotExecuted { reason }
+        DispatchError::NotExecuted {
+            reason,
+            retry_after_ms: None,
+        }
     } else if context.remaining_ms() == Millis::ZERO {
         DispatchError::DeadlineExceeded { reason }
     } else {
@@ -382,12 +394,13 @@
         }
         None => return AttemptOutcome::Unsent("no connection before the deadline".to_owned()),
     };
-    // The target may have been removed, drained, evacuated or restarted while the connection was
-    // being opened.
+    // The target may have been removed, drained, evacuated or restarted, or have asked for a pause,
+    // while the connection was being opened.
     let may_send_now = shared
         .directory
         .borrow()
-        .may_send(&entry.id, entry.incarnation);
+        .may_send(&entry.id, entry.incarnation)
+        && !target_notices::is_paused(shared, &entry.id);
     if !may_send_now {
         connection.release(shared.now(), None);
         return AttemptOutcome::Unsent(
@@ -448,8 +461,8 @@
     classify_response(context, attempt, http_response, sent_at)
 }
 
-/// Determines the outcome of an attempt from the response head. Also records the load and the limit
-/// that the target reports.
+/// Determines the outcome of an attempt from the response head. Also records the load that the target
+/// reports and what it asks for.
 fn classify_response(
     context: &RequestContext,
     attempt: TargetAttempt,
@@ -468,9 +481,10 @@
     );
     if is_from_target {
         let executed = !matches!(response_class, ResponseClass::NotExecuted { .. });
-        request_limits::record_response(
+        target_notices::record_response(
             &context.shared,
-            &attempt.target().id,
+            attempt.target(),
+            http_response.status(),
             headers,
             sent_at,
             executed,
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -71,6 +71,8 @@
     pub log_lines_dropped: Gauge,
     /// Targets that name a limit on their requests.
     pub limited_targets: Gauge,
+    /// Targets that have asked this instance for a pause that lasts.
+    pub paused_targets: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -147,6 +149,12 @@
             "Targets that name a limit on their requests",
             limited_targets.clone(),
         );
+        let paused_targets = Gauge::default();
+        registry.register(
+            "paused_targets",
+            "Targets that asked for a pause that lasts",
+            paused_targets.clone(),
+        );
         Self {
             registry,
             requests,
@@ -161,6 +169,7 @@
             accepted_during_shutdown,
             log_lines_dropped,
             limited_targets,
+            paused_targets,
         }
     }
 
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -32,11 +32,10 @@
 use crate::peer_messages::CONFIRMED_CRASHES_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
-use crate::peer_messages::TARGET_LIMITS_PROTOCOL;
-use crate::request_limits;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
+use crate::target_notices;
 use crate::update::StateUpdate;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
@@ -130,10 +129,14 @@
         entry.is_some_and(|entry| entry.peer_protocol >= COMPRESSED_UPDATES_PROTOCOL)
     }
 
-    /// Sends what this instance knows of the limits of targets, or asks for what a peer knows, if
-    /// the peer understands such messages.
-    pub fn send_limit_command(self: &Rc<Self>, peer: &InstanceEntry, command: PeerCommand) {
-        if peer.peer_protocol >= TARGET_LIMITS_PROTOCOL {
+    /// Sends a command to a peer if the peer understands messages of a version.
+    pub fn send_if_understood(
+        self: &Rc<Self>,
+        peer: &InstanceEntry,
+        protocol: u32,
+        command: PeerCommand,
+    ) {
+        if peer.peer_protocol >= protocol {
             self.send(&peer.name, command);
         }
     }
@@ -282,7 +285,10 @@
                 self.report_responses(&learnt);
             }
             PeerReply::TargetLimits(reports) => {
-                request_limits::merge_reports(&self.shared, &reports);
+                target_notices::merge_limits(&self.shared, &reports);
+            }
+            PeerReply::LeavingTargets(reports) => {
+                target_notices::merge_leaving(&self.shared, &reports);
             }
             PeerReply::Pong | PeerReply::Leaving => {}
         }
@@ -519,7 +525,7 @@
                 }
             }
             PeerCommand::TargetLimits(reports) => {
-                request_limits::merge_reports(&self.shared, &reports);
+                target_notices::merge_limits(&self.shared, &reports);
             }
             PeerCommand::KnownTargetLimits => {
                 let reports = self.shared.target_limits.borrow().reports(now);
@@ -527,6 +533,15 @@
                     replies.push(PeerReply::TargetLimits(reports));
                 }
             }
+            PeerCommand::LeavingTargets(reports) => {
+                target_notices::merge_leaving(&self.shared, &reports);
+            }
+            PeerCommand::KnownLeavingTargets => {
+                let reports = self.shared.directory.borrow().leaving_reports();
+                if !reports.is_empty() {
+                    replies.push(PeerReply::LeavingTargets(reports));
+                }
+            }
             PeerCommand::ClearedParts(parts) => crashes::clear_parts(&self.shared, &parts),
         }
     }
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -16,6 +16,7 @@
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceSource;
 use arbutus_policy::serving::batch::QueueName;
+use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
@@ -24,13 +25,15 @@
 /// Version of the messages in this module. An instance writes it to its entry in the store. It sends
 /// a peer only commands of versions that the entry of the peer names, and uses later replies only for
 /// such commands.
-pub const PEER_PROTOCOL: u32 = 4;
+pub const PEER_PROTOCOL: u32 = 5;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
 /// First version that has [`PeerCommand::TargetLimits`].
 pub const TARGET_LIMITS_PROTOCOL: u32 = 3;
 /// First version that has [`PeerCommand::CrashesToConfirm`].
 pub const CONFIRMED_CRASHES_PROTOCOL: u32 = 4;
+/// First version that has [`PeerCommand::LeavingTargets`].
+pub const LEAVING_TARGETS_PROTOCOL: u32 = 5;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -114,6 +117,10 @@
     CrashesToConfirm(Vec<QuarantineEntry>),
     /// Reports that requests which were reported to crash targets got a response, and how long ago.
     RecentResponses(Vec<(Fingerprint, Millis)>),
+    /// Reports targets that have said that they shut down.
+    LeavingTargets(Vec<LeavingReport>),
+    /// Requests all targets that have said that they shut down.
+    KnownLeavingTargets,
 }
 
 /// A message to the instance that opened a connection.
@@ -161,4 +168,6 @@
     TargetLimits(Vec<LimitReport>),
     /// The reported requests that the sender got a response to, and how long ago.
     RecentResponses(Vec<(Fingerprint, Millis)>),
+    /// All targets that have said that they shut down.
+    LeavingTargets(Vec<LeavingReport>),
 }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -436,16 +436,20 @@
     guard: InProgressGuard,
 ) -> Response<ClientBody> {
     let (reply, retry_after_ms) = match error {
-        DispatchError::NotExecuted { reason } if context.possible_executions == 0 => {
+        DispatchError::NotExecuted {
+            reason,
+            retry_after_ms,
+        } if context.possible_executions == 0 => {
             context.record.reason = reason;
-            (LocalReply::Refused, Some(BUSY_RETRY_AFTER_MS))
+            let retry_after_ms = retry_after_ms.unwrap_or(BUSY_RETRY_AFTER_MS);
+            (LocalReply::Refused, Some(retry_after_ms))
         }
         DispatchError::Quarantined { reason } => {
             context.record.reason = reason;
             (LocalReply::Refused, None)
         }
         // The last attempt was not executed, but an earlier one may have been.
-        DispatchError::NotExecuted { reason } | DispatchError::MaybeExecuted { reason } => {
+        DispatchError::NotExecuted { reason, .. } | DispatchError::MaybeExecuted { reason } => {
             context.record.reason = reason;
             (LocalReply::Lost, None)
         }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -21,12 +21,14 @@
 use arbutus_policy::serving::cold_targets;
 use arbutus_policy::serving::cold_targets::ColdTargetPacer;
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
+use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::prompt_quarantine::PromptQuarantine;
 use arbutus_policy::serving::retry_budget::WindowedRetryBudget;
 use arbutus_policy::serving::routes::RouteTable;
+use arbutus_policy::serving::target_backoff::TargetBackoffs;
 use arbutus_policy::serving::target_directory::TargetChange;
 use arbutus_policy::serving::target_directory::TargetDirectory;
 use arbutus_policy::serving::target_limits::LimitReport;
@@ -75,6 +77,8 @@
     pub cleared_parts: BTreeSet<PartHash>,
     /// Limits of targets, and when they were observed.
     pub limits: Vec<(Millis, LimitReport)>,
+    /// Targets that shut down.
+    pub leaving: Vec<LeavingReport>,
 }
 
 /// State shared by all tasks of an instance, which run on one thread.
@@ -96,6 +100,8 @@
     pub cold_target_pacer: RefCell<ColdTargetPacer>,
     /// The limits that targets name.
     pub target_limits: RefCell<TargetLimits>,
+    /// The pauses that targets ask for.
+    pub target_backoffs: RefCell<TargetBackoffs>,
     /// The requests that are suspected of crashing targets.
     pub crash_quarantine: RefCell<CrashQuarantine>,
     /// The prompt parts that are suspected of crashing targets.
@@ -135,6 +141,7 @@
             target_states: RefCell::new(TargetStates::default()),
             cold_target_pacer: RefCell::new(ColdTargetPacer::default()),
             target_limits: RefCell::new(TargetLimits::default()),
+            target_backoffs: RefCell::new(TargetBackoffs::default()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             prompt_quarantine: RefCell::new(PromptQuarantine::new()),
             in_progress: Cell::new(0),
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -28,9 +28,9 @@
 
 use crate::connection::CallError;
 use crate::net::sleep;
-use crate::request_limits;
-use crate::request_limits::Sender;
 use crate::shared::Shared;
+use crate::target_notices;
+use crate::target_notices::Sender;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_platform::response;
@@ -380,7 +380,7 @@
             let failed = results.iter().filter(|result| result.is_err()).count();
             ("answered", failed)
         }
-        CallOutcome::Full => ("full", call.pieces.len()),
+        CallOutcome::Full { .. } => ("full", call.pieces.len()),
         CallOutcome::Broken => ("broken", call.pieces.len()),
     };
     info!(
@@ -398,7 +398,7 @@
         known.map(|known| known.entry.clone())
     };
     let Some(entry) = entry else {
-        return CallOutcome::Full;
+        return CallOutcome::Full { backoff_ms: None };
     };
     let body = match stage::encode_call_request(&call.pieces) {
         Ok(body) => body,
@@ -419,7 +419,12 @@
                 CallOutcome::Broken
             }
         },
-        Ok(PostOutcome::NotExecuted) => CallOutcome::Full,
+        Ok(PostOutcome::NotExecuted) => {
+            let backoff_ms = target_notices::backoff_ms(shared, &entry.id);
+            CallOutcome::Full {
+                backoff_ms: (backoff_ms > Millis::ZERO).then_some(backoff_ms),
+            }
+        }
         Ok(PostOutcome::UnexpectedStatus(status)) => {
             warn!(target_id = entry.id.as_str(), status = status.as_u16(); "stage call failed with an unexpected status");
             CallOutcome::Broken
@@ -474,10 +479,10 @@
     is_work: bool,
 ) -> Result<PostOutcome, CallError> {
     let is_allowed = if is_work {
-        request_limits::try_take(shared, &entry.id, Sender::QueueOwner)
+        target_notices::try_take(shared, &entry.id, Sender::QueueOwner)
     } else {
-        // Results expire by themselves, so a limited target gets calls only.
-        !request_limits::is_limited(shared, &entry.id)
+        // Results expire by themselves.
+        target_notices::accepts_optional_calls(shared, entry)
     };
     if !is_allowed {
         return Ok(PostOutcome::NotExecuted);
@@ -487,7 +492,7 @@
         .directory
         .borrow()
         .may_send(&entry.id, entry.incarnation);
-    if is_work && !may_send {
+    if (is_work && !may_send) || target_notices::is_paused(shared, &entry.id) {
         return Ok(PostOutcome::NotExecuted);
     }
     let request = Request::builder()
@@ -505,7 +510,7 @@
     let not_executed =
         headers.contains_key(names::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
     if status != StatusCode::MISDIRECTED_REQUEST {
-        request_limits::record_response(shared, &entry.id, &headers, sent_at, !not_executed);
+        target_notices::record_response(shared, entry, status, &headers, sent_at, !not_executed);
     }
     let body = response
         .into_body()
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -17,6 +17,7 @@
 use crate::stage_client::SubmissionHandle;
 use crate::stage_client::piece_source;
 use crate::target_choice;
+use crate::target_choice::CLOSED_SERVICE_RETRY_AFTER_MS;
 use arbutus_coord::Millis;
 use arbutus_platform::stage;
 use arbutus_policy::serving::admission;
@@ -111,9 +112,7 @@
             let Some(Ok(Some((stage, piece, progress)))) =
                 context.before_deadline(progress_future).await
             else {
-                return Err(DispatchError::NotExecuted {
-                    reason: "the stages did not complete in time".to_owned(),
-                });
+                return Err(not_computed("the stages did not complete in time"));
             };
             self.handle_progress(stage, piece, progress)?;
             // Pieces that are returned together are resubmitted together.
@@ -143,9 +142,7 @@
     pub fn discard_results(&mut self) -> Result<(), DispatchError> {
         self.graph
             .discard_final_results()
-            .map_err(|failure| DispatchError::NotExecuted {
-                reason: failure.to_string(),
-            })
+            .map_err(|failure| not_computed(&failure.to_string()))
     }
 
     /// Frees all results, because the request has read them or is abandoned.
@@ -174,16 +171,12 @@
                     && !self.is_resumed
                     && self.shared.now() > self.objective_deadline
                 {
-                    return Err(DispatchError::NotExecuted {
-                        reason:
-                            "a stage input was lost after the request missed its latency objective"
-                                .to_owned(),
-                    });
+                    return Err(not_computed(
+                        "a stage input was lost after the request missed its latency objective",
+                    ));
                 }
                 let result = self.graph.record_failure(stage, piece, failure);
-                return result.map_err(|failure| DispatchError::NotExecuted {
-                    reason: failure.to_string(),
-                });
+                return result.map_err(|failure| not_computed(&failure.to_string()));
             }
         }
         Ok(())
@@ -284,6 +277,20 @@
     #[must_use]
     pub fn decide_admission(&self, context: &RequestContext) -> Admission {
         let stages = &context.route.stages;
+        let is_needed = |index: usize| {
+            let pieces = context.client.piece_counts.get(index);
+            pieces.is_some_and(|&pieces| pieces > 0)
+        };
+        let directory = self.shared.directory.borrow();
+        let is_closed = stages
+            .iter()
+            .enumerate()
+            .any(|(index, stage)| is_needed(index) && directory.is_closed(&stage.service));
+        if is_closed {
+            return Admission::Refuse {
+                retry_after_ms: CLOSED_SERVICE_RETRY_AFTER_MS,
+            };
+        }
         // Total processing time and queueing time at the end of each stage, along the slowest path.
         let mut stage_ends: Vec<(Millis, Millis)> = Vec::with_capacity(stages.len());
         for (index, stage) in stages.iter().enumerate() {
@@ -292,12 +299,7 @@
                 .iter()
                 .filter_map(|&dependency| stage_ends.get(dependency));
             let (processing_ms, queueing_ms) = dependency_ends.max().copied().unwrap_or_default();
-            let has_pieces = context
-                .client
-                .piece_counts
-                .get(index)
-                .is_some_and(|&pieces| pieces > 0);
-            stage_ends.push(if has_pieces {
+            stage_ends.push(if is_needed(index) {
                 (
                     processing_ms + self.typical_piece_ms(&stage.service),
                     queueing_ms + self.backlog_ms(&stage.service),
@@ -316,6 +318,14 @@
     }
 }
 
+/// Returns the error of a request whose stages cannot be computed.
+fn not_computed(reason: &str) -> DispatchError {
+    DispatchError::NotExecuted {
+        reason: reason.to_owned(),
+        retry_after_ms: None,
+    }
+}
+
 /// Returns the expected time from the end of the stages to the first event.
 fn expected_first_event_ms(context: &RequestContext) -> Millis {
     let prompt_tokens = context
--- a/crates/serving/src/target_choice.rs
+++ b/crates/serving/src/target_choice.rs
@@ -6,8 +6,8 @@
 
 use crate::net::sleep;
 use crate::request::RequestContext;
-use crate::request_limits;
-use crate::request_limits::Sender;
+use crate::target_notices;
+use crate::target_notices::Sender;
 use arbutus_coord::Millis;
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::model::TargetEntry;
@@ -20,6 +20,16 @@
 /// Percentage of a target's connection limit that the known instances share. The rest is reserved
 /// for instances that are not in the instance list yet.
 const USABLE_CONNECTIONS_PERCENT: usize = 80;
+/// Retry delay for clients if all targets of a service are shutting down or evacuated. Others have to
+/// register first.
+pub const CLOSED_SERVICE_RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// Why no target can be selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoTarget {
+    /// Time after which the client should retry, if it is known.
+    pub retry_after_ms: Option<Millis>,
+}
 
 /// Returns whether the service of a request has a target that was not tried yet.
 #[must_use]
@@ -30,35 +40,50 @@
         .any(|known| !tried_targets.contains(&known.entry.id))
 }
 
-/// Selects a target, waiting for one to become available if necessary. Returns `None` if
-/// none becomes available in time, or if the shutdown deadline has passed.
+/// Selects a target, waiting for one to become available if necessary.
+///
+/// # Errors
+///
+/// Returns an error if no target becomes available in time, or the shutdown deadline has passed. If
+/// it is known that none will be available, the error is returned at once.
 pub async fn wait_for_target(
     context: &RequestContext,
     tried_targets: &BTreeSet<String>,
-) -> Option<TargetEntry> {
+) -> Result<TargetEntry, NoTarget> {
     let shared = &context.shared;
-    let service = shared.service(&context.service)?;
+    let no_target = NoTarget {
+        retry_after_ms: None,
+    };
+    let service = shared.service(&context.service).ok_or(no_target)?;
     let max_wait_ms = context.route.objective_ms.0 * TARGET_WAIT_PERCENT / 100;
     let wait_until = shared.now() + Millis(max_wait_ms).min(context.remaining_ms());
     loop {
         if let Some(entry) = select_target(context, tried_targets, &service)
-            && request_limits::try_take(shared, &entry.id, Sender::AnyInstance)
+            && target_notices::try_take(shared, &entry.id, Sender::AnyInstance)
         {
-            return Some(entry);
+            return Ok(entry);
         }
         let remaining_wait_ms = wait_until - shared.now();
-        if limits_exclude_all_targets(context, tried_targets, remaining_wait_ms) {
-            return None;
+        if shared.directory.borrow().is_closed(&context.service) {
+            return Err(NoTarget {
+                retry_after_ms: Some(CLOSED_SERVICE_RETRY_AFTER_MS),
+            });
+        }
+        if targets_want_no_requests(context, tried_targets, remaining_wait_ms) {
+            return Err(NoTarget {
+                retry_after_ms: shortest_backoff_ms(context),
+            });
         }
         if shared.now() >= wait_until || shared.is_past_shutdown_deadline() {
-            return None;
+            return Err(no_target);
         }
         sleep(TARGET_POLL_MS).await;
     }
 }
 
-/// Returns whether the limits of all targets that could get a request allow none for some time.
-fn limits_exclude_all_targets(
+/// Returns whether all targets that could get a request want none for some time, because of their
+/// limits or because they have asked for a pause.
+fn targets_want_no_requests(
     context: &RequestContext,
     tried_targets: &BTreeSet<String>,
     time_ms: Millis,
@@ -68,12 +93,22 @@
     let mut waits = directory
         .usable(&context.service)
         .filter(|known| !tried_targets.contains(&known.entry.id))
-        .map(|known| request_limits::wait_ms(shared, &known.entry.id, Sender::AnyInstance))
+        .map(|known| target_notices::wait_ms(shared, &known.entry.id, Sender::AnyInstance))
         .peekable();
     // Without any target, the request waits for one to appear.
     waits.peek().is_some() && waits.all(|wait_ms| wait_ms.is_none_or(|wait_ms| wait_ms > time_ms))
 }
 
+/// Returns the time until the first target takes requests again, if all have asked for a pause.
+fn shortest_backoff_ms(context: &RequestContext) -> Option<Millis> {
+    let shared = &context.shared;
+    let directory = shared.directory.borrow();
+    let waits = directory
+        .usable(&context.service)
+        .map(|known| target_notices::backoff_ms(shared, &known.entry.id));
+    waits.min().filter(|&wait_ms| wait_ms > Millis::ZERO)
+}
+
 /// Returns the failure domain in which the stage results should be computed: that of the target
 /// that would be selected now, or that of this instance if there is none.
 #[must_use]
@@ -107,7 +142,7 @@
         })
         .map(|known| &known.entry)
         .filter(|entry| {
-            request_limits::wait_ms(shared, &entry.id, Sender::AnyInstance) == Some(Millis::ZERO)
+            target_notices::wait_ms(shared, &entry.id, Sender::AnyInstance) == Some(Millis::ZERO)
         })
         .filter(|entry| {
             shared.pool.has_idle(&entry.id)
