admission: forecast the first event from what services have done

Admission and the due times of pieces assumed 200 ms and 48 prompt tokens a millisecond for every service. The engines of this deployment take 81 ms (median) and 192 ms (90th percentile), so long prompts were refused at almost any backlog.

Ruled out: full stage targets (0 of 1,996 calls), lost work (0), time in the engines (above).

Change: FirstEventForecast fits a line over prompt tokens to the requests of the instance, beginning with the figures of before.

--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod cold_targets;
 pub mod crash_quarantine;
 pub mod event_splitter;
+pub mod first_event;
 pub mod leaving_targets;
 pub mod model;
 pub mod ownership;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod batches;
 mod event_splitter;
+mod first_event;
 mod leaving_targets;
 mod limits;
 mod ownership;
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -118,6 +118,13 @@
         ids.join(",")
     }
 
+    /// Returns the number of tokens of the prompt, or 0 if the request has none.
+    #[must_use]
+    pub fn prompt_tokens(&self) -> u64 {
+        let counts = self.client.token_counts;
+        counts.map_or(0, |(prompt_tokens, _)| prompt_tokens)
+    }
+
     /// Returns when a response, or the first event of a stream, misses the latency objective.
     #[must_use]
     pub fn objective_deadline(&self) -> Millis {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -21,6 +21,7 @@
 use arbutus_policy::serving::cold_targets;
 use arbutus_policy::serving::cold_targets::ColdTargetPacer;
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
+use arbutus_policy::serving::first_event::FirstEventForecast;
 use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
@@ -96,6 +97,8 @@
     pub directory: RefCell<TargetDirectory>,
     /// Load and recent failures of each target.
     pub target_states: RefCell<TargetStates>,
+    /// How long the services take to the first event of a stream.
+    pub first_event_forecast: RefCell<FirstEventForecast>,
     /// Limits the rate of requests to cold targets, which were started recently.
     pub cold_target_pacer: RefCell<ColdTargetPacer>,
     /// The limits that targets name.
@@ -139,6 +142,7 @@
             pool: Rc::new(Pool::default()),
             directory: RefCell::new(TargetDirectory::default()),
             target_states: RefCell::new(TargetStates::default()),
+            first_event_forecast: RefCell::new(FirstEventForecast::default()),
             cold_target_pacer: RefCell::new(ColdTargetPacer::default()),
             target_limits: RefCell::new(TargetLimits::default()),
             target_backoffs: RefCell::new(TargetBackoffs::default()),
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -30,10 +30,6 @@
 use arbutus_policy::serving::stage_graph::ReadyPieces;
 use arbutus_policy::serving::stage_graph::StageGraph;
 
-/// Time that the model engine needs until the first event, in addition to processing the prompt.
-const FIRST_EVENT_BASE_MS: Millis = Millis(200);
-/// Number of prompt tokens that an engine processes per millisecond.
-const PROMPT_TOKENS_PER_MS: u64 = 48;
 /// Percentage of the time between arrival and deadline after which a request fails if its stages
 /// are not complete. The target needs the remaining time to generate the response; after a failure,
 /// the client can use it to retry.
@@ -328,11 +324,8 @@
 
 /// Returns the expected time from the end of the stages to the first event.
 fn expected_first_event_ms(context: &RequestContext) -> Millis {
-    let prompt_tokens = context
-        .client
-        .token_counts
-        .map_or(0, |(prompt_tokens, _)| prompt_tokens);
-    FIRST_EVENT_BASE_MS + Millis(prompt_tokens / PROMPT_TOKENS_PER_MS)
+    let forecast = context.shared.first_event_forecast.borrow();
+    forecast.expected_ms(&context.service, context.prompt_tokens())
 }
 
 impl Drop for RequestStages {
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -221,6 +221,10 @@
         if self.context.record.first_event_ms.is_none() {
             let took_ms = self.context.shared.now() - self.context.arrived_at;
             self.context.record.first_event_ms = Some(took_ms);
+            let after_stages_ms = took_ms - self.context.record.stages_ms.unwrap_or_default();
+            let mut forecast = self.context.shared.first_event_forecast.borrow_mut();
+            let tokens = self.context.prompt_tokens();
+            forecast.record(&self.context.service, tokens, after_stages_ms);
         }
     }
 
