batch: fill calls with small and urgent pieces of other failure domains

A target began a call with the pieces of its own domain alone, and all others waited 120 ms before any target might take them. Requests with one prompt prefix belong to one domain, which has one target.

Change: pieces without inputs and with small results go to any target; those that waited 120 ms extend a call of another domain if they would be late otherwise, and begin one as before. A domain with an idle target keeps its own.

The test of a steady load fails before: the 99th percentile is 773 ms of 500.

--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -13,12 +13,14 @@
 //! Otherwise the results of incomplete stages would fill the space, and no stage would complete.
 
 mod backlog;
+mod domains;
 mod result_space;
 mod types;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::serving::batch::domains::LOCAL_DOMAIN_WAIT_MS;
 use crate::serving::batch::result_space::StartedStages;
 pub use crate::serving::batch::types::Call;
 pub use crate::serving::batch::types::CallOutcome;
@@ -34,8 +36,6 @@
 use crate::serving::stage_graph::PieceProgress;
 use arbutus_coord::Millis;
 
-/// How long a piece waits for a target in its own failure domain before it may go to another one.
-const LOCAL_DOMAIN_WAIT_MS: Millis = Millis(120);
 /// Weight of the newest call in the moving average of the slowness of a target.
 const SLOWNESS_WEIGHT: f64 = 0.3;
 /// Weight of the newest call in the moving average of the fill ratio of calls. With five targets,
@@ -124,6 +124,13 @@
     nominal_ms: f64,
 }
 
+impl StageTarget {
+    /// Returns whether the target can get a call.
+    fn is_idle(&self, now: Millis) -> bool {
+        self.call.is_none() && self.paused_until <= now
+    }
+}
+
 /// The queue of a stage service, or of its targets in one failure domain.
 #[derive(Debug)]
 pub struct BatchQueue {
@@ -434,7 +441,7 @@
         let mut idle_targets: Vec<(String, f64)> = self
             .targets
             .iter()
-            .filter(|(_, target)| target.call.is_none() && target.paused_until <= now)
+            .filter(|(_, target)| target.is_idle(now))
             .map(|(id, target)| (id.clone(), target.slowness))
             .collect();
         if idle_targets.is_empty() || self.pieces.values().all(|piece| piece.in_call) {
@@ -443,10 +450,11 @@
         idle_targets.sort_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(&b.0)));
         let mut stages = self.started_stages(now);
         let mut calls = Vec::new();
-        for local_only in [true, false] {
+        // A piece is left to the idle targets of its own domain first.
+        for prefers_local in [true, false] {
             for (id, _) in &idle_targets {
                 if self.targets[id].call.is_none() {
-                    calls.extend(self.try_start_call(now, id, local_only, &mut stages));
+                    calls.extend(self.try_start_call(now, id, prefers_local, &mut stages));
                 }
             }
         }
@@ -477,10 +485,16 @@
         &mut self,
         now: Millis,
         id: &str,
-        local_only: bool,
+        prefers_local: bool,
         stages: &mut StartedStages,
     ) -> Option<Call> {
         let target = &self.targets[id];
+        let idle_domains: BTreeSet<&str> = self
+            .targets
+            .values()
+            .filter(|target| prefers_local && target.is_idle(now))
+            .map(|target| target.failure_domain.as_str())
+            .collect();
         // Sort order: pieces of started stages, then pieces that are not late, due time, priority.
         let mut candidates: Vec<(bool, bool, Millis, u32, u64)> = self
             .pieces
@@ -488,7 +502,8 @@
             .filter(|(_, piece)| !piece.in_call && piece.deadline > now)
             .filter(|(_, piece)| {
                 piece.failure_domain == target.failure_domain
-                    || (!local_only && self.may_use_other_domain(now, piece))
+                    || (!idle_domains.contains(piece.failure_domain.as_str())
+                        && self.may_use_other_domain(now, piece, prefers_local))
             })
             .map(|(&key, piece)| {
                 let is_late = piece.due < now;
@@ -517,16 +532,6 @@
         Some(self.start_call(now, id, keys, available_bytes))
     }
 
-    /// Returns whether a piece may go to a target outside its own failure domain.
-    fn may_use_other_domain(&self, now: Millis, piece: &QueuedPiece) -> bool {
-        if piece.queued_at + LOCAL_DOMAIN_WAIT_MS <= now {
-            return true;
-        }
-        !self.targets.values().any(|target| {
-            target.failure_domain == piece.failure_domain && target.paused_until <= now
-        })
-    }
-
     fn start_call(&mut self, now: Millis, id: &str, keys: Vec<u64>, free_bytes: u64) -> Call {
         let nominal_ms = self.spec.call_overhead_ms + self.spec.ms_per_piece * keys.len() as f64;
         let mut pieces = Vec::with_capacity(keys.len());
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about client requests, without network or real time.
 
 mod admission;
+mod batch_domains;
 mod batches;
 mod event_splitter;
 mod first_event;
