tests: add failing tests of targets that repeat an earlier response

Cause: other operators report refusals and responses that a target wrote once more on a kept connection. A relay in front of a target does that here.

--- /dev/null
+++ b/crates/daemon/tests/platform_repeated_responses.rs
@@ -0,0 +1,137 @@
+//! Tests of targets that write an earlier response once more on a kept connection, with real
+//! processes.
+
+mod common;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crate::common::TestCluster;
+use crate::common::start_cluster;
+use arbutus_platform::names;
+use arbutus_platform::store::ObjectKind;
+use arbutus_standins::simulated_platform::client::ClientRequest;
+use arbutus_standins::simulated_platform::client::ClientResponse;
+use arbutus_standins::simulated_platform::example::complete_stream_body;
+use arbutus_standins::simulated_platform::example::staged_stream_request;
+use arbutus_standins::simulated_platform::repeater::Repeater;
+use arbutus_standins::simulated_platform::target::Fault;
+use arbutus_standins::simulated_platform::target::Target;
+
+fn target(cluster: &TestCluster, id: &str) -> Arc<Target> {
+    let targets = &cluster.platform.targets;
+    let target = targets.iter().find(|target| target.entry().id == id);
+    Arc::clone(target.expect("the target exists"))
+}
+
+/// Puts a repeater in front of a target.
+fn add_repeater(cluster: &TestCluster, id: &str) -> Repeater {
+    let repeater = Repeater::default();
+    let target = target(cluster, id);
+    let address = repeater.relay(target.entry().address);
+    target.set_proxy(address.expect("the relay listens"));
+    let written = cluster.platform.store.put_target(&target.entry());
+    written.expect("the entry can be encoded");
+    thread::sleep(Duration::from_millis(600));
+    repeater
+}
+
+/// Leaves one target of the service `desk`, behind a repeater.
+fn cluster_with_one_desk() -> (TestCluster, Repeater) {
+    let cluster = start_cluster(1);
+    let repeater = add_repeater(&cluster, "d1");
+    cluster.platform.store.remove(ObjectKind::Targets, "d2");
+    thread::sleep(Duration::from_millis(600));
+    (cluster, repeater)
+}
+
+fn call(cluster: &TestCluster, method: &'static str, path: &str, id: &str) -> ClientResponse {
+    ClientRequest::new(method, path, id)
+        .call(cluster.instances[0].client_address())
+        .expect("the instance responds")
+}
+
+fn execution_count(cluster: &TestCluster, id: &str) -> usize {
+    let executed = cluster.platform.executed_request_ids();
+    executed.iter().filter(|executed| *executed == id).count()
+}
+
+/// Guards against clients that get the response to an earlier request, whole or cut.
+#[test]
+fn a_repeated_response_reaches_no_other_client() {
+    let (cluster, repeater) = cluster_with_one_desk();
+    let call = |method, path, id: &str| call(&cluster, method, path, id);
+    for (round, max_bytes) in [usize::MAX, 40, 200].into_iter().enumerate() {
+        repeater.record_next();
+        call("GET", "/safe/1", &format!("first{round}"));
+        repeater.repeat(max_bytes);
+        for number in 0..3 {
+            let id = format!("r{round}-{number}");
+            let response = call("POST", "/unsafe/1", &id);
+            if response.status == 200 {
+                assert_eq!(response.headers[names::REQUEST_ID.as_str()], id);
+                assert_eq!(response.body, "answer of d1");
+            }
+            assert_eq!(execution_count(&cluster, &id), 1);
+        }
+    }
+    assert_eq!(repeater.repeat_count(), 3);
+}
+
+/// Guards against clients that are told that a request was not executed, or have it executed by a
+/// second target, because an earlier refusal was written once more.
+#[test]
+fn a_repeated_refusal_proves_nothing_about_another_request() {
+    let cluster = start_cluster(1);
+    let repeater = add_repeater(&cluster, "d1");
+    let call = |method, path, id: &str| call(&cluster, method, path, id);
+    repeater.record_next();
+    target(&cluster, "d1").add_fault(Fault::RejectUnexecuted);
+    for number in 0..8 {
+        call("GET", "/safe/1", &format!("refused{number}"));
+    }
+    thread::sleep(Duration::from_millis(100));
+    for number in 0..8 {
+        call("GET", "/safe/1", &format!("kept{number}"));
+    }
+    repeater.repeat(usize::MAX);
+    for number in 0..12 {
+        let id = format!("u{number}");
+        let status = call("POST", "/unsafe/1", &id).status;
+        let executions = execution_count(&cluster, &id);
+        assert!(executions <= 1, "{id} was executed {executions} times");
+        assert!(status != 503 || executions == 0, "{id} was executed");
+    }
+    assert_eq!(repeater.repeat_count(), 1);
+}
+
+/// Guards against pieces that get the results of an earlier call.
+#[test]
+fn a_repeated_stage_response_gives_no_piece_the_result_of_another_one() {
+    let cluster = start_cluster(1);
+    let repeater = add_repeater(&cluster, "f1");
+    let address = cluster.instances[0].client_address();
+    let call = |id: &str| {
+        let request = staged_stream_request(id, "1,1", &format!("key-{id}"));
+        request.call(address).expect("the instance responds")
+    };
+    repeater.record_next();
+    assert_eq!(call("p0").body, complete_stream_body());
+    repeater.repeat(usize::MAX);
+    for number in 1..4 {
+        assert_eq!(call(&format!("p{number}")).body, complete_stream_body());
+    }
+    assert_eq!(repeater.repeat_count(), 1);
+    // The inputs of the calls of the second stage are the results of the first one.
+    let calls = target(&cluster, "s1").stage_calls();
+    let mut inputs: Vec<String> = calls
+        .iter()
+        .flatten()
+        .map(|source| format!("{source:?}"))
+        .collect();
+    let count = inputs.len();
+    inputs.sort_unstable();
+    inputs.dedup();
+    assert_eq!(inputs.len(), count, "two pieces got the same result");
+}
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod example;
 pub mod instance;
 pub mod link;
+pub mod repeater;
 pub mod slow_client;
 pub mod store;
 pub mod target;
