dispatch: take a refusal for proof only if it belongs to the request

Refusals without an identifier were proof that this request was not executed, on any connection. Responses to stage calls were taken as they came, and the connection was used again even after one that did not fit, when the true one was still to come.

Ruled out: to close the connection after a refusal (done for requests before; a target may repeat the refusal on another one).

Change: without an identifier, a refusal is proof only as the first response on its connection. A stage connection is used again only after a response that fits, and results that repeat the last ones on the connection are dropped.

--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -34,6 +34,8 @@
     Interrupted(hyper::Error),
     /// the call timed out
     Timeout,
+    /// the response is not one to this request
+    Mismatched,
 }
 
 impl std::error::Error for CallError {}
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -470,7 +470,12 @@
     sent_at: Millis,
 ) -> AttemptOutcome {
     let headers = http_response.headers();
-    let response_class = response::classify(http_response.status(), headers, &context.client.id);
+    let response_class = response::classify(
+        http_response.status(),
+        headers,
+        &context.client.id,
+        attempt.connection.is_reused(),
+    );
     let is_from_target = !matches!(
         response_class,
         ResponseClass::Invalid
@@ -524,7 +529,10 @@
         }
         ResponseClass::Invalid => {
             attempt.close(TargetOutcome::Broken);
-            AttemptOutcome::MaybeExecuted("the response does not match the request".to_owned())
+            let status = http_response.status();
+            AttemptOutcome::MaybeExecuted(format!(
+                "the response with status {status} does not match the request"
+            ))
         }
     }
 }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use bytes::Bytes;
+
 use crate::connection::CallError;
 use crate::connection::Connection;
 use arbutus_coord::Millis;
@@ -25,6 +27,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    /// The last results that a stage target sent on the connection.
+    last_results: Bytes,
     expires_at: Millis,
 }
 
@@ -46,6 +50,8 @@
     pool: Rc<Pool>,
     target: String,
     connection: Option<Connection>,
+    is_reused: bool,
+    last_results: Bytes,
     is_released: bool,
 }
 
@@ -101,8 +107,11 @@
         now: Millis,
         entry: &TargetEntry,
     ) -> Result<PooledConnection, CallError> {
-        if let Some(connection) = self.take_idle(now, &entry.id) {
-            return Ok(self.check_out(&entry.id, Some(connection)));
+        if let Some(idle) = self.take_idle(now, &entry.id) {
+            let mut connection = self.check_out(&entry.id, Some(idle.connection));
+            connection.is_reused = true;
+            connection.last_results = idle.last_results;
+            return Ok(connection);
         }
         self.targets
             .borrow_mut()
@@ -116,12 +125,12 @@
         Ok(connection)
     }
 
-    fn take_idle(&self, now: Millis, target: &str) -> Option<Connection> {
+    fn take_idle(&self, now: Millis, target: &str) -> Option<IdleConnection> {
         let mut targets = self.targets.borrow_mut();
         let state = targets.get_mut(target)?;
         while let Some(idle) = state.idle.pop() {
             if idle.expires_at > now && idle.connection.is_reusable() {
-                return Some(idle.connection);
+                return Some(idle);
             }
             state.open_count -= 1;
         }
@@ -137,6 +146,8 @@
             pool: Rc::clone(self),
             target: target.to_owned(),
             connection,
+            is_reused: false,
+            last_results: Bytes::new(),
             is_released: false,
         }
     }
@@ -152,6 +163,22 @@
         self.connection.as_mut().ok_or(CallError::Unsent)
     }
 
+    /// Returns whether another request was sent on the connection before.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Records the results of a stage call; returns false if they repeat the last ones that came on
+    /// this connection. The target has then written an earlier response once more.
+    pub fn record_results(&mut self, results: &Bytes) -> bool {
+        if self.last_results == *results {
+            return false;
+        }
+        self.last_results = results.clone();
+        true
+    }
+
     /// Returns the connection to the pool. The response must have been read completely.
     /// `keep_alive_ms` is the target's keep-alive time, or `None` if it announced none.
     pub fn release(mut self, now: Millis, keep_alive_ms: Option<Millis>) {
@@ -168,6 +195,7 @@
         if let Some(state) = targets.get_mut(&self.target) {
             state.idle.push(IdleConnection {
                 connection,
+                last_results: std::mem::take(&mut self.last_results),
                 expires_at: now + keep_alive_ms,
             });
             self.is_released = true;
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -43,6 +43,7 @@
 use arbutus_policy::serving::batch::Submission;
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::model::TargetEntry;
+use arbutus_policy::serving::stage_graph::PieceFailure;
 
 /// Results to free are collected for this time and then freed by one call per target.
 const FREE_DELAY_MS: Millis = Millis(20);
@@ -407,18 +408,12 @@
             return CallOutcome::Broken;
         }
     };
-    match post(shared, &entry, names::STAGE_RUN_PATH, body, true).await {
-        Ok(PostOutcome::Succeeded(body)) => match stage::decode_call_response(&body) {
-            Ok(results) if results.len() == call.pieces.len() => CallOutcome::Responded(results),
-            Ok(results) => {
-                warn!(target_id = entry.id.as_str(), expected = call.pieces.len(), results = results.len(); "stage call returned the wrong number of results");
-                CallOutcome::Broken
-            }
-            Err(error) => {
-                warn!(target_id = entry.id.as_str(), error:%; "cannot decode the response to a stage call");
-                CallOutcome::Broken
-            }
-        },
+    let request = StageRequest::Run {
+        pieces: call.pieces.len(),
+    };
+    match post(shared, &entry, request, body).await {
+        Ok(PostOutcome::Computed(results)) => CallOutcome::Responded(results),
+        Ok(PostOutcome::Freed) => CallOutcome::Broken,
         Ok(PostOutcome::NotExecuted) => {
             let backoff_ms = target_notices::backoff_ms(shared, &entry.id);
             CallOutcome::Full {
@@ -449,9 +444,9 @@
             return;
         }
     };
-    let post_future = post(&shared, &entry, names::STAGE_FREE_PATH, body, false);
+    let post_future = post(&shared, &entry, StageRequest::Free, body);
     match timeout(FREE_TIMEOUT_MS.to_duration(), post_future).await {
-        Ok(Ok(PostOutcome::Succeeded(_))) => {
+        Ok(Ok(PostOutcome::Freed)) => {
             let target = entry.id;
             // The queue task runs as long as the process.
             let _closed = message_sender.send(QueueMessage::Freed { target, handles });
@@ -463,21 +458,38 @@
     }
 }
 
+/// A request to a stage target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StageRequest {
+    /// Computes this number of pieces.
+    Run { pieces: usize },
+    /// Frees results.
+    Free,
+}
+
 enum PostOutcome {
-    Succeeded(Bytes),
+    Computed(Vec<Result<String, PieceFailure>>),
+    Freed,
     NotExecuted,
     UnexpectedStatus(StatusCode),
 }
 
-/// Sends a POST request to a target. If `is_work` is set, the request is not sent to a target that
-/// accepts no work any more.
+/// Sends a request to a target. Pieces are not sent to a target that accepts no work any more.
+///
+/// The connection is used again only after a response that fits the request: after any other one,
+/// the response to this request may still arrive.
 async fn post(
     shared: &Shared,
     entry: &TargetEntry,
-    path: &str,
+    request: StageRequest,
     body: Vec<u8>,
-    is_work: bool,
 ) -> Result<PostOutcome, CallError> {
+    let is_work = request != StageRequest::Free;
+    let path = if is_work {
+        names::STAGE_RUN_PATH
+    } else {
+        names::STAGE_FREE_PATH
+    };
     let is_allowed = if is_work {
         target_notices::try_take(shared, &entry.id, Sender::QueueOwner)
     } else {
@@ -495,7 +507,7 @@
     if (is_work && !may_send) || target_notices::is_paused(shared, &entry.id) {
         return Ok(PostOutcome::NotExecuted);
     }
-    let request = Request::builder()
+    let http_request = Request::builder()
         .method(Method::POST)
         .uri(path)
         .header(HOST, entry.address.to_string())
@@ -504,7 +516,7 @@
         .body(Full::new(Bytes::from(body)))
         .map_err(|error| CallError::Connect(std::io::Error::other(error)))?;
     let sent_at = shared.now();
-    let response = connection.get()?.send(request).await?;
+    let response = connection.get()?.send(http_request).await?;
     let status = response.status();
     let headers = response.headers().clone();
     let not_executed =
@@ -518,16 +530,43 @@
         .await
         .map_err(CallError::Interrupted)?
         .to_bytes();
-    if response::closes_connection(&headers) {
-        drop(connection);
-    } else {
+    let outcome = match request {
+        // A later response on a connection may be a refusal that was written once more.
+        _ if not_executed && connection.is_reused() => return Ok(PostOutcome::NotExecuted),
+        _ if not_executed => PostOutcome::NotExecuted,
+        _ if status != StatusCode::OK => return Ok(PostOutcome::UnexpectedStatus(status)),
+        StageRequest::Free => PostOutcome::Freed,
+        StageRequest::Run { pieces } => {
+            let results = decode_results(entry, &body, pieces).ok_or(CallError::Mismatched)?;
+            // Handles are unique; two calls of which no piece was computed may have equal responses.
+            let has_handles = results.iter().any(Result::is_ok);
+            if has_handles && !connection.record_results(&body) {
+                warn!(target_id = entry.id.as_str(); "target repeated the response to an earlier stage call");
+                return Err(CallError::Mismatched);
+            }
+            PostOutcome::Computed(results)
+        }
+    };
+    if !response::closes_connection(&headers) {
         connection.release(shared.now(), response::keep_alive_timeout_ms(&headers));
     }
-    if status == StatusCode::OK {
-        return Ok(PostOutcome::Succeeded(body));
-    }
-    if not_executed {
-        return Ok(PostOutcome::NotExecuted);
+    Ok(outcome)
+}
+
+/// Decodes the results of a number of pieces, or logs why that is not possible.
+fn decode_results(
+    entry: &TargetEntry,
+    body: &[u8],
+    pieces: usize,
+) -> Option<Vec<Result<String, PieceFailure>>> {
+    match stage::decode_call_response(body) {
+        Ok(results) if results.len() == pieces => return Some(results),
+        Ok(results) => {
+            warn!(target_id = entry.id.as_str(), expected = pieces, results = results.len(); "stage call returned the wrong number of results");
+        }
+        Err(error) => {
+            warn!(target_id = entry.id.as_str(), error:%; "cannot decode the response to a stage call");
+        }
     }
-    Ok(PostOutcome::UnexpectedStatus(status))
+    None
 }
