stream: forward nothing that is no event of the stream

The splitter forwarded blocks without an identifier and identifiers that do not increase. A target that continues a stream and sends an error text with status 200, or writes another response behind a body without a length, had it forwarded; the head of the latter ends with an empty line, so it counted as an event. Events that arrived together with an error of the splitter were lost, though the next target was asked to continue behind them.

Ruled out: a failure status of the continuing target (ended the stream as incomplete already); to demand identifiers without gaps within one source (the protocol says that they increase).

Change: a block that is no comment needs a higher identifier than the last one; anything else ends the use of the source, after the events before it.

Before: an_error_of_the_target_that_continues_a_stream_is_not_part_of_it fails (the stream ends as complete after the text). After: it passes, four tests without network are new.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -205,6 +205,38 @@
     assert_eq!(cluster.execution_count("resumed"), 2);
 }
 
+/// Guards against error texts, or whole response heads, in the middle of a client's stream, and
+/// against a stream that looks complete after one.
+#[test]
+fn an_error_of_the_target_that_continues_a_stream_is_not_part_of_it() {
+    let errors = [
+        Fault::RespondWithError,
+        Fault::ErrorInBody("error: out of memory\n\n"),
+        Fault::ErrorInBody("{\"error\":\"out of memory\"}"),
+        Fault::ErrorInBody("HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\r\n"),
+        Fault::ErrorInBody("id: 4\ndata: token 4\n\nevent: error\ndata: lost\n\n"),
+    ];
+    for error in errors {
+        let cluster = start_cluster(1);
+        let engines = &cluster.platform.targets[2..4];
+        // Prefix affinity selects the same target for the same prompt.
+        cluster.call(&stream_request("/resumable/1", "first"));
+        let (first, other) = if engines[0].executed_requests().is_empty() {
+            (&engines[1], &engines[0])
+        } else {
+            (&engines[0], &engines[1])
+        };
+        first.add_fault(Fault::AbortAfterEvents(3));
+        other.add_fault(error);
+        let response = cluster.call(&stream_request("/resumable/1", "continued"));
+        assert_eq!(response.status, 200);
+        assert!(!response.is_complete, "{error:?}");
+        let events = &response.body;
+        assert!(complete_stream_body().starts_with(events), "{events}");
+        assert!(events.ends_with("\n\n"), "{events}");
+    }
+}
+
 #[test]
 fn a_broken_stream_that_cannot_be_resumed_does_not_look_complete() {
     let cluster = start_cluster(1);
--- a/crates/policy/src/serving/event_splitter.rs
+++ b/crates/policy/src/serving/event_splitter.rs
@@ -4,6 +4,8 @@
 //! Only complete events are forwarded to the client; an event that a target did not finish is
 //! dropped. When another target continues the stream, events that the client already has are
 //! dropped too, and a first new event that does not directly follow the last one is an error.
+//! Anything that is no event with a higher identifier than the last one ends the use of a source: it
+//! may be an error text, or another response that the target wrote behind the stream.
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -18,6 +20,10 @@
     TooLarge,
     /// events are missing between the last event and the first event of the new target
     Gap,
+    /// the stream holds something that is no event with an identifier
+    Unidentified,
+    /// the identifier of an event is not higher than that of the last one
+    NotIncreasing,
 }
 
 /// Splits the bytes of a stream into complete events.
@@ -71,15 +77,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the source cannot be used any further.
+    /// Returns an error when the source cannot be used any further. Events before the error are
+    /// returned first; the next call returns the error.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, StreamError> {
         self.pending.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
         while let Some(end) = self.next_event_length() {
-            let event = self.pending.split_to(end);
             self.searched = 0;
-            if self.accept(&event)? {
-                self.event_count += 1;
+            let is_new = match self.accept(end) {
+                Ok(is_new) => is_new,
+                Err(error) if complete.is_empty() => return Err(error),
+                Err(_returned_by_next_call) => break,
+            };
+            let event = self.pending.split_to(end);
+            if is_new {
                 if complete.is_empty() {
                     complete = event;
                 } else {
@@ -106,23 +117,35 @@
         }
     }
 
-    /// Records an event, and returns false if the client already has it.
-    fn accept(&mut self, event: &[u8]) -> Result<bool, StreamError> {
-        let Some(id) = event_id(event) else {
+    /// Records the event at the begin of the pending bytes, and returns false if the client already
+    /// has it.
+    fn accept(&mut self, length: usize) -> Result<bool, StreamError> {
+        let event = &self.pending[..length];
+        if is_comment(event) {
             return Ok(true);
-        };
-        if self.source_switched {
-            match self.last_id {
-                Some(last) if id <= last => return Ok(false),
-                Some(last) if id > last + 1 => return Err(StreamError::Gap),
-                _ => self.source_switched = false,
-            }
         }
+        let id = event_id(event).ok_or(StreamError::Unidentified)?;
+        // A target may begin before the event with which the client wants to continue.
+        let may_repeat = self.source_switched || self.event_count == 0;
+        match self.last_id {
+            Some(last) if id <= last && may_repeat => return Ok(false),
+            Some(last) if id <= last => return Err(StreamError::NotIncreasing),
+            Some(last) if self.source_switched && id > last + 1 => return Err(StreamError::Gap),
+            _ => {}
+        }
+        self.source_switched = false;
         self.last_id = Some(id);
+        self.event_count += 1;
         Ok(true)
     }
 }
 
+/// Returns whether all lines are comments or empty.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|&byte| byte == b'\n');
+    lines.all(|line| line.trim_ascii().is_empty() || line.starts_with(b":"))
+}
+
 /// Returns the identifier of an event, or `None` if it has no numeric one.
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|&byte| byte == b'\n').find_map(|line| {
--- a/crates/policy/tests/serving/event_splitter.rs
+++ b/crates/policy/tests/serving/event_splitter.rs
@@ -82,3 +82,64 @@
     splitter.switch_source();
     assert_eq!(splitter.push(event(6).as_bytes()), Err(StreamError::Gap));
 }
+
+/// Guards against text of an error, or a whole response head, among the events of a client: a target
+/// can write a second response after a body without a length, and one that continues a stream can
+/// answer with an error.
+#[test]
+fn what_is_no_event_of_the_stream_is_not_forwarded() {
+    let intruders = [
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n\r\n",
+        "event: error\ndata: out of memory\n\n",
+        "{\"error\":\"internal\"}\n\n",
+        "id: none\ndata: token\n\n",
+        // A second copy of the stream.
+        "id: 1\ndata: token 1\n\n",
+        "id: 2\ndata: token 2\n\n",
+    ];
+    for intruder in intruders {
+        for switches_source in [false, true] {
+            let mut splitter = EventSplitter::default();
+            let begun = format!("{}{}", event(1), event(2));
+            assert_eq!(text(splitter.push(begun.as_bytes()).expect("valid")), begun);
+            if switches_source && !intruder.starts_with("id: ") {
+                splitter.switch_source();
+            }
+            assert!(splitter.push(intruder.as_bytes()).is_err(), "{intruder}");
+            assert!(!splitter.is_at_event_boundary());
+        }
+    }
+}
+
+/// Guards against events that are lost because they arrive together with what ends the source.
+#[test]
+fn events_before_an_intruder_are_forwarded_first() {
+    let mut splitter = EventSplitter::default();
+    let bytes = format!("{}{}error\n\n{}", event(1), event(2), event(3));
+    let forwarded = splitter.push(bytes.as_bytes()).expect("events come first");
+    assert_eq!(text(forwarded), event(1) + &event(2));
+    assert_eq!(splitter.last_id(), Some(2));
+    assert_eq!(splitter.push(&[]), Err(StreamError::Unidentified));
+    assert!(!splitter.is_at_event_boundary());
+    splitter.switch_source();
+    let continued = splitter.push(event(3).as_bytes()).expect("valid");
+    assert_eq!(text(continued), event(3));
+}
+
+#[test]
+fn comments_are_forwarded_and_need_no_identifier() {
+    let mut splitter = EventSplitter::default();
+    let bytes = format!(": alive\n\n{}: alive\n\n", event(1));
+    let forwarded = splitter.push(bytes.as_bytes()).expect("valid");
+    assert_eq!(text(forwarded), bytes);
+    assert_eq!(splitter.event_count(), 1);
+}
+
+/// A client that continues a stream gets no event that it has, whatever its target sends.
+#[test]
+fn events_that_the_client_has_are_dropped_at_the_begin() {
+    let mut splitter = EventSplitter::new(Some(2));
+    let bytes: String = (1..=4).map(event).collect();
+    let forwarded = splitter.push(bytes.as_bytes()).expect("valid");
+    assert_eq!(text(forwarded), event(3) + &event(4));
+}
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -182,23 +182,23 @@
                     Err(_trailers) => continue,
                 },
             };
-            match self.splitter.push(&data) {
-                Ok(Some(events)) => {
-                    if !has_begun {
-                        has_begun = true;
-                        crashes::record_response(&self.context);
-                    }
-                    self.record_events();
-                    if self.sender.send(Ok(events)).await.is_err() {
-                        attempt.close(TargetOutcome::Abandoned);
-                        return RelayOutcome::ClientDisconnected;
-                    }
+            let mut pushed = self.splitter.push(&data);
+            while let Ok(Some(events)) = pushed {
+                if !has_begun {
+                    has_begun = true;
+                    crashes::record_response(&self.context);
                 }
-                Ok(None) => {}
-                Err(error) => {
-                    attempt.close(TargetOutcome::Broken);
-                    return RelayOutcome::Interrupted(error.to_string());
+                self.record_events();
+                if self.sender.send(Ok(events)).await.is_err() {
+                    attempt.close(TargetOutcome::Abandoned);
+                    return RelayOutcome::ClientDisconnected;
                 }
+                // What ends the source may have arrived with the events.
+                pushed = self.splitter.push(&[]);
+            }
+            if let Err(error) = pushed {
+                attempt.close(TargetOutcome::Broken);
+                return RelayOutcome::Interrupted(error.to_string());
             }
         }
     }
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -38,6 +38,8 @@
 pub const EVENT_COUNT: u64 = 6;
 /// Delay before each event of a stream.
 const EVENT_DELAY: Duration = Duration::from_millis(15);
+/// Body of a response to a request that fails.
+const ERROR_TEXT: &str = "error: out of memory\n\n";
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(150);
 
 /// Fault that a target injects into one request; stage calls are not affected.
@@ -56,6 +58,11 @@
     DelayResponse(Duration),
     /// The target executes the request and closes the connection without a response.
     CloseWithoutResponse,
+    /// The target executes the request and responds with an error text and status 500.
+    RespondWithError,
+    /// The target executes the request and sends an error text, or another response, as the body of
+    /// a successful one.
+    ErrorInBody(&'static str),
 }
 
 /// A request that a target has executed.
@@ -337,6 +344,14 @@
         target: Arc::clone(&target),
         index,
     };
+    let error = match fault {
+        Some(Fault::RespondWithError) => Some((StatusCode::INTERNAL_SERVER_ERROR, ERROR_TEXT)),
+        Some(Fault::ErrorInBody(text)) => Some((StatusCode::OK, text)),
+        _ => None,
+    };
+    if let Some((status, text)) = error {
+        return respond(status, &headers, TargetBody::with_content(text.as_bytes()));
+    }
     if head.headers.contains_key(names::TOKEN_COUNTS) {
         let last_event: u64 = header_text(&names::LAST_EVENT_ID).parse().unwrap_or(0);
         let abort_after = match fault {
