clock: saturate products of durations; feed malformed messages to all decoders

Cause: a target that names 'Keep-Alive: timeout=' made the product with 1,000 overflow: a panic with overflow checks, a wrapped time without them.

Change: Millis::percent and Millis::times saturate. New tests give each decoder of clients', targets', peers' and the store's messages random changes of valid ones (seeded), and each word of a head every extreme value.

Before: extreme_values_in_heads_decode_to_a_value_or_an_error fails. After: it passes; 16,000 random messages, no panic.

--- a/crates/coord/src/clock.rs
+++ b/crates/coord/src/clock.rs
@@ -33,6 +33,12 @@
         Self(self.0.saturating_mul(factor))
     }
 
+    /// Returns a percentage of the duration.
+    #[must_use]
+    pub fn percent(self, percent: u64) -> Self {
+        Self(self.0.saturating_mul(percent) / 100)
+    }
+
     /// Converts the duration to a [`Duration`].
     #[must_use]
     pub fn to_duration(self) -> Duration {
--- a/crates/policy/src/serving/admission.rs
+++ b/crates/policy/src/serving/admission.rs
@@ -51,7 +51,7 @@
     let allowed_percent = TOP_PRIORITY_OBJECTIVE_PERCENT
         .saturating_sub(reduction)
         .max(MIN_OBJECTIVE_PERCENT);
-    let allowed_ms = Millis(forecast.objective_ms.0 * allowed_percent / 100);
+    let allowed_ms = forecast.objective_ms.percent(allowed_percent);
     // With empty queues, refusing the request would not help any other request.
     if forecast.queueing_ms == Millis::ZERO || expected_ms <= allowed_ms {
         return Admission::Admit;
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -189,7 +189,7 @@
             return;
         }
         let keep_alive_ms = keep_alive_ms.map_or(DEFAULT_KEEP_ALIVE_MS, |announced_ms| {
-            Millis(announced_ms.0 * KEEP_ALIVE_PERCENT / 100)
+            announced_ms.percent(KEEP_ALIVE_PERCENT)
         });
         let mut targets = self.pool.targets.borrow_mut();
         if let Some(state) = targets.get_mut(&self.target) {
--- a/crates/serving/src/stages.rs
+++ b/crates/serving/src/stages.rs
@@ -126,7 +126,7 @@
             return context.remaining_ms();
         }
         let total_ms = context.deadline - context.arrived_at;
-        let stage_deadline = context.arrived_at + Millis(total_ms.0 * STAGE_TIME_PERCENT / 100);
+        let stage_deadline = context.arrived_at + total_ms.percent(STAGE_TIME_PERCENT);
         stage_deadline - self.shared.now()
     }
 
--- a/crates/serving/src/target_choice.rs
+++ b/crates/serving/src/target_choice.rs
@@ -55,8 +55,8 @@
         retry_after_ms: None,
     };
     let service = shared.service(&context.service).ok_or(no_target)?;
-    let max_wait_ms = context.route.objective_ms.0 * TARGET_WAIT_PERCENT / 100;
-    let wait_until = shared.now() + Millis(max_wait_ms).min(context.remaining_ms());
+    let max_wait_ms = context.route.objective_ms.percent(TARGET_WAIT_PERCENT);
+    let wait_until = shared.now() + max_wait_ms.min(context.remaining_ms());
     loop {
         if let Some(entry) = select_target(context, tried_targets, &service)
             && target_notices::try_take(shared, &entry.id, Sender::AnyInstance)
--- /dev/null
+++ b/crates/serving/tests/malformed_messages.rs
@@ -0,0 +1,282 @@
+//! Guards against a process that ends, or a task that panics, because of one malformed message. Each
+//! decoder gets valid messages with random changes, from clients, targets, peers and the store.
+
+use std::env;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use arbutus_coord::Millis;
+use arbutus_platform::configuration;
+use arbutus_platform::names;
+use arbutus_platform::request::ClientRequest;
+use arbutus_platform::response;
+use arbutus_platform::stage;
+use arbutus_platform::store;
+use arbutus_platform::store::ObjectChange;
+use arbutus_platform::store::StoredObject;
+use arbutus_policy::serving::event_splitter::EventSplitter;
+use arbutus_policy::serving::leaving_targets::LeavingReport;
+use arbutus_policy::serving::routes::RouteTable;
+use arbutus_policy::serving::target_backoff::TargetBackoffs;
+use arbutus_policy::serving::target_limits::LimitReport;
+use arbutus_policy::serving::target_limits::TargetLimits;
+use arbutus_serving::peer_frames;
+use arbutus_serving::peer_messages::PeerCommand;
+use arbutus_serving::peer_messages::PeerReply;
+use arbutus_serving::update::StateUpdate;
+use arbutus_standins::simulated_platform::example;
+use arbutus_wire::frame;
+
+const DEFAULT_SEED: u64 = 11;
+const TESTS: u64 = 4_000;
+/// What numbers and words of a message are replaced by.
+const REPLACEMENTS: [&str; 10] = [
+    "",
+    "-1",
+    "0",
+    "18446744073709551615",
+    "99999999999999999999999",
+    "1e308",
+    "NaN",
+    "null",
+    "{}",
+    "\u{fffd}",
+];
+
+fn check(property: fn(u16, Vec<(u8, u16, u8)>) -> bool) {
+    let seed = env::var("ARBUTUS_SEED").map_or(DEFAULT_SEED, |seed| {
+        seed.parse().expect("ARBUTUS_SEED is a number")
+    });
+    println!("ARBUTUS_SEED={seed}");
+    QuickCheck::new()
+        .tests(TESTS)
+        .rng(Gen::from_size_and_seed(12, seed))
+        .quickcheck(property as fn(u16, Vec<(u8, u16, u8)>) -> bool);
+}
+
+/// Applies changes, each of them a kind, a place and a value, to a message.
+fn mutate(message: &[u8], changes: &[(u8, u16, u8)]) -> Vec<u8> {
+    let mut bytes = message.to_vec();
+    for &(kind, place, value) in changes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        let at = place as usize % bytes.len();
+        match kind % 5 {
+            0 => bytes[at] = value,
+            1 => bytes.truncate(at),
+            2 => {
+                let end = (at + value as usize).min(bytes.len());
+                let copy = bytes[at..end].to_vec();
+                bytes.splice(at..at, copy);
+            }
+            3 => {
+                let end = (at + value as usize).min(bytes.len());
+                bytes.drain(at..end);
+            }
+            _ => {
+                let is_word = |byte: &u8| byte.is_ascii_alphanumeric();
+                let start = bytes[at..].iter().position(is_word).map_or(at, |n| at + n);
+                let length = bytes[start..]
+                    .iter()
+                    .take_while(|byte| is_word(byte))
+                    .count();
+                let text = REPLACEMENTS[value as usize % REPLACEMENTS.len()];
+                bytes.splice(start..start + length, text.bytes());
+            }
+        }
+    }
+    bytes
+}
+
+fn object(name: &str, content: String) -> StoredObject {
+    StoredObject {
+        name: name.to_owned(),
+        revision: 7,
+        content,
+    }
+}
+
+fn store_messages() -> Vec<Vec<u8>> {
+    let configuration = configuration::encode(&example::configuration(3)).expect("valid");
+    let objects = [
+        object("main", configuration.clone()),
+        object("t1", r#"{"service":"desk","address":"10.0.0.1:80","zone":"x","slots":4,"state":"ready","cold_remaining_ms":10,"born":17}"#.to_owned()),
+    ];
+    let changes = objects.clone().map(ObjectChange::Written);
+    vec![
+        store::encode_list(&objects, 9).expect("valid"),
+        store::encode_watch(&changes, 9).expect("valid"),
+        configuration.into_bytes(),
+    ]
+}
+
+#[test]
+fn store_objects_decode_to_a_value_or_an_error() {
+    check(|index, changes| {
+        let messages = store_messages();
+        let bytes = mutate(&messages[index as usize % messages.len()], &changes);
+        for object in store::decode_list(&bytes).map_or(Vec::new(), |page| page.objects) {
+            let _entry = store::decode_target(&object);
+            let _entry = store::decode_instance(&object);
+            let _configuration = configuration::decode(&object.content);
+        }
+        let _changes = store::decode_watch(&bytes);
+        if let Ok(text) = std::str::from_utf8(&bytes)
+            && let Ok(configuration) = configuration::decode(text)
+        {
+            let table = RouteTable::new(configuration);
+            let _access = table.check_access("a.example", "/safe/1", Some("key"));
+        }
+        true
+    });
+}
+
+fn headers(lines: &[u8]) -> HeaderMap {
+    let lines = lines.split(|&byte| byte == b'\n');
+    let pairs = lines.filter_map(|line| {
+        let colon = line.iter().position(|&byte| byte == b':')?;
+        let name = HeaderName::from_bytes(&line[..colon]).ok()?;
+        let value = HeaderValue::from_bytes(line[colon + 1..].trim_ascii()).ok()?;
+        Some((name, value))
+    });
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        headers.append(name, value);
+    }
+    headers
+}
+
+fn client_head() -> String {
+    format!(
+        "host: a.example\n{}: id1\n{}: 1500\n{}: key\n{}: 100,48\n{}: aa:50,bb:50\n{}: 1,2\n{}: 7",
+        names::REQUEST_ID,
+        names::DEADLINE,
+        names::API_KEY,
+        names::TOKEN_COUNTS,
+        names::PROMPT_PARTS,
+        names::PIECE_COUNTS,
+        names::LAST_EVENT_ID,
+    )
+}
+
+fn target_head() -> String {
+    format!(
+        "{}: id1\n{}: s\n{}: 3,1,8\n{}: 0.5\n{}: 1\nretry-after: 2.5\nkeep-alive: timeout=5, max=9\nconnection: close",
+        names::REQUEST_ID,
+        names::STAMP,
+        names::LOAD,
+        names::REQUEST_LIMIT,
+        names::TARGET_LEAVING,
+    )
+}
+
+fn decode_heads(client: &str, target: &str, status: u16, changes: &[(u8, u16, u8)]) {
+    let sent = headers(&mutate(client.as_bytes(), changes));
+    let _request = ClientRequest::new(Method::POST, Uri::from_static("/safe/1"), &sent);
+    let received = headers(&mutate(target.as_bytes(), changes));
+    let status = StatusCode::from_u16(100 + status % 500).expect("the status is valid");
+    let _class = response::classify(status, &received, "id1", true);
+    let _load = response::reported_load(&received);
+    let _timeout_ms = response::keep_alive_timeout_ms(&received);
+    let _closes = response::closes_connection(&received);
+    let _forwarded = response::headers_for_client(&received);
+    let now = Millis(u64::from(status.as_u16()));
+    if let Ok(Some(backoff_ms)) = response::backoff_ms(StatusCode::SERVICE_UNAVAILABLE, &received) {
+        let mut backoffs = TargetBackoffs::default();
+        backoffs.record(now, "t", backoff_ms);
+        let _wait_ms = backoffs.wait_ms(now, "t");
+    }
+    if let Ok(limit) = response::request_limit(&received) {
+        TargetLimits::default().record_response(now, "t", limit, now);
+    }
+}
+
+#[test]
+fn stage_messages_and_streams_decode_to_a_value_or_an_error() {
+    check(|split, changes| {
+        let handles = ["10.0.0.1:80/a".to_owned(), "10.0.0.1:80/b".to_owned()];
+        let response = stage::encode_call_response(&handles).expect("valid");
+        let stream = example::complete_stream_body().into_bytes();
+        if let Ok(results) = stage::decode_call_response(&mutate(&response, &changes)) {
+            for handle in results.into_iter().flatten() {
+                let _address = stage::producer_address(&handle);
+            }
+        }
+        let events = mutate(&stream, &changes);
+        let (head, tail) = events.split_at(split as usize % (events.len() + 1));
+        let mut splitter = EventSplitter::new(None);
+        if splitter.push(head).is_ok() {
+            let _events = splitter.push(tail);
+        }
+        true
+    });
+}
+
+#[test]
+fn heads_of_clients_and_targets_decode_to_a_value_or_an_error() {
+    check(|status, changes| {
+        decode_heads(&client_head(), &target_head(), status, &changes);
+        true
+    });
+}
+
+/// Every word of a head, replaced by every extreme value in turn.
+#[test]
+fn extreme_values_in_heads_decode_to_a_value_or_an_error() {
+    let (client, target) = (client_head(), target_head());
+    for value in 0..REPLACEMENTS.len() as u8 {
+        for at in 0..client.len().max(target.len()) as u16 {
+            decode_heads(&client, &target, at, &[(4, at, value)]);
+        }
+    }
+}
+
+fn peer_messages() -> Vec<Vec<u8>> {
+    let limits = vec![LimitReport {
+        target: "t1".to_owned(),
+        max_requests_per_s: Some(0.5),
+        age_ms: Millis(3),
+    }];
+    let leaving = vec![LeavingReport {
+        target: "t1".to_owned(),
+        incarnation: Some(4),
+    }];
+    let commands = [
+        PeerCommand::Ping,
+        PeerCommand::TargetLimits(limits.clone()),
+        PeerCommand::LeavingTargets(leaving.clone()),
+        PeerCommand::KnownLeavingTargets,
+    ];
+    let replies = [
+        PeerReply::Pong,
+        PeerReply::TargetLimits(limits),
+        PeerReply::LeavingTargets(leaving),
+    ];
+    let commands = commands.iter().map(peer_frames::encode);
+    let replies = replies.iter().map(peer_frames::encode);
+    commands
+        .chain(replies)
+        .map(|bytes| bytes.expect("valid"))
+        .collect()
+}
+
+#[test]
+fn messages_of_peers_decode_to_a_value_or_an_error() {
+    check(|index, changes| {
+        let messages = peer_messages();
+        let bytes = mutate(&messages[index as usize % messages.len()], &changes);
+        let _command = frame::read::<PeerCommand>(&mut &bytes[..], frame::MAX_FRAME_BYTES);
+        let _reply = frame::read::<PeerReply>(&mut &bytes[..], frame::MAX_FRAME_BYTES);
+        let _update = StateUpdate::decompress(&Bytes::from(bytes));
+        true
+    });
+}
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -65,6 +65,17 @@
     ErrorInBody(&'static str),
 }
 
+impl Fault {
+    /// Returns the status and the body of the response, if the fault determines them.
+    fn error(self) -> Option<(StatusCode, &'static str)> {
+        match self {
+            Self::RespondWithError => Some((StatusCode::INTERNAL_SERVER_ERROR, ERROR_TEXT)),
+            Self::ErrorInBody(text) => Some((StatusCode::OK, text)),
+            _ => None,
+        }
+    }
+}
+
 /// A request that a target has executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
@@ -280,16 +291,9 @@
     if header_text(&names::EXPECTED_TARGET) != target.id {
         return respond(StatusCode::MISDIRECTED_REQUEST, &[], TargetBody::empty());
     }
-    if let Some(retry_after) = target.lock().rejects_with_retry_after.clone() {
-        let headers = [
-            (names::NOT_EXECUTED, "1".to_owned()),
-            (http::header::RETRY_AFTER, retry_after),
-        ];
-        return respond(
-            StatusCode::SERVICE_UNAVAILABLE,
-            &headers,
-            TargetBody::empty(),
-        );
+    let retry_after = target.lock().rejects_with_retry_after.clone();
+    if retry_after.is_some() {
+        return reject(retry_after);
     }
     match head.uri.path() {
         names::STAGE_RUN_PATH => return respond_to_stage_call(&target, &body).await,
@@ -302,12 +306,7 @@
     }
     let fault = target.lock().faults.pop_front();
     if fault == Some(Fault::RejectUnexecuted) {
-        let headers = [(names::NOT_EXECUTED, "1".to_owned())];
-        return respond(
-            StatusCode::SERVICE_UNAVAILABLE,
-            &headers,
-            TargetBody::empty(),
-        );
+        return reject(None);
     }
     let id = header_text(&names::REQUEST_ID);
     let (index, response_delay, min_body_bytes) = {
@@ -344,12 +343,7 @@
         target: Arc::clone(&target),
         index,
     };
-    let error = match fault {
-        Some(Fault::RespondWithError) => Some((StatusCode::INTERNAL_SERVER_ERROR, ERROR_TEXT)),
-        Some(Fault::ErrorInBody(text)) => Some((StatusCode::OK, text)),
-        _ => None,
-    };
-    if let Some((status, text)) = error {
+    if let Some((status, text)) = fault.and_then(Fault::error) {
         return respond(status, &headers, TargetBody::with_content(text.as_bytes()));
     }
     if head.headers.contains_key(names::TOKEN_COUNTS) {
@@ -395,6 +389,14 @@
     respond(StatusCode::OK, &[], TargetBody::with_content(&response))
 }
 
+/// Rejects a request that was not executed.
+fn reject(retry_after: Option<String>) -> io::Result<Response<TargetBody>> {
+    let mut headers = vec![(names::NOT_EXECUTED, "1".to_owned())];
+    headers.extend(retry_after.map(|value| (http::header::RETRY_AFTER, value)));
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    respond(status, &headers, TargetBody::empty())
+}
+
 fn respond(
     status: StatusCode,
     headers: &[(HeaderName, String)],
