--- a/crates/serving/tests/malformed_messages.rs
+++ b/crates/serving/tests/malformed_messages.rs
@@ -37,6 +37,11 @@
 
 const DEFAULT_SEED: u64 = 11;
 const TESTS: u64 = 4_000;
+/// A change of a message: its kind, place and value.
+type Change = (u8, u16, u8);
+/// Decodes messages, chosen by a number, with changes.
+type Property = fn(u16, Vec<Change>) -> bool;
+
 /// What numbers and words of a message are replaced by.
 const REPLACEMENTS: [&str; 10] = [
     "",
@@ -51,7 +56,7 @@
     "\u{fffd}",
 ];
 
-fn check(property: fn(u16, Vec<(u8, u16, u8)>) -> bool) {
+fn check(property: Property) {
     let seed = env::var("ARBUTUS_SEED").map_or(DEFAULT_SEED, |seed| {
         seed.parse().expect("ARBUTUS_SEED is a number")
     });
@@ -59,11 +64,11 @@
     QuickCheck::new()
         .tests(TESTS)
         .rng(Gen::from_size_and_seed(12, seed))
-        .quickcheck(property as fn(u16, Vec<(u8, u16, u8)>) -> bool);
+        .quickcheck(property);
 }
 
-/// Applies changes, each of them a kind, a place and a value, to a message.
-fn mutate(message: &[u8], changes: &[(u8, u16, u8)]) -> Vec<u8> {
+/// Applies changes to a message.
+fn mutate(message: &[u8], changes: &[Change]) -> Vec<u8> {
     let mut bytes = message.to_vec();
     for &(kind, place, value) in changes {
         if bytes.is_empty() {
@@ -179,7 +184,7 @@
     )
 }
 
-fn decode_heads(client: &str, target: &str, status: u16, changes: &[(u8, u16, u8)]) {
+fn decode_heads(client: &str, target: &str, status: u16, changes: &[Change]) {
     let sent = headers(&mutate(client.as_bytes(), changes));
     let _request = ClientRequest::new(Method::POST, Uri::from_static("/safe/1"), &sent);
     let received = headers(&mutate(target.as_bytes(), changes));
@@ -274,8 +279,8 @@
     check(|index, changes| {
         let messages = peer_messages();
         let bytes = mutate(&messages[index as usize % messages.len()], &changes);
-        let _command = frame::read::<PeerCommand>(&mut &bytes[..], frame::MAX_FRAME_BYTES);
-        let _reply = frame::read::<PeerReply>(&mut &bytes[..], frame::MAX_FRAME_BYTES);
+        let _command = frame::read::<PeerCommand>(&mut &*bytes, frame::MAX_FRAME_BYTES);
+        let _reply = frame::read::<PeerReply>(&mut &*bytes, frame::MAX_FRAME_BYTES);
         let _update = StateUpdate::decompress(&Bytes::from(bytes));
         true
     });
