--- a/crates/daemon/tests/platform_connections.rs
+++ b/crates/daemon/tests/platform_connections.rs
@@ -2,12 +2,22 @@
 
 mod common;
 
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::thread;
 use std::time::Duration;
 
 use crate::common::start_cluster;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::slow_client;
 
+/// Ports of the instances of a test cluster.
+const READINESS_PORT: u16 = 8_621;
+const PEER_PORT: u16 = 7_740;
+const METRICS_PORT: u16 = 9_464;
+
 /// Guards against an idle timeout that runs while a response is still being written, and cuts it
 /// off.
 #[test]
@@ -24,3 +34,44 @@
     let body_bytes = slow_client::receive_body(connection, READ_INTERVAL);
     assert_eq!(body_bytes, slow_client::BODY_BYTES);
 }
+
+/// Guards against a process that ends, or a port that stops to respond, because of one malformed
+/// message.
+#[test]
+fn malformed_messages_on_any_port_leave_the_process_serving() {
+    let messages: [&[u8]; 8] = [
+        b"",
+        b"\0\0\0\0\0\0\0\0",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"POST /safe/1 HTTP/1.1\r\ncontent-length: -1\r\n\r\n",
+        b"GET /safe/1 HTTP/9.9\r\nhost: \xff\xfe\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        // A frame between instances of 4 GB, and one that holds no message.
+        b"\x01\xff\xff\xff\xff",
+        b"\x01\0\0\0\x04\xff\xff\xff\xff",
+    ];
+    let mut cluster = start_cluster(1);
+    let address = cluster.instances[0].client_address();
+    let ip = *address.ip();
+    let ports = [address.port(), READINESS_PORT, PEER_PORT, METRICS_PORT];
+    for port in ports {
+        for message in messages {
+            let mut connection = TcpStream::connect((ip, port)).expect("the port is open");
+            let written = connection.write_all(message);
+            written.expect("the message is written");
+            // The instance may respond or close the connection.
+            let _unread = connection.shutdown(Shutdown::Write);
+        }
+    }
+    let socket = UdpSocket::bind((ip, 0)).expect("a port is free");
+    for message in messages {
+        let sent = socket.send_to(message, (ip, PEER_PORT));
+        sent.expect("the datagram is sent");
+    }
+    thread::sleep(Duration::from_millis(300));
+    let response = ClientRequest::new("GET", "/safe/1", "after").call(address);
+    assert_eq!(response.expect("the instance responds").status, 200);
+    let exit = cluster.instances[0].exit_success();
+    assert_eq!(exit.expect("the state can be read"), None);
+    assert!(cluster.instances[0].is_ready());
+}
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -99,6 +99,10 @@
     faults: VecDeque<Fault>,
     /// Delay of every response, except to stage calls.
     response_delay: Duration,
+    /// Delay before each event of a stream, if not [`EVENT_DELAY`].
+    event_delay: Option<Duration>,
+    /// Whether streams consist of single bytes of an event that does not end.
+    drips: bool,
     /// Minimum size of a response body that is not a stream.
     min_body_bytes: usize,
     /// Requests per second that the target names in its responses as its limit.
@@ -179,6 +183,17 @@
         self.lock().response_delay = delay;
     }
 
+    /// Delays each event of streams that begin from now on by this duration.
+    pub fn set_event_delay(&self, delay: Duration) {
+        self.lock().event_delay = Some(delay);
+    }
+
+    /// Sends a byte of an event that does not end from time to time, in streams that begin from now
+    /// on.
+    pub fn set_dripping(&self) {
+        self.lock().drips = true;
+    }
+
     /// Names a limit, in requests per second, in every response from now on; `None` names none.
     pub fn set_request_limit(&self, requests_per_s: Option<f64>) {
         self.lock().request_limit_per_s = requests_per_s;
@@ -354,6 +369,12 @@
         };
         headers.push((http::header::CONTENT_TYPE, "text/event-stream".to_owned()));
         let mut body = TargetBody::events(last_event + 1, abort_after, completion);
+        let (event_delay, drips) = {
+            let state = target.lock();
+            (state.event_delay, state.drips)
+        };
+        body.event_delay = event_delay.unwrap_or(EVENT_DELAY);
+        body.drips = drips;
         body.is_deadly = target.is_deadly(&header_text(&names::PROMPT_PARTS));
         return respond(StatusCode::OK, &headers, body);
     }
@@ -437,6 +458,9 @@
     abort_after: Option<u64>,
     /// Whether the target crashes instead of the first event.
     is_deadly: bool,
+    event_delay: Duration,
+    /// Whether the body consists of single bytes of an event that does not end.
+    drips: bool,
     delay: Option<Pin<Box<tokio::time::Sleep>>>,
     completion: Option<ResponseCompletion>,
 }
@@ -449,6 +473,8 @@
             next_event: None,
             abort_after: None,
             is_deadly: false,
+            event_delay: EVENT_DELAY,
+            drips: false,
             delay: None,
             completion: None,
         }
@@ -499,13 +525,17 @@
             self.record_completion();
             return Poll::Ready(None);
         }
+        let event_delay = self.event_delay;
         let delay = self
             .delay
-            .get_or_insert_with(|| Box::pin(sleep(EVENT_DELAY)));
+            .get_or_insert_with(|| Box::pin(sleep(event_delay)));
         if delay.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
         }
         self.delay = None;
+        if self.drips {
+            return Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"x")))));
+        }
         // The response head was written during the delay.
         if self.is_deadly {
             if let Some(completion) = &self.completion {
