--- a/crates/daemon/tests/platform_target_notices.rs
+++ b/crates/daemon/tests/platform_target_notices.rs
@@ -68,6 +68,68 @@
     assert_eq!(arrivals_since(&leaving, told_at), 0);
 }
 
+/// Guards against an instance that restarts and learns from the list alone, in which the target is
+/// still ready.
+#[test]
+fn an_instance_that_restarts_learns_from_its_peers_which_targets_leave() {
+    let mut cluster = start_cluster(3);
+    let leaving = target(&cluster, "d1");
+    leaving.set_leaving();
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while leaving.arrivals().is_empty() {
+        assert!(Instant::now() < deadline, "the target gets no request");
+        send_safe(&cluster, 0, 1);
+    }
+    thread::sleep(IN_FLIGHT);
+    cluster.instances[1].kill().expect("the process ends");
+    cluster.instances[1].restart().expect("the process starts");
+    let ready = cluster.instances[1].wait_until_ready();
+    ready.expect("the instance is ready");
+    thread::sleep(IN_FLIGHT);
+    let restarted_at = Instant::now();
+    for response in send_safe(&cluster, 1, 20) {
+        assert_eq!(response.status, 200);
+    }
+    assert_eq!(arrivals_since(&leaving, restarted_at), 0);
+}
+
+/// Guards against a pause that hides a limit, or the reverse: both hold, whichever lasts longer.
+#[test]
+fn a_target_with_a_pause_and_a_limit_gets_what_both_allow() {
+    const LIMIT_PER_S: f64 = 2.0;
+    let cluster = start_cluster(1);
+    let limited = target(&cluster, "d1");
+    limited.set_request_limit(Some(LIMIT_PER_S));
+    limited.set_retry_after(Some("1.5"));
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while limited.arrivals().is_empty() {
+        assert!(Instant::now() < deadline, "the target gets no request");
+        send_safe(&cluster, 0, 1);
+    }
+    let asked_at = Instant::now();
+    limited.set_retry_after(None);
+    let pause_end = asked_at + Duration::from_millis(1_400);
+    while Instant::now() < pause_end {
+        let served = send_safe(&cluster, 0, 5);
+        assert!(served.iter().all(|response| response.status == 200));
+    }
+    assert_eq!(
+        arrivals_since(&limited, asked_at),
+        0,
+        "requests in the pause"
+    );
+    let end = pause_end + Duration::from_secs(4);
+    while Instant::now() < end {
+        send_safe(&cluster, 0, 5);
+    }
+    let arrivals = arrivals_since(&limited, asked_at);
+    assert!(arrivals > 0, "no requests after the pause");
+    assert!(
+        arrivals as f64 <= LIMIT_PER_S * 4.0 * 1.5 + 5.0,
+        "{arrivals} requests"
+    );
+}
+
 /// Guards against clients that wait although all targets of a service have said that they leave.
 #[test]
 fn requests_are_refused_at_once_if_all_targets_leave() {
