target notices: let the caller report a leaving target

Read through as a newcomer: mark_leaving compared the text that names its source for the log to decide whether to tell peers. It returns whether the news is new, and the caller tells them. Also three comments.

--- a/crates/policy/src/serving/batch/mod.rs
+++ b/crates/policy/src/serving/batch/mod.rs
@@ -5,7 +5,8 @@
 //! target has one call at a time; the next one is formed when it ends, from the pieces that were
 //! queued in the meantime. The most urgent pieces go first, and pieces that can no longer meet
 //! their due time go last. A piece prefers targets in its own failure domain, because results are
-//! large, and goes to another domain when it would wait too long.
+//! large, and goes to another domain when it would wait too long. Pieces with small results, and
+//! those that would be late otherwise, fill the calls of other domains.
 //!
 //! Results occupy space at the targets until all pieces of their stage are computed and read. The
 //! first piece of a stage is therefore sent only when there is space for all results of the stage.
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -85,8 +85,8 @@
 }
 
 /// Asks some peers for the quarantined prompt parts, and the limits and shutdowns of targets, once the
-/// instances are known. Without them, an instance that starts would have to observe a crash of its own, and would
-/// send to limited targets until they respond.
+/// instances are known. Without them, an instance that starts would have to observe a crash of its
+/// own, and would send to limited or leaving targets until they respond.
 ///
 /// # Errors
 ///
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -413,6 +413,7 @@
     };
     match post(shared, &entry, request, body).await {
         Ok(PostOutcome::Computed(results)) => CallOutcome::Responded(results),
+        // Only the response to the other kind of request.
         Ok(PostOutcome::Freed) => CallOutcome::Broken,
         Ok(PostOutcome::NotExecuted) => {
             let backoff_ms = target_notices::backoff_ms(shared, &entry.id);
--- a/crates/serving/src/target_notices.rs
+++ b/crates/serving/src/target_notices.rs
@@ -34,7 +34,13 @@
     executed: bool,
 ) {
     if response::is_leaving(headers) {
-        mark_leaving(shared, &entry.id, entry.incarnation, "response");
+        let report = LeavingReport {
+            target: entry.id.clone(),
+            incarnation: entry.incarnation,
+        };
+        if mark_leaving(shared, &report, "response") {
+            shared.pending_reports.borrow_mut().leaving.push(report);
+        }
     }
     match response::backoff_ms(status, headers) {
         Ok(None) => {}
@@ -53,31 +59,29 @@
     record_limit(shared, &entry.id, headers, sent_at, executed);
 }
 
-fn mark_leaving(shared: &Shared, target: &str, incarnation: Option<u64>, source: &str) {
+/// Records that a target leaves; returns whether this was not known. `source` names who told, for the
+/// log.
+fn mark_leaving(shared: &Shared, report: &LeavingReport, source: &str) -> bool {
+    let (target, incarnation) = (report.target.as_str(), report.incarnation);
     if shared.directory.borrow().is_leaving(target, incarnation) {
-        return;
+        return false;
     }
     info!(target_id = target, incarnation:?, source; "target says that it leaves");
     let change = {
         let mut directory = shared.directory.borrow_mut();
         directory.mark_leaving(shared.now(), target, incarnation)
     };
-    if source == "response" {
-        let mut reports = shared.pending_reports.borrow_mut();
-        reports.leaving.push(LeavingReport {
-            target: target.to_owned(),
-            incarnation,
-        });
-    }
     if let Some(change) = change {
         shared.apply_target_changes(&[change]);
     }
+    true
 }
 
 /// Applies what a peer knows of targets that shut down.
 pub fn merge_leaving(shared: &Shared, reports: &[LeavingReport]) {
     for report in reports {
-        mark_leaving(shared, &report.target, report.incarnation, "peer");
+        // The peer has told all others.
+        let _is_new = mark_leaving(shared, report, "peer");
     }
 }
 
