tests: find targets and count executions with functions of the stand-in

Read through once more: three files counted executions of a request in the same way, two found a target by its identifier, and one file had the same loop four times. SimulatedPlatform::target, ::execution_count and send_until_reached serve them.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -41,14 +41,6 @@
             }
         }
     }
-
-    fn execution_count(&self, id: &str) -> usize {
-        self.platform
-            .executed_request_ids()
-            .iter()
-            .filter(|executed| *executed == id)
-            .count()
-    }
 }
 
 #[test]
@@ -66,7 +58,7 @@
         );
         assert!(response.headers[names::STAMP.as_str()].starts_with("stamp-d"));
         assert_eq!(response.headers[names::REQUEST_ID.as_str()], path);
-        assert_eq!(cluster.execution_count(path), 1);
+        assert_eq!(cluster.platform.execution_count(path), 1);
     }
     let response = cluster.call(&stream_request("/stream/3", "three"));
     assert_eq!(
@@ -144,7 +136,7 @@
         let response = cluster.call(&ClientRequest::new("POST", "/unsafe/1", "once"));
         // 502 says nothing about execution; 429 and 503 would say that nothing was executed.
         assert_eq!(response.status, 502, "{fault:?}");
-        assert_eq!(cluster.execution_count("once"), 1, "{fault:?}");
+        assert_eq!(cluster.platform.execution_count("once"), 1, "{fault:?}");
     }
 }
 
@@ -155,7 +147,7 @@
     first_target.add_fault(Fault::RejectUnexecuted);
     let response = cluster.call(&ClientRequest::new("POST", "/unsafe/1", "moved"));
     assert_eq!(response.status, 200);
-    assert_eq!(cluster.execution_count("moved"), 1);
+    assert_eq!(cluster.platform.execution_count("moved"), 1);
 }
 
 #[test]
@@ -168,7 +160,7 @@
     assert_eq!(response.status, 503);
     let delay: f64 = response.headers["retry-after"].parse().expect("a number");
     assert!(delay > 0.0);
-    assert_eq!(cluster.execution_count("full"), 0);
+    assert_eq!(cluster.platform.execution_count("full"), 0);
 }
 
 #[test]
@@ -202,7 +194,7 @@
     assert!(complete_stream_body().starts_with(&events) || events == complete_stream_body());
     // Both targets aborted after three events, and the route allows only these two attempts.
     assert_eq!(events, complete_stream_body());
-    assert_eq!(cluster.execution_count("resumed"), 2);
+    assert_eq!(cluster.platform.execution_count("resumed"), 2);
 }
 
 /// Guards against error texts, or whole response heads, in the middle of a client's stream, and
@@ -249,7 +241,7 @@
         "{}",
         response.body
     );
-    assert_eq!(cluster.execution_count("broken"), 1);
+    assert_eq!(cluster.platform.execution_count("broken"), 1);
 }
 
 #[test]
@@ -272,7 +264,7 @@
     other.add_fault(Fault::AbortAfterEvents(2));
     let response = cluster.call(&stream_request("/resumable/1", "limited"));
     // Two targets may have executed the request, and its route allows no third attempt.
-    assert_eq!(cluster.execution_count("limited"), 2);
+    assert_eq!(cluster.platform.execution_count("limited"), 2);
     assert!(!response.is_complete);
 }
 
@@ -285,7 +277,7 @@
         .send(cluster.instances[0].client_address())
         .expect("the instance accepts connections");
     thread::sleep(Duration::from_millis(200));
-    assert_eq!(cluster.execution_count("left"), 1);
+    assert_eq!(cluster.platform.execution_count("left"), 1);
     drop(connection);
     thread::sleep(response_delay + Duration::from_millis(400));
     let finished = cluster.platform.targets[2..4]
@@ -529,7 +521,7 @@
     thread::sleep(Duration::from_secs(2));
     let refused = cluster.call(&stream_request("/stream/1", "refused"));
     assert_eq!(refused.status, 503);
-    assert_eq!(cluster.execution_count("refused"), 0);
+    assert_eq!(cluster.platform.execution_count("refused"), 0);
     let finished = client.join().expect("the client thread ends");
     assert_eq!(
         (finished.status, finished.body),
--- a/crates/daemon/tests/platform_repeated_responses.rs
+++ b/crates/daemon/tests/platform_repeated_responses.rs
@@ -3,7 +3,6 @@
 
 mod common;
 
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -17,18 +16,11 @@
 use arbutus_standins::simulated_platform::example::staged_stream_request;
 use arbutus_standins::simulated_platform::repeater::Repeater;
 use arbutus_standins::simulated_platform::target::Fault;
-use arbutus_standins::simulated_platform::target::Target;
-
-fn target(cluster: &TestCluster, id: &str) -> Arc<Target> {
-    let targets = &cluster.platform.targets;
-    let target = targets.iter().find(|target| target.entry().id == id);
-    Arc::clone(target.expect("the target exists"))
-}
 
 /// Puts a repeater in front of a target.
 fn add_repeater(cluster: &TestCluster, id: &str) -> Repeater {
     let repeater = Repeater::default();
-    let target = target(cluster, id);
+    let target = cluster.platform.target(id);
     let address = repeater.relay(target.entry().address);
     target.set_proxy(address.expect("the relay listens"));
     let written = cluster.platform.store.put_target(&target.entry());
@@ -52,11 +44,6 @@
         .expect("the instance responds")
 }
 
-fn execution_count(cluster: &TestCluster, id: &str) -> usize {
-    let executed = cluster.platform.executed_request_ids();
-    executed.iter().filter(|executed| *executed == id).count()
-}
-
 /// Guards against clients that get the response to an earlier request, whole or cut.
 #[test]
 fn a_repeated_response_reaches_no_other_client() {
@@ -73,7 +60,7 @@
                 assert_eq!(response.headers[names::REQUEST_ID.as_str()], id);
                 assert_eq!(response.body, "answer of d1");
             }
-            assert_eq!(execution_count(&cluster, &id), 1);
+            assert_eq!(cluster.platform.execution_count(&id), 1);
         }
     }
     assert_eq!(repeater.repeat_count(), 3);
@@ -87,7 +74,10 @@
     let repeater = add_repeater(&cluster, "d1");
     let call = |method, path, id: &str| call(&cluster, method, path, id);
     repeater.record_next();
-    target(&cluster, "d1").add_fault(Fault::RejectUnexecuted);
+    cluster
+        .platform
+        .target("d1")
+        .add_fault(Fault::RejectUnexecuted);
     for number in 0..8 {
         call("GET", "/safe/1", &format!("refused{number}"));
     }
@@ -99,7 +89,7 @@
     for number in 0..12 {
         let id = format!("u{number}");
         let status = call("POST", "/unsafe/1", &id).status;
-        let executions = execution_count(&cluster, &id);
+        let executions = cluster.platform.execution_count(&id);
         assert!(executions <= 1, "{id} was executed {executions} times");
         assert!(status != 503 || executions == 0, "{id} was executed");
     }
@@ -124,7 +114,7 @@
     }
     assert_eq!(repeater.repeat_count(), 1);
     // The inputs of the calls of the second stage are the results of the first one.
-    let calls = target(&cluster, "s1").stage_calls();
+    let calls = cluster.platform.target("s1").stage_calls();
     let mut inputs: Vec<String> = calls
         .iter()
         .flatten()
--- a/crates/daemon/tests/platform_silent_targets.rs
+++ b/crates/daemon/tests/platform_silent_targets.rs
@@ -23,11 +23,6 @@
         .expect("the instance responds")
 }
 
-fn execution_count(cluster: &TestCluster, id: &str) -> usize {
-    let executed = cluster.platform.executed_request_ids();
-    executed.iter().filter(|executed| *executed == id).count()
-}
-
 /// Guards against slow streams that are cut although they are sound.
 #[test]
 fn a_slow_stream_is_complete_and_not_executed_again() {
@@ -39,7 +34,7 @@
         let response = call(&cluster, &stream_request(path, path));
         assert_eq!(response.body, complete_stream_body());
         assert!(response.is_complete);
-        assert_eq!(execution_count(&cluster, path), 1);
+        assert_eq!(cluster.platform.execution_count(path), 1);
     }
 }
 
@@ -83,5 +78,5 @@
     }
     let response = client.join().expect("the client ends");
     assert_eq!((response.status, response.is_complete), (200, true));
-    assert_eq!(execution_count(&cluster, "unlisted"), 1);
+    assert_eq!(cluster.platform.execution_count("unlisted"), 1);
 }
--- a/crates/daemon/tests/platform_target_notices.rs
+++ b/crates/daemon/tests/platform_target_notices.rs
@@ -3,7 +3,6 @@
 
 mod common;
 
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,12 +20,6 @@
 /// Time after which all instances know each other and have asked what the others know.
 const PEERS_KNOWN: Duration = Duration::from_millis(1_500);
 
-fn target(cluster: &TestCluster, id: &str) -> Arc<Target> {
-    let targets = &cluster.platform.targets;
-    let target = targets.iter().find(|target| target.entry().id == id);
-    Arc::clone(target.expect("the target exists"))
-}
-
 fn arrivals_since(target: &Target, from: Instant) -> usize {
     let arrivals = target.arrivals();
     arrivals.iter().filter(|&&arrival| arrival >= from).count()
@@ -43,6 +36,15 @@
     responses.collect()
 }
 
+/// Sends requests to the first instance until a target gets one.
+fn send_until_reached(cluster: &TestCluster, target: &Target) {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while target.arrivals().is_empty() {
+        assert!(Instant::now() < deadline, "the target gets no request");
+        send_safe(cluster, 0, 1);
+    }
+}
+
 fn retry_after_s(response: &ClientResponse) -> f64 {
     let text = response.headers.get("retry-after").map(String::as_str);
     let seconds = text.and_then(|text| text.parse().ok());
@@ -54,14 +56,10 @@
 #[test]
 fn a_target_that_says_that_it_leaves_gets_no_more_requests() {
     let cluster = start_cluster(3);
-    let leaving = target(&cluster, "d1");
+    let leaving = cluster.platform.target("d1");
     thread::sleep(PEERS_KNOWN);
     leaving.set_leaving();
-    let deadline = Instant::now() + Duration::from_secs(5);
-    while leaving.arrivals().is_empty() {
-        assert!(Instant::now() < deadline, "the target gets no request");
-        send_safe(&cluster, 0, 1);
-    }
+    send_until_reached(&cluster, &leaving);
     thread::sleep(IN_FLIGHT);
     let told_at = Instant::now();
     // Both instances are in the failure domain of the target; only the first one got its response.
@@ -79,13 +77,9 @@
 fn an_instance_that_restarts_learns_from_its_peers_which_targets_leave() {
     let mut cluster = start_cluster(3);
     // The instance that restarts is in the failure domain of the target.
-    let leaving = target(&cluster, "d1");
+    let leaving = cluster.platform.target("d1");
     leaving.set_leaving();
-    let deadline = Instant::now() + Duration::from_secs(5);
-    while leaving.arrivals().is_empty() {
-        assert!(Instant::now() < deadline, "the target gets no request");
-        send_safe(&cluster, 0, 1);
-    }
+    send_until_reached(&cluster, &leaving);
     thread::sleep(IN_FLIGHT);
     cluster.instances[2].kill().expect("the process ends");
     cluster.instances[2].restart().expect("the process starts");
@@ -104,14 +98,10 @@
 fn a_target_with_a_pause_and_a_limit_gets_what_both_allow() {
     const LIMIT_PER_S: f64 = 2.0;
     let cluster = start_cluster(1);
-    let limited = target(&cluster, "d1");
+    let limited = cluster.platform.target("d1");
     limited.set_request_limit(Some(LIMIT_PER_S));
     limited.set_retry_after(Some("1.5"));
-    let deadline = Instant::now() + Duration::from_secs(5);
-    while limited.arrivals().is_empty() {
-        assert!(Instant::now() < deadline, "the target gets no request");
-        send_safe(&cluster, 0, 1);
-    }
+    send_until_reached(&cluster, &limited);
     let asked_at = Instant::now();
     limited.set_retry_after(None);
     let pause_end = asked_at + Duration::from_millis(1_400);
@@ -141,7 +131,7 @@
 fn requests_are_refused_at_once_if_all_targets_leave() {
     let cluster = start_cluster(1);
     for id in ["d1", "d2"] {
-        target(&cluster, id).set_leaving();
+        cluster.platform.target(id).set_leaving();
     }
     send_safe(&cluster, 0, 4);
     let started_at = Instant::now();
@@ -156,18 +146,14 @@
 #[test]
 fn a_target_that_asks_for_a_pause_gets_no_requests_until_its_end() {
     let cluster = start_cluster(1);
-    let busy = target(&cluster, "d1");
+    let busy = cluster.platform.target("d1");
     busy.set_retry_after(Some("2.5"));
-    let deadline = Instant::now() + Duration::from_secs(5);
-    while busy.arrivals().is_empty() {
-        assert!(Instant::now() < deadline, "the target gets no request");
-        send_safe(&cluster, 0, 1);
-    }
+    send_until_reached(&cluster, &busy);
     let asked_at = Instant::now();
     let served = send_safe(&cluster, 0, 50);
     assert!(served.iter().all(|response| response.status == 200));
     assert_eq!(arrivals_since(&busy, asked_at), 0, "requests in the pause");
-    let other = target(&cluster, "d2");
+    let other = cluster.platform.target("d2");
     other.set_retry_after(Some("1.5"));
     send_safe(&cluster, 0, 1);
     let started_at = Instant::now();
@@ -190,7 +176,7 @@
 fn a_stage_target_that_asks_for_a_pause_gets_no_calls_until_its_end() {
     let cluster = start_cluster(1);
     let address = cluster.instances[0].client_address();
-    let stage_target = target(&cluster, "f1");
+    let stage_target = cluster.platform.target("f1");
     stage_target.set_retry_after(Some("4"));
     let first = staged_stream_request("p0", "1,1", "key0").call(address);
     assert_eq!(first.expect("the instance responds").status, 503);
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -139,6 +139,24 @@
         self.link_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns the target with this identifier.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    #[must_use]
+    pub fn target(&self, id: &str) -> Arc<Target> {
+        let target = self.targets.iter().find(|target| target.entry().id == id);
+        Arc::clone(target.expect("the target exists"))
+    }
+
+    /// Returns how often targets have executed the request with this identifier.
+    #[must_use]
+    pub fn execution_count(&self, id: &str) -> usize {
+        let executed = self.executed_request_ids();
+        executed.iter().filter(|executed| *executed == id).count()
+    }
+
     /// Returns the identifiers of the requests that targets have executed, in the order in which
     /// the executions started.
     ///
