review: an entry that is no UTF-8 hides all changes of the servers (DRAIN)

Tried: another writer leaves an entry of kind servers with three bytes that are no UTF-8; 4 s later a server reports that it drains.

--- a/review/standins/src/bin/malformed_count.rs
+++ b/review/standins/src/bin/malformed_count.rs
@@ -41,7 +41,7 @@
     site::write_config(&store);
     let (results, given) = Default::default();
     for (id, zone) in [("i-order-1", "arita"), ("i-order-2", "hakata")] {
-        site::start_plain(&store, &record, id, zone, BOOKING_WORK)?;
+        site::start_plain(&store, &record, id, zone, BOOKING_WORK, &Default::default())?;
     }
     for (id, zone) in [("i-llm-1", "arita"), ("i-llm-2", "hakata")] {
         site::start_engine(&store, &record, id, zone, 10, &results, &given)?;
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They follow the users' pages: a store with lists and watches, back ends that read one request at
 //! a time from a connection, and requesters. Only the standard library is used.
 
+pub mod drain;
 pub mod http;
 pub mod instance;
 pub mod record;
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::http;
 use crate::http::Message;
@@ -56,6 +57,8 @@
     pub id: String,
     pub address: String,
     entry: String,
+    /// Whether the back end has exited.
+    exited: Arc<AtomicBool>,
 }
 
 impl Target {
@@ -77,6 +80,7 @@
             id: id.to_owned(),
             address,
             entry,
+            exited: Arc::default(),
         };
         Ok((target, listener))
     }
@@ -97,9 +101,22 @@
         Ok(false)
     }
 
-    /// Returns the entry with another state.
-    pub fn entry_in_state(&self, state: &str) -> String {
-        self.entry.replace("\"ready\"", &format!("\"{state}\""))
+    /// Reports that the back end drains.
+    pub fn report_draining(&self, store: &Store) {
+        let entry = self.entry.replace("\"ready\"", "\"draining\"");
+        store.put("servers", &self.id, entry);
+    }
+
+    /// Ends a back end of plain requests; its connections close.
+    pub fn exit(&self) {
+        self.exited.store(true, Ordering::SeqCst);
+    }
+
+    fn check_running(&self) -> io::Result<()> {
+        if self.exited.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(())
     }
 }
 
@@ -109,6 +126,17 @@
         .unwrap_or_default()
 }
 
+/// A request that a back end has begun to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub target: String,
+    pub request: String,
+    pub at: Instant,
+}
+
+/// The requests that all back ends of plain requests have run.
+pub type Runs = Arc<Mutex<Vec<Run>>>;
+
 /// Starts a back end of plain requests, which takes `work` for each.
 pub fn start_plain(
     store: &Store,
@@ -116,13 +144,15 @@
     id: &str,
     zone: &str,
     work: Duration,
+    runs: &Runs,
 ) -> io::Result<Target> {
     let (target, listener) = Target::register(store, id, "order-desk", zone, 6)?;
-    let (served, record) = (target.clone(), record.clone());
+    let (served, record, runs) = (target.clone(), record.clone(), Arc::clone(runs));
     http::listen(listener, move |stream| {
         let mut reader = http::reader(&stream)?;
         loop {
             let request = http::read_message(&mut reader)?;
+            served.check_running()?;
             if served.answer_others(&stream, &request)? {
                 continue;
             }
@@ -131,7 +161,13 @@
                 "{} runs {} {request_id}",
                 served.id, request.start
             ));
+            runs.lock().expect("no panic holds the lock").push(Run {
+                target: served.id.clone(),
+                request: request_id.to_owned(),
+                at: Instant::now(),
+            });
             thread::sleep(work);
+            served.check_running()?;
             let stamp = format!("stamp.{request_id}");
             let headers = [
                 ("X-Arbutushaven-Request-Id", request_id),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -23,13 +23,13 @@
     kind: String,
     name: String,
     /// The content; `None` if the object was removed.
-    spec: Option<String>,
+    spec: Option<Vec<u8>>,
 }
 
 #[derive(Default)]
 struct State {
     revision: u64,
-    objects: BTreeMap<(String, String), (u64, String)>,
+    objects: BTreeMap<(String, String), (u64, Vec<u8>)>,
     changes: Vec<Change>,
 }
 
@@ -37,19 +37,31 @@
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
+    /// The kind of objects of which the next answer to a watch is lost.
+    lost_watch: Arc<Mutex<Option<String>>>,
     pub address: SocketAddr,
 }
 
 impl Store {
     pub fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
         let state = State {
             revision: 100,
             ..State::default()
         };
+        Self::listen(Arc::new((Mutex::new(state), Condvar::new())))
+    }
+
+    /// Returns the same store at an address of its own, so that answers can be lost there only.
+    pub fn at_another_address(&self) -> io::Result<Self> {
+        Self::listen(Arc::clone(&self.state))
+    }
+
+    fn listen(state: Arc<(Mutex<State>, Condvar)>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
         let store = Self {
             address: listener.local_addr()?,
-            state: Arc::new((Mutex::new(state), Condvar::new())),
+            state,
+            lost_watch: Arc::default(),
         };
         let served = store.clone();
         http::listen(listener, move |stream| served.serve(&stream));
@@ -57,8 +69,8 @@
     }
 
     /// Writes an object, as the operator and the back ends do.
-    pub fn put(&self, kind: &str, name: &str, spec: &str) {
-        self.change(kind, name, Some(spec.to_owned()));
+    pub fn put(&self, kind: &str, name: &str, spec: impl AsRef<[u8]>) {
+        self.change(kind, name, Some(spec.as_ref().to_vec()));
     }
 
     /// Removes an object.
@@ -73,7 +85,25 @@
         keys.map(|(_, name)| name.clone()).collect()
     }
 
-    fn change(&self, kind: &str, name: &str, spec: Option<String>) -> u64 {
+    /// Loses the next answer to a watch of a kind; its connection returns nothing any more.
+    pub fn lose_next_watch_answer(&self, kind: &str) {
+        *self.lost_watch.lock().expect("no panic holds the lock") = Some(kind.to_owned());
+    }
+
+    /// Returns whether the answer to a request is lost.
+    fn is_lost(&self, request: &Message) -> bool {
+        let mut lost_watch = self.lost_watch.lock().expect("no panic holds the lock");
+        let is_lost = lost_watch.as_ref().is_some_and(|kind| {
+            let begin = format!("/objects/{kind}?watch=");
+            request.target().starts_with(&begin)
+        });
+        if is_lost {
+            *lost_watch = None;
+        }
+        is_lost
+    }
+
+    fn change(&self, kind: &str, name: &str, spec: Option<Vec<u8>>) -> u64 {
         let (mutex, changed) = &*self.state;
         let mut state = mutex.lock().expect("no panic holds the lock");
         state.revision += 1;
@@ -99,12 +129,17 @@
             let request = http::read_message(&mut reader)?;
             thread::sleep(ANSWER_TIME);
             let (status, body) = self.answer(&request);
+            if self.is_lost(&request) {
+                loop {
+                    http::read_message(&mut reader)?;
+                }
+            }
             let headers = [("Content-Type", "application/json")];
-            http::respond(stream, status, &headers, body.as_bytes())?;
+            http::respond(stream, status, &headers, &body)?;
         }
     }
 
-    fn answer(&self, request: &Message) -> (&'static str, String) {
+    fn answer(&self, request: &Message) -> (&'static str, Vec<u8>) {
         let (path, query) = request
             .target()
             .split_once('?')
@@ -120,7 +155,7 @@
                 None => ("200 OK", self.list(kind)),
             },
             ("PUT", Some(name)) if !self.names(kind).iter().any(|other| other == name) => {
-                ("404 Not Found", "{}".to_owned())
+                ("404 Not Found", b"{}".to_vec())
             }
             ("PUT", Some(name)) => self.write(kind, name, request),
             ("POST", None) => {
@@ -129,34 +164,36 @@
                 let name = name.split('"').next().unwrap_or_default();
                 self.write(kind, name, request)
             }
-            _ => ("404 Not Found", "{}".to_owned()),
+            _ => ("404 Not Found", b"{}".to_vec()),
         }
     }
 
-    fn write(&self, kind: &str, name: &str, request: &Message) -> (&'static str, String) {
+    fn write(&self, kind: &str, name: &str, request: &Message) -> (&'static str, Vec<u8>) {
         let body = request.body_text();
         let spec = body
             .split_once("\"spec\":")
             .map_or("null}", |(_, rest)| rest);
         let spec = &spec[..spec.len() - 1];
-        let revision = self.change(kind, name, Some(spec.to_owned()));
-        ("200 OK", object(name, revision, spec))
+        let revision = self.change(kind, name, Some(spec.as_bytes().to_vec()));
+        ("200 OK", object(name, revision, spec.as_bytes()))
     }
 
-    fn list(&self, kind: &str) -> String {
+    fn list(&self, kind: &str) -> Vec<u8> {
         let state = self.state.0.lock().expect("no panic holds the lock");
         let objects = state.objects.iter().filter(|((other, _), _)| other == kind);
-        let items: Vec<String> = objects
+        let items: Vec<Vec<u8>> = objects
             .map(|((_, name), (revision, spec))| object(name, *revision, spec))
             .collect();
-        let items = items.join(",");
-        format!(
-            "{{\"items\":[{items}],\"has_more\":false,\"at\":{}}}",
-            state.revision
-        )
+        let end = format!("],\"has_more\":false,\"at\":{}}}", state.revision);
+        [
+            b"{\"items\":[",
+            items.join(&b',').as_slice(),
+            end.as_bytes(),
+        ]
+        .concat()
     }
 
-    fn watch(&self, kind: &str, since: u64, wait_ms: Option<u64>) -> String {
+    fn watch(&self, kind: &str, since: u64, wait_ms: Option<u64>) -> Vec<u8> {
         let (mutex, changed) = &*self.state;
         let until = Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0));
         let mut state = mutex.lock().expect("no panic holds the lock");
@@ -165,11 +202,16 @@
                 .changes
                 .iter()
                 .filter(|change| change.revision > since && change.kind == kind);
-            let events: Vec<String> = newer.map(event).collect();
+            let events: Vec<Vec<u8>> = newer.map(event).collect();
             let remaining = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || remaining.is_zero() {
-                let events = events.join(",");
-                return format!("{{\"events\":[{events}],\"at\":{}}}", state.revision);
+                let end = format!("],\"at\":{}}}", state.revision);
+                return [
+                    b"{\"events\":[",
+                    events.join(&b',').as_slice(),
+                    end.as_bytes(),
+                ]
+                .concat();
             }
             let waited = changed.wait_timeout(state, remaining);
             state = waited.expect("no panic holds the lock").0;
@@ -177,18 +219,19 @@
     }
 }
 
-fn event(change: &Change) -> String {
-    let spec = change.spec.as_deref().unwrap_or("null");
+fn event(change: &Change) -> Vec<u8> {
+    let spec = change.spec.as_deref().unwrap_or(b"null");
     let object = object(&change.name, change.revision, spec);
-    let deleted = change.spec.is_none();
-    format!("{{\"deleted\":{deleted},\"object\":{object}}}")
+    let begin = format!("{{\"deleted\":{},\"object\":", change.spec.is_none());
+    [begin.as_bytes(), &object, b"}"].concat()
 }
 
-fn object(name: &str, revision: u64, spec: &str) -> String {
-    format!(
+fn object(name: &str, revision: u64, spec: &[u8]) -> Vec<u8> {
+    let begin = format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"created\":1,\
-         \"finalizers\":[],\"deleting\":false}},\"spec\":{spec},\"status\":null}}"
-    )
+         \"finalizers\":[],\"deleting\":false}},\"spec\":"
+    );
+    [begin.as_bytes(), spec, b",\"status\":null}"].concat()
 }
 
 fn parameter(query: &str, name: &str) -> Option<u64> {
