review: a stream resumed before its first event loses event 0 (ORDER)

Tried: a model engine resets a resumable stream between the head and the first event; the engines number events from 0.

--- a/review/standins/src/bin/malformed_count.rs
+++ b/review/standins/src/bin/malformed_count.rs
@@ -11,6 +11,7 @@
 use review_standins::requester;
 use review_standins::requester::Requester;
 use review_standins::site;
+use review_standins::site::Streams;
 use review_standins::store::Store;
 
 const BOOKINGS: usize = 6;
@@ -44,7 +45,7 @@
         site::start_plain(&store, &record, id, zone, BOOKING_WORK, &Default::default())?;
     }
     for (id, zone) in [("i-llm-1", "arita"), ("i-llm-2", "hakata")] {
-        site::start_engine(&store, &record, id, zone, 10, &results, &given)?;
+        site::start_engine(&store, &record, id, zone, Streams::of(10), &results, &given)?;
     }
     for (id, zone) in [("i-glaze-1", "arita"), ("i-glaze-2", "hakata")] {
         site::start_stage(&store, &record, id, zone, &results, Default::default())?;
--- a/review/standins/src/bin/shifted_stage_answers.rs
+++ b/review/standins/src/bin/shifted_stage_answers.rs
@@ -18,6 +18,7 @@
 use review_standins::site;
 use review_standins::site::Given;
 use review_standins::site::StageFault;
+use review_standins::site::Streams;
 use review_standins::store::Store;
 
 const REQUESTERS: usize = 6;
@@ -48,7 +49,7 @@
     let results = Default::default();
     let given: Arc<Mutex<Vec<Given>>> = Arc::default();
     for (id, zone) in [("i-llm-1", "arita"), ("i-llm-2", "hakata")] {
-        site::start_engine(&store, &record, id, zone, 3, &results, &given)?;
+        site::start_engine(&store, &record, id, zone, Streams::of(3), &results, &given)?;
     }
     let fault = StageFault {
         repeats_failure: record::has_trouble(),
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -198,7 +198,7 @@
     record: &Record,
     id: &str,
     zone: &str,
-    events: u32,
+    streams: Streams,
     results: &Results,
     given: &Arc<Mutex<Vec<Given>>>,
 ) -> io::Result<Target> {
@@ -233,21 +233,57 @@
                 request: request_id.to_owned(),
                 inputs,
             });
-            write_stream(&stream, request_id, events)?;
+            let last = request.header("last-event-id");
+            if let Some(last) = last {
+                record.line(&format!("{} goes on after event {last}", served.id));
+            }
+            let next = last.and_then(|last| last.parse::<u32>().ok());
+            let next = next.map_or(streams.first_id, |last| last + 1);
+            write_stream(&stream, request_id, next, &streams)?;
         }
     });
     Ok(target)
 }
 
-fn write_stream(mut stream: &TcpStream, request_id: &str, events: u32) -> io::Result<()> {
+/// The streams of a model engine.
+#[derive(Clone, Default)]
+pub struct Streams {
+    /// Identifier of the first event.
+    pub first_id: u32,
+    /// Number of events.
+    pub events: u32,
+    /// The engine crashes when it has sent the head of the next stream.
+    pub crash_next: Arc<AtomicBool>,
+}
+
+impl Streams {
+    /// Streams with a number of events, the first of which has the identifier 1.
+    pub fn of(events: u32) -> Self {
+        Self {
+            first_id: 1,
+            events,
+            ..Self::default()
+        }
+    }
+}
+
+fn write_stream(
+    mut stream: &TcpStream,
+    request_id: &str,
+    next: u32,
+    streams: &Streams,
+) -> io::Result<()> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
          X-Arbutushaven-Request-Id: {request_id}\r\n\
          X-Arbutushaven-Server-Stamp: stamp.{request_id}\r\nKeep-Alive: timeout=10\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
-    for number in 1..=events {
+    for number in next..streams.first_id + streams.events {
         thread::sleep(EVENT_GAP);
+        if streams.crash_next.swap(false, Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let event = format!("id: {number}\ndata: {request_id} {number}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         stream.write_all(chunk.as_bytes())?;
