--- a/review/standins/src/bin/malformed_count.rs
+++ b/review/standins/src/bin/malformed_count.rs
@@ -2,8 +2,12 @@
 //! on kept connections.
 
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use review_standins::instance::Instance;
 use review_standins::record;
@@ -55,9 +59,11 @@
     thread::sleep(CONTACT);
 
     let frontend = first.frontend;
+    let first_bookings = Arc::new(AtomicUsize::new(0));
     let waiting: Vec<_> = (0..BOOKINGS)
         .map(|_| {
             let record = record.clone();
+            let first_bookings = Arc::clone(&first_bookings);
             thread::spawn(move || -> std::io::Result<bool> {
                 let mut requester = Requester::connect(&record, frontend)?;
                 let mut book = || {
@@ -68,12 +74,17 @@
                 if before.status() != 200 {
                     return Err(std::io::Error::other("the first booking was not served"));
                 }
+                first_bookings.fetch_add(1, Ordering::SeqCst);
                 Ok(book().is_ok())
             })
         })
         .collect();
-    // The second bookings are at the back ends now.
-    thread::sleep(BOOKING_WORK + Duration::from_millis(250));
+    let give_up = Instant::now() + BOOKING_LIMIT;
+    while first_bookings.load(Ordering::SeqCst) < BOOKINGS && Instant::now() < give_up {
+        thread::sleep(Duration::from_millis(10));
+    }
+    // The second bookings are at the back ends soon.
+    thread::sleep(Duration::from_millis(200));
     let pieces = if record::has_trouble() {
         "18446744073709551615"
     } else {
