--- a/review/standins/src/bin/resume_before_first_event.rs
+++ b/review/standins/src/bin/resume_before_first_event.rs
@@ -17,6 +17,8 @@
 use review_standins::site::Streams;
 use review_standins::store::Store;
 
+/// One crash among these stays within a share of 0.17.
+const ENGINES: usize = 6;
 const EVENTS: u32 = 6;
 const LIMIT: Duration = Duration::from_millis(12_000);
 const CONTACT: Duration = Duration::from_millis(4_000);
@@ -44,8 +46,17 @@
         events: EVENTS,
         crash_next: Arc::new(AtomicBool::new(false)),
     };
-    for (id, zone) in [("i-llm-1", "arita"), ("i-llm-2", "hakata")] {
-        site::start_engine(&store, &record, id, zone, streams.clone(), &results, &given)?;
+    for number in 1..=ENGINES {
+        let (id, zone) = (format!("i-llm-{number}"), ["arita", "hakata"][number % 2]);
+        site::start_engine(
+            &store,
+            &record,
+            &id,
+            zone,
+            streams.clone(),
+            &results,
+            &given,
+        )?;
     }
     for (id, zone) in [("i-glaze-1", "arita"), ("i-glaze-2", "hakata")] {
         site::start_stage(&store, &record, id, zone, &results, Default::default())?;
--- a/review/standins/src/drain.rs
+++ b/review/standins/src/drain.rs
@@ -54,7 +54,13 @@
     site::write_config(&store);
     let runs = Runs::default();
     let leaving = site::start_plain(&store, &record, "i-order-1", "arita", BOOKING_WORK, &runs)?;
-    site::start_plain(&store, &record, "i-order-2", "hakata", BOOKING_WORK, &runs)?;
+    for (id, zone) in [
+        ("i-order-2", "arita"),
+        ("i-order-3", "hakata"),
+        ("i-order-4", "hakata"),
+    ] {
+        site::start_plain(&store, &record, id, zone, BOOKING_WORK, &runs)?;
+    }
     let second_store = store.at_another_address()?;
     let first = Instance::start(&record, "edge-arita-1", "arita", store.address)?;
     let second = Instance::start(&record, "edge-hakata-1", "hakata", second_store.address)?;
