serving: resume a stream without an event from its beginning

Cause: `Relay::resume` sent `Last-Event-Id: 0` in place of an unknown last event. Ruled out: the event splitter, which has nothing to compare with before the first event.

`dispatch::send` now takes a `SendKind`, so that a resumption without a last event sends no `Last-Event-Id` and still counts as a retry. Other defaults for unknown values in platform, serving, policy and daemon were read; none reaches the wire in place of an identifier.

--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -179,28 +179,47 @@
     MaybeExecuted(String),
 }
 
+/// Whether a request is sent for its whole response or for the rest of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendKind {
+    /// No target has begun to respond.
+    Initial,
+    /// The stream of another target was cut off; that target has executed the request in part.
+    Resumption {
+        /// The last event that the client has; `None` if it has none, so that the target sends the
+        /// stream from its beginning. Targets choose the identifier of their first event.
+        last_event_id: Option<u64>,
+    },
+}
+
+impl SendKind {
+    fn last_event_id(self) -> Option<u64> {
+        match self {
+            Self::Initial => None,
+            Self::Resumption { last_event_id } => last_event_id,
+        }
+    }
+}
+
 /// Sends a request to targets until one of them responds.
 ///
-/// With `last_event_id`, the target continues a stream after that event. Such a request has already
-/// been executed in part.
-///
 /// # Errors
 ///
 /// Returns the cause, and whether a target may have executed the request.
 pub async fn send(
     context: &mut RequestContext,
     stages: &mut RequestStages,
-    last_event_id: Option<u64>,
+    kind: SendKind,
 ) -> Result<TargetResponse, DispatchError> {
     let mut history = AttemptHistory::default();
-    send_with_retries(context, stages, &mut history, last_event_id).await
+    send_with_retries(context, stages, &mut history, kind).await
 }
 
 async fn send_with_retries(
     context: &mut RequestContext,
     stages: &mut RequestStages,
     history: &mut AttemptHistory,
-    last_event_id: Option<u64>,
+    kind: SendKind,
 ) -> Result<TargetResponse, DispatchError> {
     loop {
         let selected = target_choice::wait_for_target(context, &history.tried_targets).await;
@@ -223,14 +242,14 @@
             });
         }
         // Resuming a stream sends the request to another target, so it counts as a retry too.
-        let is_retry = history.attempts > 0 || last_event_id.is_some();
+        let is_retry = history.attempts > 0 || kind != SendKind::Initial;
         if is_retry && !context.shared.try_retry(&context.service) {
             return Err(dispatch_error(context, "retry budget exhausted"));
         }
         history.attempts += 1;
         history.tried_targets.insert(entry.id.clone());
         context.record.targets.push(entry.id.clone());
-        let reason = match send_once(context, stages, &entry, last_event_id).await {
+        let reason = match send_once(context, stages, &entry, kind.last_event_id()).await {
             AttemptOutcome::Responded(target_response) => {
                 context.possible_executions += 1;
                 let should_retry = !target_response.is_success
@@ -319,7 +338,8 @@
         if !may_retry {
             return Err(dispatch_error(context, &reason));
         }
-        target_response = send_with_retries(context, stages, &mut history, None).await?;
+        target_response =
+            send_with_retries(context, stages, &mut history, SendKind::Initial).await?;
     }
 }
 
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -17,6 +17,7 @@
 use crate::crashes;
 use crate::dispatch;
 use crate::dispatch::DispatchError;
+use crate::dispatch::SendKind;
 use crate::frontend::InProgressGuard;
 use crate::metrics::OutcomeLabels;
 use crate::metrics::RequestLabels;
@@ -413,10 +414,11 @@
     if !context.route.stages.is_empty() {
         context.record.stages_ms = Some(shared.now() - context.arrived_at);
     }
-    let target_response = match dispatch::send(&mut context, &mut request_stages, None).await {
-        Ok(target_response) => target_response,
-        Err(error) => return Ok(error_response(context, error, guard)),
-    };
+    let target_response =
+        match dispatch::send(&mut context, &mut request_stages, SendKind::Initial).await {
+            Ok(target_response) => target_response,
+            Err(error) => return Ok(error_response(context, error, guard)),
+        };
     if context.route.kind == RouteKind::Stream && target_response.is_success {
         return Ok(stream::respond(
             context,
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::crashes;
 use crate::crashes::PromptSuspicion;
 use crate::dispatch;
+use crate::dispatch::SendKind;
 use crate::dispatch::TargetAttempt;
 use crate::dispatch::TargetResponse;
 use crate::frontend::InProgressGuard;
@@ -121,8 +122,10 @@
         self.splitter.switch_source();
         let computed = self.stages.compute_missing(&self.context).await;
         computed.map_err(|error| format!("cannot resume the stream: {error:?}"))?;
-        let last_event = Some(self.splitter.last_id().unwrap_or(0));
-        let target_response = dispatch::send(&mut self.context, &mut self.stages, last_event)
+        let kind = SendKind::Resumption {
+            last_event_id: self.splitter.last_id(),
+        };
+        let target_response = dispatch::send(&mut self.context, &mut self.stages, kind)
             .await
             .map_err(|error| format!("cannot resume the stream: {error:?}"))?;
         if !target_response.is_success {
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddrV4;
+use std::ops::Range;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -36,6 +37,8 @@
 
 /// Number of events of a complete stream.
 pub const EVENT_COUNT: u64 = 6;
+/// Identifier of the first event of a stream; the protocol prescribes none.
+const FIRST_EVENT_ID: u64 = 1;
 /// Delay before each event of a stream.
 const EVENT_DELAY: Duration = Duration::from_millis(15);
 /// Body of a response to a request that fails.
@@ -101,6 +104,8 @@
     response_delay: Duration,
     /// Delay before each event of a stream, if not [`EVENT_DELAY`].
     event_delay: Option<Duration>,
+    /// Identifier of the first event of a stream, if not [`FIRST_EVENT_ID`].
+    first_event_id: Option<u64>,
     /// Whether streams consist of single bytes of an event that does not end.
     drips: bool,
     /// Minimum size of a response body that is not a stream.
@@ -188,6 +193,11 @@
         self.lock().event_delay = Some(delay);
     }
 
+    /// Numbers the events of streams that begin from now on from this identifier.
+    pub fn set_first_event_id(&self, id: u64) {
+        self.lock().first_event_id = Some(id);
+    }
+
     /// Sends a byte of an event that does not end from time to time, in streams that begin from now
     /// on.
     pub fn set_dripping(&self) {
@@ -362,13 +372,16 @@
         return respond(status, &headers, TargetBody::with_content(text.as_bytes()));
     }
     if head.headers.contains_key(names::TOKEN_COUNTS) {
-        let last_event: u64 = header_text(&names::LAST_EVENT_ID).parse().unwrap_or(0);
-        let abort_after = match fault {
-            Some(Fault::AbortAfterEvents(events)) => Some(last_event + events),
+        let first_id = target.lock().first_event_id.unwrap_or(FIRST_EVENT_ID);
+        let last_event: Option<u64> = header_text(&names::LAST_EVENT_ID).parse().ok();
+        let next_event = last_event.map_or(first_id, |id| id + 1);
+        let aborted_event = match fault {
+            Some(Fault::AbortAfterEvents(events)) => Some(next_event + events),
             _ => None,
         };
         headers.push((http::header::CONTENT_TYPE, "text/event-stream".to_owned()));
-        let mut body = TargetBody::events(last_event + 1, abort_after, completion);
+        let end = first_id + EVENT_COUNT;
+        let mut body = TargetBody::events(next_event..end, aborted_event, completion);
         let (event_delay, drips) = {
             let state = target.lock();
             (state.event_delay, state.drips)
@@ -452,10 +465,10 @@
     content: Option<Bytes>,
     /// Whether the connection breaks after the content.
     is_truncated: bool,
-    /// Number of the next event; `None` if the body is not a sequence of events.
-    next_event: Option<u64>,
-    /// Number of the last complete event before the connection breaks.
-    abort_after: Option<u64>,
+    /// Identifiers of the events to send; `None` if the body is not a sequence of events.
+    events: Option<Range<u64>>,
+    /// The event of which half is sent before the connection breaks.
+    aborted_event: Option<u64>,
     /// Whether the target crashes instead of the first event.
     is_deadly: bool,
     event_delay: Duration,
@@ -470,8 +483,8 @@
         Self {
             content: None,
             is_truncated: false,
-            next_event: None,
-            abort_after: None,
+            events: None,
+            aborted_event: None,
             is_deadly: false,
             event_delay: EVENT_DELAY,
             drips: false,
@@ -487,10 +500,14 @@
         }
     }
 
-    fn events(first: u64, abort_after: Option<u64>, completion: ResponseCompletion) -> Self {
+    fn events(
+        events: Range<u64>,
+        aborted_event: Option<u64>,
+        completion: ResponseCompletion,
+    ) -> Self {
         Self {
-            next_event: Some(first),
-            abort_after,
+            events: Some(events),
+            aborted_event,
             completion: Some(completion),
             ..Self::empty()
         }
@@ -517,14 +534,11 @@
         if self.is_truncated {
             return Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())));
         }
-        let Some(event) = self.next_event else {
+        let Some(events) = self.events.clone().filter(|events| !events.is_empty()) else {
             self.record_completion();
             return Poll::Ready(None);
         };
-        if event > EVENT_COUNT {
-            self.record_completion();
-            return Poll::Ready(None);
-        }
+        let event = events.start;
         let event_delay = self.event_delay;
         let delay = self
             .delay
@@ -544,18 +558,13 @@
             // The connection breaks with all others of the target.
             return Poll::Pending;
         }
-        // Half of the event after the last complete one has been sent.
-        if self
-            .abort_after
-            .is_some_and(|last_event| event > last_event + 1)
-        {
+        // Half of the aborted event has been sent.
+        if self.aborted_event.is_some_and(|aborted| event > aborted) {
             return Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())));
         }
-        self.next_event = Some(event + 1);
+        self.events = Some(event + 1..events.end);
         let content = format!("id: {event}\ndata: token {event}\n\n");
-        let is_aborted = self
-            .abort_after
-            .is_some_and(|last_event| event > last_event);
+        let is_aborted = self.aborted_event == Some(event);
         let end = if is_aborted {
             content.len() / 2
         } else {
