watch: check a pending watch against the revision of the store

Cause: a watch whose response is lost while its connection stays open waits for its own timeout (20 s and 2 s). The probe uses another connection and is served, and TCP keep-alive is answered by the system of the store. Ruled out: a response that cannot be decoded (no line says so), and a stale watcher that is followed (both instances were watchers).

Every second probe is now up to date and reads the store's revision; a watch that stays behind it for 0.3 s is checked by a call that returns at once. The same code serves all four kinds of objects, so the configuration, evacuations and the list of instances are covered too. The decision is policy::serving::pending_watch, without I/O; the shell is watch::liveness, with the probe.

--- a/crates/daemon/tests/platform_watch.rs
+++ b/crates/daemon/tests/platform_watch.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::thread;
 use std::time::Duration;
 
+use crate::common::TestCluster;
 use crate::common::start_cluster;
+use arbutus_platform::store::ObjectKind;
 use arbutus_policy::serving::model::RouteKind;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::example::configuration;
@@ -16,6 +19,107 @@
 /// Time within which a change in the store has to take effect.
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 
+/// Time within which the store has lost its responses, which it does at once.
+const LOSS: Duration = Duration::from_millis(300);
+/// Rest of the 3 s after a disruption of the store, until changes have to take effect in time again.
+const REST_OF_CONTACT: Duration = Duration::from_millis(2_700);
+/// Time within which a target that drains has to get its last request.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// Starts two instances, both of which watch the store because their failure domains differ.
+fn start_watchers() -> TestCluster {
+    let cluster = start_cluster(2);
+    thread::sleep(Duration::from_millis(1_500));
+    cluster
+}
+
+/// Waits until the store has lost a response to each instance.
+fn wait_for_lost_responses(cluster: &TestCluster, kind: ObjectKind) {
+    thread::sleep(LOSS);
+    assert_eq!(cluster.platform.store.lose_watch_responses(kind, 0), 0);
+}
+
+/// Returns the status of a request at each instance.
+fn statuses(cluster: &TestCluster, path: &str) -> Vec<u16> {
+    let instances = cluster.instances.iter();
+    instances
+        .map(|instance| {
+            let response = ClientRequest::new("GET", path, path).call(instance.client_address());
+            response.expect("the instance accepts connections").status
+        })
+        .collect()
+}
+
+/// Guards against routes and keys of an old configuration that are served on, because the store has
+/// lost the response of a watch and its connection stays open.
+#[test]
+fn a_configuration_whose_watch_response_is_lost_is_in_force_in_time() {
+    let cluster = start_watchers();
+    let store = &cluster.platform.store;
+    store.lose_watch_responses(ObjectKind::Configuration, 2);
+    let mut newer = configuration(5);
+    newer.routes.push(route("/new/", RouteKind::Safe, "desk"));
+    store
+        .put_configuration(&newer)
+        .expect("the object can be encoded");
+    wait_for_lost_responses(&cluster, ObjectKind::Configuration);
+    thread::sleep(REST_OF_CONTACT);
+    assert_eq!(statuses(&cluster, "/new/1"), [200, 200]);
+    // The watch that follows the lost one has to report changes, too.
+    let mut without_keys = configuration(6);
+    without_keys.organisations_by_key = Some(BTreeMap::new());
+    store
+        .put_configuration(&without_keys)
+        .expect("the object can be encoded");
+    thread::sleep(CONFIGURATION_BOUND);
+    assert_eq!(statuses(&cluster, "/safe/1"), [401, 401]);
+}
+
+/// Guards against requests to a target that drains, and that are lost when it exits, because the
+/// store has lost the response of a watch that told of an earlier change.
+#[test]
+fn a_drain_after_a_lost_watch_response_is_observed_in_time() {
+    let cluster = start_watchers();
+    let store = &cluster.platform.store;
+    let desks = ["d1", "d2"].map(|id| cluster.platform.target(id));
+    store.lose_watch_responses(ObjectKind::Targets, 2);
+    let mut slower = cluster.platform.target("s1").entry();
+    slower.slots += 1;
+    store.put_target(&slower).expect("the entry can be encoded");
+    wait_for_lost_responses(&cluster, ObjectKind::Targets);
+    thread::sleep(REST_OF_CONTACT);
+    let mut draining = desks[0].entry();
+    draining.accepts_work = false;
+    store
+        .put_target(&draining)
+        .expect("the entry can be encoded");
+    thread::sleep(DRAIN_BOUND);
+    let served_before = desks[0].executed_requests().len();
+    for _ in 0..10 {
+        assert_eq!(statuses(&cluster, "/safe/1"), [200, 200]);
+    }
+    assert_eq!(desks[0].executed_requests().len(), served_before);
+    assert!(desks[1].executed_requests().len() >= 20);
+}
+
+/// Guards against requests to the targets of an evacuated failure domain, because the store has lost
+/// the response of the watch that told of the evacuation.
+#[test]
+fn an_evacuation_whose_watch_response_is_lost_is_in_force_in_time() {
+    let cluster = start_watchers();
+    let store = &cluster.platform.store;
+    store.lose_watch_responses(ObjectKind::Evacuations, 2);
+    store.put(ObjectKind::Evacuations, "x", "{}".to_owned());
+    wait_for_lost_responses(&cluster, ObjectKind::Evacuations);
+    thread::sleep(REST_OF_CONTACT);
+    let target = cluster.platform.target("d1");
+    let served_before = target.executed_requests().len();
+    for _ in 0..10 {
+        assert_eq!(statuses(&cluster, "/safe/1"), [200, 200]);
+    }
+    assert_eq!(target.executed_requests().len(), served_before);
+}
+
 /// Guards against an instance that begins to watch the store and continues from the revision that it
 /// knows: the store may have dropped the history since then without telling watches.
 #[test]
--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -16,6 +16,7 @@
 pub mod leaving_targets;
 pub mod model;
 pub mod ownership;
+pub mod pending_watch;
 pub mod placement;
 pub mod prompt_quarantine;
 pub mod retry_budget;
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod leaving_targets;
 mod limits;
 mod ownership;
+mod pending_watch;
 mod placement;
 mod prompt_quarantine;
 mod result_space;
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -31,6 +31,9 @@
 /// Timeout of a call, in addition to the time that the call asks the store to wait.
 const CALL_TIMEOUT_MS: Millis = Millis(2_000);
 
+/// Timeout of calls that return little and at once. A slow store takes up to 300 ms.
+pub const SHORT_CALL_TIMEOUT_MS: Millis = Millis(450);
+
 /// Why a call to the store failed.
 #[derive(Debug, Display)]
 pub enum StoreError {
@@ -112,6 +115,21 @@
         decode_watch(&body).map_err(StoreError::Malformed)
     }
 
+    /// Returns the changes after a revision without waiting for one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`StoreClient::watch`] does.
+    pub async fn changes_since(
+        &self,
+        kind: ObjectKind,
+        revision: u64,
+    ) -> Result<WatchResponse, StoreError> {
+        let path = watch_path(kind, revision, Millis::ZERO);
+        let call = self.call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
+        decode_watch(&call.await?).map_err(StoreError::Malformed)
+    }
+
     /// Makes one call and returns the response body.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/serving/src/watch/liveness.rs
@@ -0,0 +1,133 @@
+//! Whether the store responds, and whether a pending watch still reports changes.
+//!
+//! A pending watch looks the same when the store has stopped responding, or has lost the response
+//! and left the connection open. Periodic reads on another connection notice the first; the revision
+//! that they return, compared with that of the watch, shows the second.
+
+use std::pin::pin;
+use std::rc::Rc;
+
+use http::Method;
+use log::info;
+use log::warn;
+
+use super::StoreState;
+use crate::net::sleep;
+use crate::store::SHORT_CALL_TIMEOUT_MS;
+use crate::store::StoreError;
+use arbutus_coord::Millis;
+use arbutus_platform::store::ObjectKind;
+use arbutus_platform::store::WatchResponse;
+use arbutus_platform::store::decode_list;
+use arbutus_platform::store::list_path;
+use arbutus_platform::store::stale_list_path;
+use arbutus_policy::serving::pending_watch::PendingWatch;
+
+/// How long a watch call waits for a change. An unchanged store costs three calls per minute and
+/// kind.
+const LONG_POLL_MS: Millis = Millis(20_000);
+/// Interval of the calls that check whether the store responds. If it does not, followers switch to
+/// another watcher, and changes must still take effect within 2 s.
+const PROBE_INTERVAL_MS: Millis = Millis(500);
+/// Every so many probes, one is up to date and shows the revision of the store. Changes whose watch
+/// response was lost must take effect within 3 s; half of that is left for reading them and for
+/// passing them on to followers. The other probes may be stale, which is cheaper.
+const PROBES_PER_REVISION_READ: u32 = 2;
+
+impl StoreState {
+    /// Periodically checks whether the store responds, and reads its revision.
+    ///
+    /// # Errors
+    ///
+    /// Never returns; supervised tasks must have a `Result` as their return type.
+    pub async fn probe(self: Rc<Self>) -> Result<(), String> {
+        let mut probe_count: u32 = 0;
+        loop {
+            self.wait_for_watcher_role(true).await;
+            let responds = if probe_count.is_multiple_of(PROBES_PER_REVISION_READ) {
+                self.read_revision().await
+            } else {
+                self.probe_stale().await
+            };
+            probe_count = probe_count.wrapping_add(1);
+            if let Err(error) = &responds
+                && self.is_reachable()
+            {
+                warn!(error:%; "the store does not respond");
+            }
+            self.record_reachability(responds.is_ok());
+            sleep(PROBE_INTERVAL_MS).await;
+        }
+    }
+
+    async fn probe_stale(&self) -> Result<(), StoreError> {
+        let kind = ObjectKind::Evacuations;
+        let path = stale_list_path(kind);
+        let call = self
+            .client
+            .call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
+        call.await.map(drop)
+    }
+
+    /// Reads the current revision of the store with the smallest list.
+    async fn read_revision(&self) -> Result<(), StoreError> {
+        let kind = ObjectKind::Evacuations;
+        let path = list_path(kind, None);
+        let call = self
+            .client
+            .call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
+        let page = decode_list(&call.await?).map_err(StoreError::Malformed)?;
+        self.store_revision.send_if_modified(|revision| {
+            let is_later = page.revision > *revision;
+            *revision = page.revision.max(*revision);
+            is_later
+        });
+        Ok(())
+    }
+
+    /// Waits for changes of a kind after a revision, and checks the pending watch whenever the store
+    /// is known to be at a later revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the watch or a check fails.
+    pub(super) async fn wait_for_changes(
+        &self,
+        kind: ObjectKind,
+        revision: u64,
+    ) -> Result<WatchResponse, StoreError> {
+        let mut store_revision = self.store_revision.subscribe();
+        let mut pending = PendingWatch::new(revision);
+        let known_revision = *store_revision.borrow_and_update();
+        pending.record_store_revision(self.shared.now(), known_revision);
+        let mut response = pin!(self.client.watch(kind, revision, LONG_POLL_MS));
+        loop {
+            let check_due = async {
+                match pending.check_due_at() {
+                    Some(due_at) => sleep(due_at - self.shared.now()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                response = response.as_mut() => return response,
+                Ok(()) = store_revision.changed() => {
+                    let known_revision = *store_revision.borrow_and_update();
+                    pending.record_store_revision(self.shared.now(), known_revision);
+                }
+                () = check_due => {
+                    let checked = self.client.changes_since(kind, pending.revision()).await?;
+                    if !checked.changes.is_empty() || checked.undecodable > 0 {
+                        info!(
+                            kind = kind.label(), watched = revision, revision = checked.revision,
+                            changes = checked.changes.len();
+                            "a watch did not report changes of the store"
+                        );
+                        return Ok(checked);
+                    }
+                    pending.record_unchanged(checked.revision);
+                }
+            }
+        }
+    }
+}
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -1,11 +1,11 @@
 //! Local copy of the store objects.
 //!
-//! A watcher runs one task per kind of objects, which lists the objects and then waits for changes.
-//! Twice a second, a cheap call checks whether the store responds, because a pending watch call
-//! looks the same when the store has stopped responding. Other instances follow a watcher; see
+//! A watcher runs one task per kind of objects, which lists the objects and then waits for changes;
+//! see [`liveness`] for a store that stops responding. Other instances follow a watcher; see
 //! [`crate::watcher_selection`]. During a store outage, an instance also takes newer objects from
 //! any peer.
 
+mod liveness;
 mod store_role;
 
 use std::cell::Cell;
@@ -24,6 +24,7 @@
 use crate::net::sleep;
 use crate::peer_messages::PeerReply;
 use crate::shared::Shared;
+use crate::store::SHORT_CALL_TIMEOUT_MS;
 use crate::store::StoreClient;
 use crate::store::StoreError;
 use crate::update::ObjectCache;
@@ -41,16 +42,12 @@
 use arbutus_platform::store::decode_target;
 use arbutus_platform::store::encode_instance;
 use arbutus_platform::store::object_path;
-use arbutus_platform::store::stale_list_path;
 use arbutus_policy::serving::model::TargetEntry;
 use arbutus_policy::serving::routes::RouteTable;
 use arbutus_policy::serving::store_role::StoreRole;
 use arbutus_policy::serving::store_role::StoreRoleState;
 use arbutus_policy::serving::target_directory::TargetChange;
 
-/// How long a watch call waits for a change. An unchanged store costs three calls per minute and
-/// kind.
-const LONG_POLL_MS: Millis = Millis(20_000);
 /// Pause after a change, so that one call returns all changes that follow closely. Changes must
 /// take effect within 2 s of their acknowledgement.
 const COALESCE_MS: Millis = Millis(120);
@@ -61,11 +58,8 @@
 const MIN_RETRY_DELAY_MS: Millis = Millis(250);
 /// Maximum delay after a failed call.
 const MAX_RETRY_DELAY_MS: Millis = Millis(2_000);
-/// Interval of the calls that check whether the store responds. If it does not, followers switch to
-/// another watcher, and changes must still take effect within 2 s.
-const PROBE_INTERVAL_MS: Millis = Millis(500);
-/// Timeout of probes and of the registration of this instance. A slow store takes up to 300 ms.
-const PROBE_TIMEOUT_MS: Millis = Millis(450);
+/// Delay before another attempt to register this instance.
+const REGISTRATION_RETRY_DELAY_MS: Millis = Millis(500);
 /// Time after a store outage during which a missing entry may have expired rather than have been
 /// removed. Its owner registers it again within 2 s of the store's recovery.
 const OUTAGE_EXPIRY_MS: Millis = Millis(3_000);
@@ -90,6 +84,8 @@
     compressed_updates: RefCell<BTreeMap<(ObjectKind, u64), CompressedUpdate>>,
     /// Whether the store responds, and since when.
     reachability: watch::Sender<(bool, Millis)>,
+    /// The highest revision that the store was read at, up to date.
+    store_revision: watch::Sender<u64>,
     role_state: RefCell<StoreRoleState>,
     /// The current role in `role_state`, for tasks that wait for it to change.
     role: watch::Sender<StoreRole>,
@@ -110,6 +106,7 @@
             caches: RefCell::new(BTreeMap::new()),
             compressed_updates: RefCell::new(BTreeMap::new()),
             reachability: watch::Sender::new((true, Millis::ZERO)),
+            store_revision: watch::Sender::new(0),
             role: watch::Sender::new(StoreRole::Watcher),
             responded_in_role: Cell::new(false),
             changes_sender: watch::Sender::new(0),
@@ -276,7 +273,7 @@
         let mut reachability = self.reachability.subscribe();
         loop {
             let result = tokio::select! {
-                result = self.client.watch(kind, revision, LONG_POLL_MS) => result,
+                result = self.wait_for_changes(kind, revision) => result,
                 // After an outage, the store may never respond to the pending call.
                 () = wait_for_recovery(&mut reachability) => return,
             };
@@ -306,33 +303,6 @@
         }
     }
 
-    /// Periodically checks whether the store responds.
-    ///
-    /// # Errors
-    ///
-    /// Never returns; supervised tasks must have a `Result` as their return type.
-    pub async fn probe(self: Rc<Self>) -> Result<(), String> {
-        let path = stale_list_path(ObjectKind::Evacuations);
-        loop {
-            self.wait_for_watcher_role(true).await;
-            let kind = ObjectKind::Evacuations;
-            let call_future = self
-                .client
-                .call(kind, Method::GET, &path, None, PROBE_TIMEOUT_MS);
-            let responds = match call_future.await {
-                Ok(_) => true,
-                Err(error) => {
-                    if self.is_reachable() {
-                        warn!(error:%; "the store does not respond");
-                    }
-                    false
-                }
-            };
-            self.record_reachability(responds);
-            sleep(PROBE_INTERVAL_MS).await;
-        }
-    }
-
     /// Records whether the store responded to a call.
     ///
     /// Followers are notified of a change immediately, so that they can follow another watcher.
@@ -371,7 +341,7 @@
                 Method::PUT,
                 &path,
                 Some(body.clone()),
-                PROBE_TIMEOUT_MS,
+                SHORT_CALL_TIMEOUT_MS,
             );
             let result = match replace_call.await {
                 Err(StoreError::Status(StatusCode::NOT_FOUND)) => {
@@ -382,7 +352,7 @@
                             Method::POST,
                             &path,
                             Some(body.clone()),
-                            PROBE_TIMEOUT_MS,
+                            SHORT_CALL_TIMEOUT_MS,
                         )
                         .await
                 }
@@ -392,7 +362,7 @@
                 Ok(_) => return Ok(()),
                 Err(error) => {
                     warn!(error:%; "cannot register this instance in the store");
-                    sleep(PROBE_INTERVAL_MS).await;
+                    sleep(REGISTRATION_RETRY_DELAY_MS).await;
                 }
             }
         }
--- a/crates/standins/src/simulated_platform/store.rs
+++ b/crates/standins/src/simulated_platform/store.rs
@@ -37,6 +37,8 @@
     /// Every change with its revision, for watches.
     history: Vec<(u64, ObjectKind, ObjectChange)>,
     is_unavailable: bool,
+    /// Number of responses to watches of a kind that will be lost.
+    lost_watch_responses: BTreeMap<ObjectKind, usize>,
     call_count: usize,
     /// Bandwidth of the links of instances and the counter of their bytes; `None` if the links are
     /// not limited.
@@ -171,6 +173,25 @@
         )?)?)
     }
 
+    /// Loses the next responses to watches of a kind: their connections stay open and return nothing
+    /// further. Returns how many were still to be lost by an earlier call.
+    pub fn lose_watch_responses(&self, kind: ObjectKind, count: usize) -> usize {
+        let mut state = self.lock();
+        let remaining = state.lost_watch_responses.insert(kind, count);
+        remaining.unwrap_or_default()
+    }
+
+    /// Returns whether the response to a watch is to be lost, and counts it.
+    fn takes_lost_watch_response(&self, kind: ObjectKind) -> bool {
+        let mut state = self.lock();
+        let Some(remaining) = state.lost_watch_responses.get_mut(&kind) else {
+            return false;
+        };
+        let is_lost = *remaining > 0;
+        *remaining = remaining.saturating_sub(1);
+        is_lost
+    }
+
     /// Starts or ends an outage, during which all requests receive status 503.
     pub fn set_unavailable(&self, is_unavailable: bool) {
         self.lock().is_unavailable = is_unavailable;
@@ -228,6 +249,9 @@
                     return respond(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
                 }
                 let (changes, latest) = store.changes_after(kind, revision);
+                if store.takes_lost_watch_response(kind) {
+                    std::future::pending::<()>().await;
+                }
                 return respond(StatusCode::OK, store::encode_watch(&changes, latest)?);
             }
             let state = store.lock();
