serving: bound the memory and the time that endless responses take

Callers of all targets lost their requests when one faulty target sent bytes without end: the instance kept every byte of a body until the deadline and exceeded its memory; with interim responses it served nobody else, because the HTTP library skips them without a pause.

Cause: bodies of targets and of the store were collected without a limit; the head of a response had none in time. Ruled out: headers, chunk extensions, trailers and bytes after a response, which the library bounds.

Bodies that are forwarded now share a quarter of the memory of the process (serving::body), 64 KB of each excepted; stage responses, store responses, heads and events have bounds; a connection fails after 64 KB without a head.

--- a/crates/policy/src/serving/event_splitter.rs
+++ b/crates/policy/src/serving/event_splitter.rs
@@ -10,13 +10,14 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Maximum size of an event, which is buffered until it is complete. Targets send no larger ones.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum size of an event, which is buffered until it is complete. Events hold a few tokens; with
+/// this size, hundreds of streams of a faulty target fit into the memory of an instance.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Why the current source of a stream cannot be used any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum StreamError {
-    /// an event is larger than 1 MiB
+    /// an event is larger than 256 KiB
     TooLarge,
     /// events are missing between the last event and the first event of the new target
     Gap,
--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -1,7 +1,12 @@
 //! A single HTTP connection to a target or to the store.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -17,12 +22,23 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 
+use crate::body::BodyError;
 use crate::net;
 use arbutus_coord::Millis;
 
+/// Maximum size of a response head, and of the bytes of a body that were received and not read yet.
+/// Heads have a few hundred bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Value of [`HeadLimitedStream::allowed_bytes`] while a body is received.
+const UNLIMITED: usize = usize::MAX;
+
 /// Why a call over a connection failed.
 #[derive(Debug, Display)]
 pub enum CallError {
@@ -34,6 +50,8 @@
     Interrupted(hyper::Error),
     /// the call timed out
     Timeout,
+    /// cannot read the response body: {0}
+    Body(BodyError),
     /// the response is not one to this request
     Mismatched,
 }
@@ -70,9 +88,71 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Number of bytes that may still arrive before the next response head is complete.
+    allowed_bytes: Rc<Cell<usize>>,
     _driver: AbortOnDrop,
 }
 
+/// The stream of a connection, which fails when too many bytes arrive before a response head.
+///
+/// The HTTP library skips interim responses, however many there are, and does nothing else as long
+/// as they arrive.
+struct HeadLimitedStream {
+    stream: TcpStream,
+    allowed_bytes: Rc<Cell<usize>>,
+}
+
+impl AsyncRead for HeadLimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let allowed = self.allowed_bytes.get();
+        if allowed == 0 {
+            let error = "the response has no head within the size limit";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
+        let filled_before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if allowed != UNLIMITED {
+            let received = buf.filled().len() - filled_before;
+            self.allowed_bytes.set(allowed.saturating_sub(received));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for HeadLimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
 impl Connection {
     /// Connects to an address.
     ///
@@ -83,7 +163,14 @@
         let stream = net::connect(address, timeout_ms)
             .await
             .map_err(CallError::Connect)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let allowed_bytes = Rc::new(Cell::new(MAX_BUFFER_BYTES));
+        let stream = HeadLimitedStream {
+            stream,
+            allowed_bytes: Rc::clone(&allowed_bytes),
+        };
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| CallError::Connect(io::Error::other(error)))?;
         let driver = spawn_local(async move {
@@ -93,6 +180,7 @@
         });
         Ok(Self {
             sender,
+            allowed_bytes,
             _driver: AbortOnDrop::new(driver),
         })
     }
@@ -121,13 +209,13 @@
         if self.sender.ready().await.is_err() {
             return Err(CallError::Unsent);
         }
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => CallError::Unsent,
-                None => CallError::Interrupted(error.into_error()),
-            })
+        self.allowed_bytes.set(MAX_BUFFER_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.allowed_bytes.set(UNLIMITED);
+        response.map_err(|mut error| match error.take_message() {
+            Some(_) => CallError::Unsent,
+            None => CallError::Interrupted(error.into_error()),
+        })
     }
 }
 
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -9,16 +9,16 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::info;
 use tokio::time::timeout;
 
+use crate::body::BodyError;
+use crate::body::CompleteBody;
 use crate::connection;
 use crate::crashes;
 use crate::crashes::PromptSuspicion;
@@ -155,7 +155,7 @@
     /// The headers for the client.
     pub headers: HeaderMap,
     /// The complete body.
-    pub body: Bytes,
+    pub body: CompleteBody,
 }
 
 /// The attempts made so far for a request.
@@ -349,16 +349,19 @@
 ) -> Result<CompleteResponse, String> {
     let (head, body) = target_response.http_response.into_parts();
     let ends_with_connection = connection::ends_with_connection(&head.headers, &body);
-    let body = match context.before_deadline(body.collect()).await {
-        Some(Ok(body)) => body.to_bytes(),
+    let reading = context.shared.body_memory.read(body);
+    let body = match context.before_deadline(reading).await {
+        Some(Ok(body)) => body,
         Some(Err(error)) => {
-            crashes::record_crash_after_head(
-                context,
-                target_response.attempt.target(),
-                &error.to_string(),
-            );
+            if let BodyError::Interrupted(error) = &error {
+                crashes::record_crash_after_head(
+                    context,
+                    target_response.attempt.target(),
+                    &error.to_string(),
+                );
+            }
             target_response.attempt.close(TargetOutcome::Broken);
-            return Err(format!("the response body was cut off: {error}"));
+            return Err(format!("cannot read the response body: {error}"));
         }
         None => {
             target_response.attempt.close(TargetOutcome::Broken);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod announce;
 pub mod background;
+pub mod body;
 pub mod connection;
 pub mod crashes;
 pub mod dispatch;
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -5,15 +5,15 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use log::info;
 use rand::RngExt;
 use tokio::time::timeout;
 
+use crate::body;
+use crate::body::BodyError;
 use crate::crashes;
 use crate::dispatch;
 use crate::dispatch::DispatchError;
@@ -310,7 +310,7 @@
     let client_timeout_ms = client.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = arrived_at + (client_timeout_ms - RESPONSE_MARGIN_MS).min(route.timeout_ms);
     let limits = route_table.configuration().client_limits;
-    let body_future = read_body(body, limits.max_body_bytes);
+    let body_future = body::read_up_to(body, limits.max_body_bytes);
     let body_read_guard = BodyReadGuard {
         shared,
         id: &client.id,
@@ -322,7 +322,7 @@
     let body = match body_result {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLarge)) => return reject(LocalReply::TooLarge, None, guard),
-        Ok(Err(BodyError::Incomplete)) => return reject(LocalReply::BadRequest, None, guard),
+        Ok(Err(_incomplete)) => return reject(LocalReply::BadRequest, None, guard),
         Err(_elapsed) => return reject(LocalReply::SlowBody, None, guard),
     };
     let priority = organisation
@@ -488,22 +488,3 @@
         .map(|part| PartHash::new(service, &part.id))
         .collect()
 }
-
-enum BodyError {
-    TooLarge,
-    Incomplete,
-}
-
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let mut complete = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_error| BodyError::Incomplete)?;
-        if let Ok(data) = frame.into_data() {
-            if complete.len() + data.len() > max_bytes {
-                return Err(BodyError::TooLarge);
-            }
-            complete.extend_from_slice(&data);
-        }
-    }
-    Ok(complete.freeze())
-}
--- a/crates/serving/src/response.rs
+++ b/crates/serving/src/response.rs
@@ -14,6 +14,7 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc::Receiver;
 
+use crate::body::CompleteBody;
 use crate::connection::AbortOnDrop;
 use crate::frontend::InProgressGuard;
 use arbutus_coord::Millis;
@@ -29,7 +30,7 @@
 
 #[derive(Debug)]
 enum Content {
-    Complete(Option<Bytes>),
+    Complete(CompleteBody),
     /// Events as they arrive; an error aborts the client's connection.
     Events {
         events: Receiver<io::Result<Bytes>>,
@@ -40,9 +41,9 @@
 impl ClientBody {
     /// Creates a body from its complete content.
     #[must_use]
-    pub fn complete(bytes: Bytes, guard: InProgressGuard) -> Self {
+    pub fn complete(body: CompleteBody, guard: InProgressGuard) -> Self {
         Self {
-            content: Content::Complete((!bytes.is_empty()).then_some(bytes)),
+            content: Content::Complete(body),
             _guard: guard,
         }
     }
@@ -73,8 +74,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match &mut self.content {
-            Content::Complete(bytes) => {
-                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            Content::Complete(body) => {
+                let block = body.take_block();
+                Poll::Ready(block.map(|bytes| Ok(Frame::data(bytes))))
             }
             Content::Events { events, .. } => events
                 .poll_recv(cx)
@@ -83,14 +85,15 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.content, Content::Complete(None))
+        match &self.content {
+            Content::Complete(body) => body.is_empty(),
+            Content::Events { .. } => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Content::Complete(body) => SizeHint::with_exact(body.len() as u64),
             Content::Events { .. } => SizeHint::default(),
         }
     }
@@ -146,7 +149,7 @@
         build_response(
             self.status(),
             headers,
-            ClientBody::complete(Bytes::new(), guard),
+            ClientBody::complete(CompleteBody::default(), guard),
         )
     }
 }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -9,6 +9,7 @@
 use log::info;
 use tokio::sync::watch;
 
+use crate::body::BodyMemory;
 use crate::metrics::Metrics;
 use crate::net::sleep;
 use crate::pool::Pool;
@@ -109,6 +110,8 @@
     pub crash_quarantine: RefCell<CrashQuarantine>,
     /// The prompt parts that are suspected of crashing targets.
     pub prompt_quarantine: RefCell<PromptQuarantine>,
+    /// The memory that the bodies of responses share.
+    pub body_memory: Rc<BodyMemory>,
     /// Number of requests in progress.
     pub in_progress: Cell<usize>,
     /// Number of open client connections.
@@ -136,6 +139,7 @@
     #[must_use]
     pub fn new(settings: InstanceSettings, clock: Clock) -> Rc<Self> {
         Rc::new(Self {
+            body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
             clock,
             metrics: Metrics::new(),
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -16,7 +16,6 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use log::info;
 use log::warn;
@@ -26,6 +25,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::body;
 use crate::connection::CallError;
 use crate::net::sleep;
 use crate::shared::Shared;
@@ -52,6 +52,8 @@
 /// Time after the start of a call by which the target is assumed to have read the inputs. Inputs
 /// are megabytes sent over fast links, and a target works on one call at a time.
 const INPUTS_READ_AFTER_MS: Millis = Millis(60);
+/// Maximum size of the response to a stage call, which has a handle of some 50 bytes for each piece.
+const MAX_STAGE_RESPONSE_BYTES: usize = 1024 * 1024;
 /// How long an idle queue task sleeps at most.
 const MAX_SLEEP_MS: Millis = Millis(60_000);
 
@@ -525,12 +527,9 @@
     if status != StatusCode::MISDIRECTED_REQUEST {
         target_notices::record_response(shared, entry, status, &headers, sent_at, !not_executed);
     }
-    let body = response
-        .into_body()
-        .collect()
+    let body = body::read_up_to(response.into_body(), MAX_STAGE_RESPONSE_BYTES)
         .await
-        .map_err(CallError::Interrupted)?
-        .to_bytes();
+        .map_err(CallError::Body)?;
     let outcome = match request {
         // A later response on a connection may be a refusal that was written once more.
         _ if not_executed && connection.is_reused() => return Ok(PostOutcome::NotExecuted),
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -10,10 +10,11 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use tokio::time::timeout;
 
+use crate::body;
+use crate::body::BodyError;
 use crate::connection::CallError;
 use crate::connection::Connection;
 use crate::shared::Shared;
@@ -31,6 +32,9 @@
 /// Timeout of a call, in addition to the time that the call asks the store to wait.
 const CALL_TIMEOUT_MS: Millis = Millis(2_000);
 
+/// Maximum size of a response. A page of a list has about 1 MB; a watch may return several versions
+/// of an object of up to 1 MB.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Timeout of calls that return little and at once. A slow store takes up to 300 ms.
 pub const SHORT_CALL_TIMEOUT_MS: Millis = Millis(450);
 
@@ -39,8 +43,8 @@
 pub enum StoreError {
     /// the call failed: {0}
     Call(CallError),
-    /// the response body was cut off: {0}
-    Incomplete(hyper::Error),
+    /// cannot read the response body: {0}
+    Body(BodyError),
     /// the store responded with status {0}
     Status(StatusCode),
     /// cannot decode the response: {0}
@@ -182,12 +186,9 @@
         };
         let response = connection.send(request).await.map_err(StoreError::Call)?;
         let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
+        let body = body::read_up_to(response.into_body(), MAX_RESPONSE_BYTES)
             .await
-            .map_err(StoreError::Incomplete)?
-            .to_bytes();
+            .map_err(StoreError::Body)?;
         self.idle.borrow_mut().push(connection);
         if status.is_success() {
             Ok(body)
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -18,6 +18,7 @@
 
 use crate::process::Process;
 use crate::simulated_platform::client::ClientRequest;
+use crate::usage::ProcessUsage;
 use arbutus_coord::Millis;
 use arbutus_platform::names::READINESS_PATH;
 use arbutus_platform::settings;
@@ -134,6 +135,21 @@
         log_path(&self.settings_file)
     }
 
+    /// Returns the resource usage of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended or its usage cannot be read.
+    pub fn usage(&self) -> io::Result<ProcessUsage> {
+        ProcessUsage::read(self.process.id())
+    }
+
+    /// Returns the memory that the process may use according to its settings.
+    #[must_use]
+    pub fn memory_bytes(&self) -> u64 {
+        self.settings.memory_bytes
+    }
+
     /// Returns the address for requests of clients.
     #[must_use]
     pub fn client_address(&self) -> SocketAddrV4 {
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod example;
+pub mod flooder;
 pub mod instance;
 pub mod link;
 pub mod repeater;
