net: accept clients 50 ms after a failure, not after a growing pause

A client was served only after 4.2 s when the instance had had no descriptor left for a second. Cause: each failure of accept ended the task, and the supervisor doubled the pause before its restart up to 2 s and never reset it. Ruled out: the accept queue (1,024), which was not full.

net::accept retries by itself; clients, peers, readiness and metrics share it.

--- a/crates/daemon/tests/platform_connections.rs
+++ b/crates/daemon/tests/platform_connections.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
+use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::common::start_cluster;
 use arbutus_standins::simulated_platform::client::ClientRequest;
@@ -75,3 +77,30 @@
     assert_eq!(exit.expect("the state can be read"), None);
     assert!(cluster.instances[0].is_ready());
 }
+
+/// Guards against clients that are not accepted for seconds after an instance had no descriptor left
+/// for them, because each failure doubled the pause before the next try.
+#[test]
+fn clients_are_accepted_soon_after_a_shortage_of_descriptors() {
+    const OPEN_FILES: u64 = 60;
+    const SHORTAGE: Duration = Duration::from_secs(4);
+    /// Time within which a client of the platform wants its request to be read.
+    const MAX_READ_TIME: Duration = Duration::from_secs(1);
+    let cluster = start_cluster(1);
+    let address = cluster.instances[0].client_address();
+    let limited = cluster.instances[0].limit_open_files(OPEN_FILES);
+    limited.expect("the limit is set");
+    for round in 0..3 {
+        let idle: Vec<TcpStream> = (0..2 * OPEN_FILES)
+            .map(|_| TcpStream::connect(address).expect("the backlog has space"))
+            .collect();
+        thread::sleep(SHORTAGE / 4);
+        drop(idle);
+        let sent_at = Instant::now();
+        let id = format!("after-{round}");
+        let response = ClientRequest::new("GET", "/safe/1", &id).call(address);
+        assert_eq!(response.expect("the instance responds").status, 200);
+        let took = sent_at.elapsed();
+        assert!(took < MAX_READ_TIME, "{took:?} in round {round}");
+    }
+}
--- a/crates/daemon/tests/platform_shutdown.rs
+++ b/crates/daemon/tests/platform_shutdown.rs
@@ -34,6 +34,9 @@
 const TERMINATION_INTERVAL: Duration = Duration::from_millis(230);
 /// Deadlines of requests, the longest of which exceeds the timeout of the routes.
 const DEADLINES_MS: [&str; 2] = ["1500", "4000"];
+/// A throttled instance runs and pauses in turn, so that it has 0.17 of a processor.
+const THROTTLED_RUN: Duration = Duration::from_millis(10);
+const THROTTLED_PAUSE: Duration = Duration::from_millis(49);
 /// Delay of the responses of targets, so that requests of the last moments are still at a target
 /// when a process ends.
 const RESPONSE_DELAY: Duration = Duration::from_millis(25);
@@ -49,6 +52,8 @@
     response_delay: Duration,
     /// Delay of each event of a stream; `None` if the clients request no streams.
     event_delay: Option<Duration>,
+    /// Whether the instances get only a part of a processor.
+    is_throttled: bool,
 }
 
 /// How a request ended for its client.
@@ -135,6 +140,21 @@
     thread::sleep(Duration::from_millis(pause_ms));
 }
 
+/// Lets an instance run for a part of the time only, until a moment or until it has ended.
+fn throttle_until(instance: &mut InstanceProcess, end: Instant) {
+    while Instant::now() < end
+        && instance
+            .exit_success()
+            .expect("the state is read")
+            .is_none()
+    {
+        instance.pause().expect("the signal is sent");
+        thread::sleep(THROTTLED_PAUSE);
+        instance.resume().expect("the signal is sent");
+        thread::sleep(THROTTLED_RUN);
+    }
+}
+
 /// Terminates an instance after `delay` while clients send requests to it, and waits for its end.
 fn shut_down_under_load(
     instance: &mut InstanceProcess,
@@ -149,9 +169,16 @@
             thread::spawn(move || send_until_refused(address, client_seed, client, load))
         })
         .collect();
-    thread::sleep(delay);
+    if load.is_throttled {
+        throttle_until(instance, Instant::now() + delay);
+    } else {
+        thread::sleep(delay);
+    }
     let terminated_at = Instant::now();
     instance.terminate().expect("the signal is sent");
+    if load.is_throttled {
+        throttle_until(instance, terminated_at + GRACE_PERIOD);
+    }
     let is_success = instance.wait().expect("the instance exits");
     let exited_at = Instant::now();
     let observations = clients
@@ -280,6 +307,7 @@
         max_pause_ms: 60,
         response_delay: RESPONSE_DELAY,
         event_delay: None,
+        is_throttled: false,
     });
 }
 
@@ -292,6 +320,7 @@
         max_pause_ms: 4,
         response_delay: RESPONSE_DELAY,
         event_delay: None,
+        is_throttled: false,
     });
 }
 
@@ -304,6 +333,20 @@
         max_pause_ms: 100,
         response_delay: Duration::from_millis(700),
         event_delay: Some(Duration::from_millis(300)),
+        is_throttled: false,
+    });
+}
+
+/// Guards against a process that ends without a response to requests that it has read, because its
+/// timers and reads are late when it gets only a part of a processor.
+#[test]
+fn a_throttled_instance_responds_to_every_request_that_reaches_a_target() {
+    check_shutdowns(Load {
+        clients: 6,
+        max_pause_ms: 60,
+        response_delay: Duration::from_millis(30),
+        event_delay: None,
+        is_throttled: true,
     });
 }
 
--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -222,25 +222,20 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the listener fails.
+/// Returns no error; supervised tasks must have a `Result` as their return type.
 pub async fn run(
     shared: Rc<Shared>,
     stage_client: Rc<StageClient>,
     listener: Rc<TcpListener>,
 ) -> Result<(), String> {
     loop {
-        let accepted = tokio::select! {
+        let stream = tokio::select! {
             // Connections that are known to be established go before the end of the listener, which
             // resets them.
             biased;
-            accepted = listener.accept() => accepted,
+            stream = net::accept(&listener) => stream,
             () = shared.wait_for_phase(|phase| phase == Phase::Closing) => return Ok(()),
         };
-        let (stream, _) = accepted.map_err(|error| error.to_string())?;
-        if let Err(error) = net::set_socket_options(&stream) {
-            debug!(error:%; "cannot set socket options of a client connection");
-            continue;
-        }
         let guard = OpenConnectionGuard::new(&shared);
         let connection = serve_connection(Rc::clone(&shared), Rc::clone(&stage_client), stream);
         spawn_local(async move {
@@ -251,11 +246,7 @@
 }
 
 async fn serve_connection(shared: Rc<Shared>, stage_client: Rc<StageClient>, stream: TcpStream) {
-    let limits = shared
-        .route_table()
-        .map_or_else(ClientLimits::default, |route_table| {
-            route_table.configuration().client_limits
-        });
+    let limits = shared.client_limits();
     let activity = Rc::new(ConnectionActivity {
         state: Cell::new((Activity::Idle, shared.now())),
         request_count: Cell::new(0),
--- a/crates/serving/src/net.rs
+++ b/crates/serving/src/net.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use log::warn;
 use socket2::Domain;
 use socket2::Protocol;
 use socket2::SockRef;
@@ -26,6 +27,8 @@
 const KEEPALIVE_INTERVAL_MS: Millis = Millis(1_000);
 /// Number of unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Pause after a connection could not be accepted. Clients expect a request to be read within 1 s.
+const ACCEPT_RETRY_DELAY_MS: Millis = Millis(50);
 /// Length of the accept queue.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
@@ -73,6 +76,24 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Accepts the next connection, with the socket options set.
+///
+/// A connection that fails is skipped. If the process has no descriptor left, the connections wait
+/// in the accept queue until there is one.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        let error = match listener.accept().await {
+            Ok((stream, _)) => match set_socket_options(&stream) {
+                Ok(()) => return stream,
+                Err(error) => error,
+            },
+            Err(error) => error,
+        };
+        warn!(error:%; "cannot accept a connection");
+        sleep(ACCEPT_RETRY_DELAY_MS).await;
+    }
+}
+
 /// Sleeps for a duration.
 pub async fn sleep(duration_ms: Millis) {
     tokio::time::sleep(Duration::from_millis(duration_ms.0)).await;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -324,10 +324,10 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the listener fails.
+    /// Never returns; supervised tasks must have a `Result` as their return type.
     pub async fn run(self: Rc<Self>, listener: Rc<TcpListener>) -> Result<(), String> {
         loop {
-            let (stream, _) = listener.accept().await.map_err(|error| error.to_string())?;
+            let stream = net::accept(&listener).await;
             let server = Rc::clone(&self);
             spawn_local(async move {
                 if let Err(error) = server.serve(stream).await {
@@ -338,7 +338,6 @@
     }
 
     async fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        net::set_socket_options(&stream)?;
         let peer_address = stream.peer_addr()?.to_string();
         let (reader, writer) = stream.into_split();
         let mut commands = FrameReader::<PeerCommand>::spawn(&peer_address, reader);
--- a/crates/serving/src/readiness.rs
+++ b/crates/serving/src/readiness.rs
@@ -27,14 +27,10 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the listener fails.
+/// Never returns; supervised tasks must have a `Result` as their return type.
 pub async fn run(shared: Rc<Shared>, listener: Rc<TcpListener>) -> Result<(), String> {
     loop {
-        let (stream, _) = listener.accept().await.map_err(|error| error.to_string())?;
-        if let Err(error) = net::set_socket_options(&stream) {
-            debug!(error:%; "cannot set socket options of a connection");
-            continue;
-        }
+        let stream = net::accept(&listener).await;
         let shared = Rc::clone(&shared);
         spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -24,6 +24,7 @@
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
 use arbutus_policy::serving::first_event::FirstEventForecast;
 use arbutus_policy::serving::leaving_targets::LeavingReport;
+use arbutus_policy::serving::model::ClientLimits;
 use arbutus_policy::serving::model::ServiceSpec;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
@@ -184,6 +185,18 @@
         self.route_table.borrow().clone()
     }
 
+    /// Returns the limits on clients of the current configuration, or the defaults before one is
+    /// known.
+    #[must_use]
+    pub fn client_limits(&self) -> ClientLimits {
+        let route_table = self.route_table.borrow();
+        route_table
+            .as_ref()
+            .map_or_else(ClientLimits::default, |route_table| {
+                route_table.configuration().client_limits
+            })
+    }
+
     /// Applies a configuration if it is newer than the current one; returns whether it was applied.
     pub fn apply_configuration(&self, table: RouteTable) -> bool {
         let version = table.configuration().version;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -12,6 +12,8 @@
 use std::time::Instant;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
@@ -94,6 +96,21 @@
         self.signal(Signal::HUP)
     }
 
+    /// Limits the number of open files of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the limit cannot be set.
+    pub fn limit_open_files(&self, count: u64) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).map_err(io::Error::other)?;
+        let limit = Rlimit {
+            current: Some(count),
+            maximum: Some(count),
+        };
+        rustix::process::prlimit(Pid::from_raw(pid), Resource::Nofile, limit)?;
+        Ok(())
+    }
+
     /// Suspends the process with SIGSTOP until [`Process::resume`].
     ///
     /// # Errors
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -198,6 +198,15 @@
         self.process.hang_up()
     }
 
+    /// Limits the number of open files of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the limit cannot be set.
+    pub fn limit_open_files(&self, count: u64) -> io::Result<()> {
+        self.process.limit_open_files(count)
+    }
+
     /// Suspends the process until [`InstanceProcess::resume`].
     ///
     /// # Errors
