request: read the body of a request that its head rejects

Clients whose route or key is unknown, or whose head is malformed, could lose the response: the connection was closed before the body had arrived, and the kernel resets such a connection.

Cause: the response was given before the body was read; the HTTP library then closes the connection. Now the body is read first, within the limits on bodies and for no longer than the limit on heads.

Evidence: a_request_that_is_rejected_by_its_head_gets_its_response_after_its_body failed before (broken pipe) and passes now.

--- a/crates/daemon/tests/platform_connections.rs
+++ b/crates/daemon/tests/platform_connections.rs
@@ -104,3 +104,40 @@
         assert!(took < MAX_READ_TIME, "{took:?} in round {round}");
     }
 }
+
+/// Guards against clients that lose the response to a request that is rejected by its head: the body
+/// arrived at a closed connection, and the kernel reset it.
+#[test]
+fn a_request_that_is_rejected_by_its_head_gets_its_response_after_its_body() {
+    const BODY_DELAY: Duration = Duration::from_millis(50);
+    let cluster = start_cluster(1);
+    let address = cluster.instances[0].client_address();
+    for (path, key, status) in [
+        ("/unknown/1", "key", 404),
+        ("/safe/1", "unknown", 401),
+        ("/safe/1", "key\r\nx-api-key: other", 400),
+    ] {
+        let mut connection = TcpStream::connect(address).expect("the port is open");
+        let timeout = Some(Duration::from_secs(2));
+        connection.set_read_timeout(timeout).expect("a timeout");
+        // The second request shows that the connection was kept.
+        for id in ["one", "two"] {
+            let request = ClientRequest::new("POST", path, id).with_header("x-api-key", key);
+            let mut head = format!("POST {path} HTTP/1.1\r\ncontent-length: 5000\r\n");
+            for (name, value) in &request.headers {
+                head.extend([name.as_str(), ": ", value.as_str(), "\r\n"]);
+            }
+            head += "\r\n";
+            let written = connection.write_all(head.as_bytes());
+            written.expect("the connection is open");
+            thread::sleep(BODY_DELAY);
+            let written = connection.write_all(&[b'x'; 5_000]);
+            written.expect("the connection is open");
+            let mut response = [0; 4_096];
+            let length = connection.read(&mut response).expect("a response");
+            let text = String::from_utf8_lossy(&response[..length]).into_owned();
+            let expected = format!("HTTP/1.1 {status}");
+            assert!(text.starts_with(&expected), "{path} {key} {id}: {text}");
+        }
+    }
+}
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -285,6 +285,7 @@
         Ok(client) => client,
         Err(error) => {
             info!(reason:% = error; "malformed request rejected");
+            discard_body(shared, body).await;
             return Ok(LocalReply::BadRequest.response(None, None, guard));
         }
     };
@@ -297,7 +298,12 @@
         );
         Ok(reply.response(Some(&client.id), retry_after_ms, guard))
     };
+    let reject_unread = async |reply: LocalReply, body: Incoming, guard: InProgressGuard| {
+        discard_body(shared, body).await;
+        reject(reply, None, guard)
+    };
     let Some(route_table) = shared.route_table() else {
+        discard_body(shared, body).await;
         return reject(LocalReply::Refused, Some(STARTING_RETRY_AFTER_MS), guard);
     };
     let (route, organisation) =
@@ -306,26 +312,23 @@
                 route,
                 organisation,
             } => (route.clone(), organisation.cloned()),
-            Access::UnknownRoute => return reject(LocalReply::UnknownRoute, None, guard),
-            Access::UnknownKey => return reject(LocalReply::UnknownKey, None, guard),
+            Access::UnknownRoute => {
+                return reject_unread(LocalReply::UnknownRoute, body, guard).await;
+            }
+            Access::UnknownKey => return reject_unread(LocalReply::UnknownKey, body, guard).await,
         };
-    let client_timeout_ms = client.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let deadline = arrived_at + (client_timeout_ms - RESPONSE_MARGIN_MS).min(route.timeout_ms);
-    let limits = route_table.configuration().client_limits;
-    let body_future = body::read_up_to(body, limits.max_body_bytes);
+    let deadline = deadline(&client, &route, arrived_at);
     let body_read_guard = BodyReadGuard {
         shared,
         id: &client.id,
         route: &route.name,
         arrived_at,
     };
-    let body_result = timeout((deadline - shared.now()).to_duration(), body_future).await;
+    let received = receive_body(shared, body, deadline).await;
     drop(body_read_guard);
-    let body = match body_result {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => return reject(LocalReply::TooLarge, None, guard),
-        Ok(Err(_incomplete)) => return reject(LocalReply::BadRequest, None, guard),
-        Err(_elapsed) => return reject(LocalReply::SlowBody, None, guard),
+    let body = match received {
+        Ok(body) => body,
+        Err(reply) => return reject(reply, None, guard),
     };
     let priority = organisation
         .as_ref()
@@ -376,6 +379,37 @@
     process(context, stage_client, guard).await
 }
 
+/// Receives the body of a request, or returns the response to the client if that is not possible.
+async fn receive_body(
+    shared: &Shared,
+    body: Incoming,
+    deadline: Millis,
+) -> Result<Bytes, LocalReply> {
+    let receiving = body::read_up_to(body, shared.client_limits().max_body_bytes);
+    match timeout((deadline - shared.now()).to_duration(), receiving).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(LocalReply::TooLarge),
+        Ok(Err(_incomplete)) => Err(LocalReply::BadRequest),
+        Err(_elapsed) => Err(LocalReply::SlowBody),
+    }
+}
+
+/// Returns when a request is abandoned.
+fn deadline(client: &ClientRequest, route: &Route, arrived_at: Millis) -> Millis {
+    let client_timeout_ms = client.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    arrived_at + (client_timeout_ms - RESPONSE_MARGIN_MS).min(route.timeout_ms)
+}
+
+/// Reads the body of a request that is rejected by its head, as long as it stays within the limits.
+/// The connection would otherwise be closed before the body has arrived, and the kernel would reset
+/// it, by which the client can lose the response.
+async fn discard_body(shared: &Shared, body: Incoming) {
+    let limits = shared.client_limits();
+    let reading = body::read_up_to(body, limits.max_body_bytes);
+    // If the body is too large or late, the connection is closed after the response.
+    let _result = timeout(limits.header_timeout_ms.to_duration(), reading).await;
+}
+
 /// Returns whether a request is accepted in the current phase. During a shutdown that is a request
 /// whose deadline lies before the exit of the process, or that arrives while the load balancer still
 /// sends clients here and is expected to end before the exit.
