--- a/crates/daemon/tests/platform_connections.rs
+++ b/crates/daemon/tests/platform_connections.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use crate::common::start_cluster;
+use arbutus_platform::names;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::slow_client;
 
@@ -37,6 +38,25 @@
     assert_eq!(body_bytes, slow_client::BODY_BYTES);
 }
 
+/// Guards against a response that breaks off because its client does not read for a while, for
+/// instance because its process is paused.
+#[test]
+fn a_response_to_a_client_that_pauses_is_written_completely() {
+    /// Shorter than the idle timeout, which is 2 seconds and a margin.
+    const PAUSE: Duration = Duration::from_secs(2);
+    const READ_INTERVAL: Duration = Duration::from_millis(5);
+    let cluster = start_cluster(1);
+    for target in &cluster.platform.targets {
+        target.set_min_body_bytes(slow_client::BODY_BYTES);
+    }
+    let connection = ClientRequest::new("GET", "/safe/1", "paused-reader")
+        .send(cluster.instances[0].client_address())
+        .expect("the instance accepts connections");
+    thread::sleep(PAUSE);
+    let body_bytes = slow_client::receive_body(connection, READ_INTERVAL);
+    assert_eq!(body_bytes, slow_client::BODY_BYTES);
+}
+
 /// Guards against a process that ends, or a port that stops to respond, because of one malformed
 /// message.
 #[test]
@@ -112,17 +132,19 @@
     const BODY_DELAY: Duration = Duration::from_millis(50);
     let cluster = start_cluster(1);
     let address = cluster.instances[0].client_address();
+    let repeated_key = format!("key\r\n{}: other", names::API_KEY);
     for (path, key, status) in [
         ("/unknown/1", "key", 404),
         ("/safe/1", "unknown", 401),
-        ("/safe/1", "key\r\nx-api-key: other", 400),
+        ("/safe/1", repeated_key.as_str(), 400),
     ] {
         let mut connection = TcpStream::connect(address).expect("the port is open");
         let timeout = Some(Duration::from_secs(2));
         connection.set_read_timeout(timeout).expect("a timeout");
         // The second request shows that the connection was kept.
         for id in ["one", "two"] {
-            let request = ClientRequest::new("POST", path, id).with_header("x-api-key", key);
+            let request = ClientRequest::new("POST", path, id);
+            let request = request.with_header(names::API_KEY.as_str(), key);
             let mut head = format!("POST {path} HTTP/1.1\r\ncontent-length: 5000\r\n");
             for (name, value) in &request.headers {
                 head.extend([name.as_str(), ": ", value.as_str(), "\r\n"]);
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -133,6 +133,16 @@
 }
 
 impl CompleteBody {
+    /// Creates a body from its content.
+    #[must_use]
+    pub fn from_text(text: String) -> Self {
+        Self {
+            length: text.len(),
+            blocks: VecDeque::from([Bytes::from(text)]),
+            ..Self::default()
+        }
+    }
+
     /// Returns the number of bytes that were not taken yet.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -286,7 +286,7 @@
         Err(error) => {
             info!(reason:% = error; "malformed request rejected");
             discard_body(shared, body).await;
-            return Ok(LocalReply::BadRequest.response(None, None, guard));
+            return Ok(LocalReply::bad_request(&error, guard));
         }
     };
     record_arrival_during_shutdown(shared, &client.id, &guard);
--- a/crates/serving/src/response.rs
+++ b/crates/serving/src/response.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_TYPE;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -18,6 +20,7 @@
 use crate::connection::AbortOnDrop;
 use crate::frontend::InProgressGuard;
 use arbutus_coord::Millis;
+use arbutus_platform::request::RequestError;
 use arbutus_platform::response::local_reply_headers;
 
 /// The body of a response to a client.
@@ -137,6 +140,16 @@
         }
     }
 
+    /// Builds the response to a malformed request, whose body tells what is malformed.
+    #[must_use]
+    pub fn bad_request(error: &RequestError, guard: InProgressGuard) -> Response<ClientBody> {
+        let mut headers = local_reply_headers(None, None);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        let text = CompleteBody::from_text(format!("{error}\n"));
+        let body = ClientBody::complete(text, guard);
+        build_response(Self::BadRequest.status(), headers, body)
+    }
+
     /// Builds the response. Without `retry_after_ms`, no retry delay is sent.
     #[must_use]
     pub fn response(
