stages: close a connection whose last response proves nothing

Cause: a copy of a response without handles was taken for the response to the next call, and the connection was used again while the true one was still to come. Ruled out: copies with handles, which were recognised if they followed directly.

A connection is closed after a response without handles; handles are remembered for each target, so that a copy is recognised on any connection and after other responses.

--- a/crates/daemon/tests/platform_repeated_responses.rs
+++ b/crates/daemon/tests/platform_repeated_responses.rs
@@ -10,6 +10,7 @@
 use crate::common::start_cluster;
 use arbutus_platform::names;
 use arbutus_platform::store::ObjectKind;
+use arbutus_policy::serving::batch::PieceSource;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::client::ClientResponse;
 use arbutus_standins::simulated_platform::example::complete_stream_body;
@@ -125,3 +126,65 @@
     inputs.dedup();
     assert_eq!(inputs.len(), count, "two pieces got the same result");
 }
+
+/// Returns the source of the piece whose result has this handle.
+fn source_of(cluster: &TestCluster, target: &str, handle: &str) -> PieceSource {
+    let number = handle.rsplit('/').next().and_then(|text| text.parse().ok());
+    let number: usize = number.expect("the handle has a number");
+    let calls = cluster.platform.target(target).stage_calls();
+    let mut sources = calls.into_iter().flatten();
+    sources.nth(number).expect("the piece was computed")
+}
+
+/// Guards against requests that get the results of other requests, because a response without any
+/// result was written once more and shifted all later ones of its connection.
+#[test]
+fn a_repeated_failed_stage_response_shifts_no_results_to_another_request() {
+    const CLIENTS: usize = 4;
+    const REQUESTS: usize = 6;
+    let cluster = start_cluster(1);
+    let repeater = add_repeater(&cluster, "f1");
+    let call = |id: &str| {
+        // Each call is full, so all responses have the same number of results.
+        let request = staged_stream_request(id, "8,1", &format!("key-{id}"));
+        let response = request.call(cluster.instances[0].client_address());
+        response.expect("the instance responds")
+    };
+    assert_eq!(call("first").body, complete_stream_body());
+    // The next response is not that of the call that frees the result.
+    thread::sleep(Duration::from_millis(300));
+    repeater.record_next();
+    cluster.platform.target("f1").fail_next_stage_call();
+    thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let (repeater, call) = (&repeater, &call);
+            scope.spawn(move || {
+                for number in 0..REQUESTS {
+                    // The recorded response is written once more as soon as there is one.
+                    if repeater.repeat_count() == 0 {
+                        repeater.repeat(usize::MAX);
+                    }
+                    call(&format!("c{client}-{number}"));
+                }
+            });
+        }
+    });
+    let engines = ["e1", "e2"].map(|id| cluster.platform.target(id));
+    let executed = engines.iter().flat_map(|engine| engine.executed_requests());
+    let mut checked = 0;
+    for request in executed {
+        let handles = request.headers[&names::INPUT_HANDLES].to_str();
+        let second = source_of(&cluster, "s1", handles.expect("handles are text"));
+        let PieceSource::Inputs(inputs) = second else {
+            panic!("the second stage reads results");
+        };
+        for input in inputs {
+            let first = source_of(&cluster, "f1", &input);
+            let key = format!("key-{}", request.request_id);
+            assert_eq!(first, PieceSource::Key(key));
+        }
+        checked += 1;
+    }
+    assert!(checked > CLIENTS * REQUESTS / 2, "{checked} requests");
+    assert_eq!(repeater.repeat_count(), 1);
+}
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -6,13 +6,14 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
-use bytes::Bytes;
-
 use crate::connection::CallError;
 use crate::connection::Connection;
 use arbutus_coord::Millis;
+use arbutus_coord::rendezvous;
 use arbutus_policy::serving::model::TargetEntry;
 
 /// How long an idle connection is kept if the target announces no keep-alive time.
@@ -20,6 +21,9 @@
 /// Percentage of the target's keep-alive time for which an idle connection is reused; the target
 /// may close it when the time ends.
 const KEEP_ALIVE_PERCENT: u64 = 60;
+/// Number of results of each stage target whose handles are remembered. A response that is written
+/// once more is one of the last few of its connection.
+const MAX_SEEN_HANDLES: usize = 1_024;
 /// Connect timeout. Connecting takes milliseconds, also across failure domains. A lost SYN is only
 /// retransmitted after 1 s; trying another target is faster.
 const CONNECT_TIMEOUT_MS: Millis = Millis(300);
@@ -27,8 +31,6 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    /// The last results that a stage target sent on the connection.
-    last_results: Bytes,
     expires_at: Millis,
 }
 
@@ -36,6 +38,31 @@
 struct TargetConnections {
     idle: Vec<IdleConnection>,
     open_count: usize,
+    seen_handles: SeenHandles,
+}
+
+/// The handles of the last results of a stage target.
+#[derive(Debug, Default)]
+struct SeenHandles {
+    hashes: BTreeSet<u64>,
+    oldest_first: VecDeque<u64>,
+}
+
+impl SeenHandles {
+    /// Records a handle; returns false if it was recorded before.
+    fn record(&mut self, handle: &str) -> bool {
+        let hash = rendezvous::stable_hash(handle.as_bytes());
+        if !self.hashes.insert(hash) {
+            return false;
+        }
+        self.oldest_first.push_back(hash);
+        if self.oldest_first.len() > MAX_SEEN_HANDLES
+            && let Some(oldest) = self.oldest_first.pop_front()
+        {
+            self.hashes.remove(&oldest);
+        }
+        true
+    }
 }
 
 /// The connections to all targets.
@@ -51,7 +78,6 @@
     target: String,
     connection: Option<Connection>,
     is_reused: bool,
-    last_results: Bytes,
     is_released: bool,
 }
 
@@ -110,7 +136,6 @@
         if let Some(idle) = self.take_idle(now, &entry.id) {
             let mut connection = self.check_out(&entry.id, Some(idle.connection));
             connection.is_reused = true;
-            connection.last_results = idle.last_results;
             return Ok(connection);
         }
         self.targets
@@ -147,7 +172,6 @@
             target: target.to_owned(),
             connection,
             is_reused: false,
-            last_results: Bytes::new(),
             is_released: false,
         }
     }
@@ -169,14 +193,12 @@
         self.is_reused
     }
 
-    /// Records the results of a stage call; returns false if they repeat the last ones that came on
-    /// this connection. The target has then written an earlier response once more.
-    pub fn record_results(&mut self, results: &Bytes) -> bool {
-        if self.last_results == *results {
-            return false;
-        }
-        self.last_results = results.clone();
-        true
+    /// Records the handles in the response to a stage call; returns false if the target has sent one
+    /// of them before, on any connection. It has then written an earlier response once more.
+    pub fn record_handles<'a>(&self, mut handles: impl Iterator<Item = &'a str>) -> bool {
+        let mut targets = self.pool.targets.borrow_mut();
+        let state = targets.entry(self.target.clone()).or_default();
+        handles.all(|handle| state.seen_handles.record(handle))
     }
 
     /// Returns the connection to the pool. The response must have been read completely.
@@ -195,7 +217,6 @@
         if let Some(state) = targets.get_mut(&self.target) {
             state.idle.push(IdleConnection {
                 connection,
-                last_results: std::mem::take(&mut self.last_results),
                 expires_at: now + keep_alive_ms,
             });
             self.is_released = true;
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -538,12 +538,16 @@
         StageRequest::Free => PostOutcome::Freed,
         StageRequest::Run { pieces } => {
             let results = decode_results(entry, &body, pieces).ok_or(CallError::Mismatched)?;
-            // Handles are unique; two calls of which no piece was computed may have equal responses.
-            let has_handles = results.iter().any(Result::is_ok);
-            if has_handles && !connection.record_results(&body) {
+            let handles = results.iter().flatten().map(String::as_str);
+            if !connection.record_handles(handles) {
                 warn!(target_id = entry.id.as_str(); "target repeated the response to an earlier stage call");
                 return Err(CallError::Mismatched);
             }
+            // Without a handle, nothing shows which call the response belongs to. The true response
+            // may still arrive, so the connection is not used again.
+            if !results.iter().any(Result::is_ok) {
+                return Ok(PostOutcome::Computed(results));
+            }
             PostOutcome::Computed(results)
         }
     };
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -120,8 +120,10 @@
     arrivals: Vec<Instant>,
     /// Prompt part that crashes the target when it begins to respond.
     deadly_part: Option<String>,
-    /// Sources of the pieces of each stage call.
+    /// Sources of the pieces of each stage call that has results.
     stage_calls: Vec<Vec<PieceSource>>,
+    /// Whether the next stage call computes no piece.
+    fails_next_stage_call: bool,
     /// Handles of the results that instances have freed.
     freed_results: Vec<String>,
     next_result_number: u64,
@@ -268,12 +270,18 @@
         self.lock().executed.clone()
     }
 
-    /// Returns the sources of the pieces of each stage call.
+    /// Returns the sources of the pieces of each stage call that has results, which are numbered in
+    /// this order from 0; the number of a result is the last part of its handle.
     #[must_use]
     pub fn stage_calls(&self) -> Vec<Vec<PieceSource>> {
         self.lock().stage_calls.clone()
     }
 
+    /// Computes no piece of the next stage call.
+    pub fn fail_next_stage_call(&self) {
+        self.lock().fails_next_stage_call = true;
+    }
+
     /// Returns the handles of the results that instances have freed.
     #[must_use]
     pub fn freed_results(&self) -> Vec<String> {
@@ -407,6 +415,10 @@
 
 async fn respond_to_stage_call(target: &Target, body: &[u8]) -> io::Result<Response<TargetBody>> {
     let pieces = stage::decode_call_request(body)?;
+    if std::mem::take(&mut target.lock().fails_next_stage_call) {
+        let response = stage::encode_failed_call_response(pieces.len())?;
+        return respond(StatusCode::OK, &[], TargetBody::with_content(&response));
+    }
     let handles: Vec<String> = {
         let mut state = target.lock();
         let sources = pieces.iter().map(|piece| piece.source.clone());
