--- a/crates/daemon/tests/platform_repeated_responses.rs
+++ b/crates/daemon/tests/platform_repeated_responses.rs
@@ -5,6 +5,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::common::TestCluster;
 use crate::common::start_cluster;
@@ -18,6 +19,9 @@
 use arbutus_standins::simulated_platform::repeater::Repeater;
 use arbutus_standins::simulated_platform::target::Fault;
 
+/// Time within which a request that was sent to a target is executed.
+const MAX_EXECUTION_DELAY: Duration = Duration::from_millis(500);
+
 /// Puts a repeater in front of a target.
 fn add_repeater(cluster: &TestCluster, id: &str) -> Repeater {
     let repeater = Repeater::default();
@@ -50,6 +54,7 @@
 fn a_repeated_response_reaches_no_other_client() {
     let (cluster, repeater) = cluster_with_one_desk();
     let call = |method, path, id: &str| call(&cluster, method, path, id);
+    let mut executed = Vec::new();
     for (round, max_bytes) in [usize::MAX, 40, 200].into_iter().enumerate() {
         repeater.record_next();
         call("GET", "/safe/1", &format!("first{round}"));
@@ -61,10 +66,20 @@
                 assert_eq!(response.headers[names::REQUEST_ID.as_str()], id);
                 assert_eq!(response.body, "answer of d1");
             }
+            // With the copy, the instance responds before the target executes the request.
+            let deadline = Instant::now() + MAX_EXECUTION_DELAY;
+            while cluster.platform.execution_count(&id) == 0 && Instant::now() < deadline {
+                thread::sleep(Duration::from_millis(1));
+            }
             assert_eq!(cluster.platform.execution_count(&id), 1);
+            executed.push(id);
         }
     }
     assert_eq!(repeater.repeat_count(), 3);
+    thread::sleep(MAX_EXECUTION_DELAY);
+    for id in executed {
+        assert_eq!(cluster.platform.execution_count(&id), 1, "{id}");
+    }
 }
 
 /// Guards against clients that are told that a request was not executed, or have it executed by a
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -22,6 +22,7 @@
 use serde_json::Value;
 use ureq::Agent;
 
+use crate::process;
 use crate::process::Process;
 use arbutus_config::Settings;
 use arbutus_config::committed::CONFIG_KEY;
@@ -424,6 +425,7 @@
 pub fn free_address() -> io::Result<SocketAddr> {
     let first = *FIRST_PORT.get_or_init(|| rand::rng().random_range(PORT_RANGE));
     let mut last_error = io::Error::from(io::ErrorKind::AddrInUse);
+    let _starts = process::lock_starts();
     for _ in 0..PORT_ATTEMPTS {
         let tried = TRIED_PORT_COUNT.fetch_add(1, Ordering::Relaxed);
         let span = PORT_RANGE.end - PORT_RANGE.start;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -7,6 +7,9 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +22,16 @@
 
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Held while a process is started and while a port is searched for. A child has all sockets of its
+/// parent until it executes its program, so a port that is tried meanwhile would stay in use after
+/// the search has closed it.
+static START_LOCK: Mutex<()> = Mutex::new(());
+
+/// Prevents the start of processes until the guard is dropped.
+pub(crate) fn lock_starts() -> MutexGuard<'static, ()> {
+    START_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A child process; it is killed when it is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -51,6 +64,7 @@
         output: Stdio,
         error_output: Stdio,
     ) -> io::Result<Self> {
+        let _starts = lock_starts();
         let child = command
             .stdin(Stdio::null())
             .stdout(output)
