watch: check only for changes that no watch has reported

The checks of pending watches raised the number of store calls under trouble: each change of one kind cost a check of the three others.

Each change has a revision of its own, so revisions that a watch of any kind has reported are known not to be changes of another kind. If they reach the known revision of the store, no call is made.

--- a/crates/policy/tests/serving/pending_watch.rs
+++ b/crates/policy/tests/serving/pending_watch.rs
@@ -9,6 +9,7 @@
 
 use arbutus_coord::Millis;
 use arbutus_policy::serving::pending_watch::PendingWatch;
+use arbutus_policy::serving::pending_watch::ReportedChanges;
 
 /// Interval at which the revision of the store is read, the same as in `arbutus-serving`.
 const READ_INTERVAL_MS: u64 = 1_500;
@@ -97,6 +98,25 @@
     }
 }
 
+#[test]
+fn changes_that_other_watches_have_reported_cost_no_check() {
+    let mut reported = ReportedChanges::default();
+    let mut watch = PendingWatch::new(100);
+    watch.record_store_revision(Millis(1_000), 103);
+    assert_eq!(watch.check_due_at(), Some(Millis(1_300)));
+    reported.record(101);
+    reported.record(103);
+    // The change at 102 may be of the watched kind.
+    assert!(!watch.is_explained_by(&reported));
+    assert_eq!(watch.check_due_at(), Some(Millis(1_300)));
+    reported.record(102);
+    assert!(watch.is_explained_by(&reported));
+    assert_eq!((watch.check_due_at(), watch.revision()), (None, 103));
+    watch.record_store_revision(Millis(2_000), 104);
+    assert!(!watch.is_explained_by(&reported));
+    assert_eq!(watch.check_due_at(), Some(Millis(2_300)));
+}
+
 #[test]
 fn a_store_without_changes_costs_no_checks() {
     let mut random = random();
--- a/crates/serving/src/watch/liveness.rs
+++ b/crates/serving/src/watch/liveness.rs
@@ -116,6 +116,9 @@
                     pending.record_store_revision(self.shared.now(), known_revision);
                 }
                 () = check_due => {
+                    if pending.is_explained_by(&self.reported_changes.borrow()) {
+                        continue;
+                    }
                     let checked = self.client.changes_since(kind, pending.revision()).await?;
                     if !checked.changes.is_empty() || checked.undecodable > 0 {
                         info!(
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -43,6 +43,7 @@
 use arbutus_platform::store::encode_instance;
 use arbutus_platform::store::object_path;
 use arbutus_policy::serving::model::TargetEntry;
+use arbutus_policy::serving::pending_watch::ReportedChanges;
 use arbutus_policy::serving::routes::RouteTable;
 use arbutus_policy::serving::store_role::StoreRole;
 use arbutus_policy::serving::store_role::StoreRoleState;
@@ -86,6 +87,7 @@
     reachability: watch::Sender<(bool, Millis)>,
     /// The highest revision that the store was read at, up to date.
     store_revision: watch::Sender<u64>,
+    reported_changes: RefCell<ReportedChanges>,
     role_state: RefCell<StoreRoleState>,
     /// The current role in `role_state`, for tasks that wait for it to change.
     role: watch::Sender<StoreRole>,
@@ -107,6 +109,7 @@
             compressed_updates: RefCell::new(BTreeMap::new()),
             reachability: watch::Sender::new((true, Millis::ZERO)),
             store_revision: watch::Sender::new(0),
+            reported_changes: RefCell::new(ReportedChanges::default()),
             role: watch::Sender::new(StoreRole::Watcher),
             responded_in_role: Cell::new(false),
             changes_sender: watch::Sender::new(0),
@@ -283,6 +286,9 @@
                         warn!(kind = kind.label(), changes = response.undecodable; "cannot decode some store changes");
                     }
                     revision = response.revision;
+                    for &change in &response.change_revisions {
+                        self.reported_changes.borrow_mut().record(change);
+                    }
                     if !response.changes.is_empty() {
                         let after_outage = self.is_after_outage(self.shared.now());
                         self.apply_changes(kind, response.changes, revision, after_outage);
