shutdown: forecast what nine in ten requests take; forget handles of a restarted target

The longest recent duration of a route would have refused all its requests after SIGTERM because of a single slow one; the forecast is now a quantile. Handles were remembered over a restart of a target, after which it may number its results anew, so that all its responses would have counted as repeated.

--- a/crates/policy/src/serving/request_durations.rs
+++ b/crates/policy/src/serving/request_durations.rs
@@ -8,37 +8,44 @@
 
 use arbutus_coord::Millis;
 
-/// Share of the longest duration that remains after each further request, so that one slow request
-/// counts less after some tens of faster ones.
-const DECAY: f64 = 0.98;
+/// Part of the requests that take no longer than the forecast.
+const QUANTILE: f64 = 0.9;
+/// Part of the forecast by which a request changes it at most.
+const STEP_RATIO: f64 = 0.1;
 /// Routes that are remembered; a configuration has fewer. Beyond it, all are forgotten.
 const MAX_ROUTES: usize = 10_000;
 
-/// The longest recent duration of the requests of each route.
+/// For each route, the duration that nine in ten of its recent requests do not exceed.
+///
+/// A slow request raises the forecast by nine times what a fast one lowers it.
 #[derive(Debug, Default)]
 pub struct RequestDurations {
-    longest_ms: BTreeMap<String, f64>,
+    forecasts_ms: BTreeMap<String, f64>,
 }
 
 impl RequestDurations {
     /// Records a request that was answered completely.
     pub fn record(&mut self, route: &str, took_ms: Millis) {
         let took_ms = took_ms.0 as f64;
-        if let Some(longest_ms) = self.longest_ms.get_mut(route) {
-            *longest_ms = took_ms.max(*longest_ms * DECAY);
+        if let Some(forecast_ms) = self.forecasts_ms.get_mut(route) {
+            let step_ms = *forecast_ms * STEP_RATIO;
+            if took_ms > *forecast_ms {
+                *forecast_ms = took_ms.min(*forecast_ms + step_ms * QUANTILE);
+            } else {
+                *forecast_ms = took_ms.max(*forecast_ms - step_ms * (1.0 - QUANTILE));
+            }
             return;
         }
-        if self.longest_ms.len() >= MAX_ROUTES {
-            self.longest_ms.clear();
+        if self.forecasts_ms.len() >= MAX_ROUTES {
+            self.forecasts_ms.clear();
         }
-        self.longest_ms.insert(route.to_owned(), took_ms);
+        self.forecasts_ms.insert(route.to_owned(), took_ms.max(1.0));
     }
 
-    /// Returns how long a request of a route is expected to take at most, or `None` if none was
-    /// recorded.
+    /// Returns how long a request of a route is expected to take, or `None` if none was recorded.
     #[must_use]
     pub fn forecast(&self, route: &str) -> Option<Millis> {
-        let longest_ms = self.longest_ms.get(route)?;
-        Some(Millis(longest_ms.ceil() as u64))
+        let forecast_ms = self.forecasts_ms.get(route)?;
+        Some(Millis(forecast_ms.ceil() as u64))
     }
 }
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -128,7 +128,7 @@
     blocks: VecDeque<Bytes>,
     last_block: BytesMut,
     length: usize,
-    /// `None` for an empty body that was not read from a connection.
+    /// `None` for a body of this instance's own.
     share: Option<MemoryShare>,
 }
 
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -100,12 +100,14 @@
             .is_some_and(|state| !state.idle.is_empty())
     }
 
-    /// Closes the idle connections to a target.
+    /// Closes the idle connections to a target that is gone or has restarted.
     pub fn close_idle(&self, target: &str) {
         let mut targets = self.targets.borrow_mut();
         if let Some(state) = targets.get_mut(target) {
             state.open_count -= state.idle.len();
             state.idle.clear();
+            // A new incarnation may number its results anew.
+            state.seen_handles = SeenHandles::default();
             if state.open_count == 0 {
                 targets.remove(target);
             }
