stages: close a connection only after a repeated response without handles

Targets without space also send such responses often, and each cost a new connection.

Now such a response closes its connection if the target has sent the same one before, on any connection; its pieces count as not computed, and are computed again.

--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -21,9 +21,9 @@
 /// Percentage of the target's keep-alive time for which an idle connection is reused; the target
 /// may close it when the time ends.
 const KEEP_ALIVE_PERCENT: u64 = 60;
-/// Number of results of each stage target whose handles are remembered. A response that is written
-/// once more is one of the last few of its connection.
-const MAX_SEEN_HANDLES: usize = 1_024;
+/// Number of results of each stage target that are remembered. A response that is written once more
+/// is one of the last few of its connection.
+const MAX_SEEN_RESULTS: usize = 1_024;
 /// Connect timeout. Connecting takes milliseconds, also across failure domains. A lost SYN is only
 /// retransmitted after 1 s; trying another target is faster.
 const CONNECT_TIMEOUT_MS: Millis = Millis(300);
@@ -38,25 +38,25 @@
 struct TargetConnections {
     idle: Vec<IdleConnection>,
     open_count: usize,
-    seen_handles: SeenHandles,
+    seen_results: SeenResults,
 }
 
-/// The handles of the last results of a stage target.
+/// The handles of the last results of a stage target, and its responses without handles.
 #[derive(Debug, Default)]
-struct SeenHandles {
+struct SeenResults {
     hashes: BTreeSet<u64>,
     oldest_first: VecDeque<u64>,
 }
 
-impl SeenHandles {
-    /// Records a handle; returns false if it was recorded before.
-    fn record(&mut self, handle: &str) -> bool {
-        let hash = rendezvous::stable_hash(handle.as_bytes());
+impl SeenResults {
+    /// Records a handle or a response; returns false if it was recorded before.
+    fn record(&mut self, result: &[u8]) -> bool {
+        let hash = rendezvous::stable_hash(result);
         if !self.hashes.insert(hash) {
             return false;
         }
         self.oldest_first.push_back(hash);
-        if self.oldest_first.len() > MAX_SEEN_HANDLES
+        if self.oldest_first.len() > MAX_SEEN_RESULTS
             && let Some(oldest) = self.oldest_first.pop_front()
         {
             self.hashes.remove(&oldest);
@@ -107,7 +107,7 @@
             state.open_count -= state.idle.len();
             state.idle.clear();
             // A new incarnation may number its results anew.
-            state.seen_handles = SeenHandles::default();
+            state.seen_results = SeenResults::default();
             if state.open_count == 0 {
                 targets.remove(target);
             }
@@ -200,7 +200,16 @@
     pub fn record_handles<'a>(&self, mut handles: impl Iterator<Item = &'a str>) -> bool {
         let mut targets = self.pool.targets.borrow_mut();
         let state = targets.entry(self.target.clone()).or_default();
-        handles.all(|handle| state.seen_handles.record(handle))
+        handles.all(|handle| state.seen_results.record(handle.as_bytes()))
+    }
+
+    /// Records the response to a stage call of which no piece was computed; returns false if the
+    /// target has sent the same one before, on any connection.
+    #[must_use]
+    pub fn record_failed_response(&self, body: &[u8]) -> bool {
+        let mut targets = self.pool.targets.borrow_mut();
+        let state = targets.entry(self.target.clone()).or_default();
+        state.seen_results.record(body)
     }
 
     /// Returns the connection to the pool. The response must have been read completely.
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -543,9 +543,10 @@
                 warn!(target_id = entry.id.as_str(); "target repeated the response to an earlier stage call");
                 return Err(CallError::Mismatched);
             }
-            // Without a handle, nothing shows which call the response belongs to. The true response
-            // may still arrive, so the connection is not used again.
-            if !results.iter().any(Result::is_ok) {
+            // Without a handle, a response that the target has sent before may be written once more.
+            // The true response may still arrive, so the connection is not used again.
+            let has_handles = results.iter().any(Result::is_ok);
+            if !has_handles && !connection.record_failed_response(&body) {
                 return Ok(PostOutcome::Computed(results));
             }
             PostOutcome::Computed(results)
