watch: read the store's revision only after 1 s as a watcher

Cause, by the code: each instance that starts is a watcher for a moment and read the revision with its first probe, while the entries of all others advanced it, so each start cost one list and a check of each kind.

A new watcher has listed all objects, so its first read may wait for the third probe, 1 s later; most instances have become followers by then.

--- a/crates/serving/src/watch/liveness.rs
+++ b/crates/serving/src/watch/liveness.rs
@@ -41,15 +41,21 @@
     ///
     /// Never returns; supervised tasks must have a `Result` as their return type.
     pub async fn probe(self: Rc<Self>) -> Result<(), String> {
-        let mut probe_count: u32 = 0;
+        let mut stale_probes = 0;
         loop {
-            self.wait_for_watcher_role(true).await;
-            let responds = if probe_count.is_multiple_of(PROBES_PER_REVISION_READ) {
+            if !self.is_watcher() {
+                // A new watcher has just listed all objects. Instances that start watch only until
+                // they find one to follow, while the entries of all others change the revision.
+                stale_probes = 0;
+                self.wait_for_watcher_role(true).await;
+            }
+            let responds = if stale_probes + 1 == PROBES_PER_REVISION_READ {
+                stale_probes = 0;
                 self.read_revision().await
             } else {
+                stale_probes += 1;
                 self.probe_stale().await
             };
-            probe_count = probe_count.wrapping_add(1);
             if let Err(error) = &responds
                 && self.is_reachable()
             {
