soak: a shutdown is over only after the exit of the process

The product did what it should. Cause, by the code: a readiness check that was still due found the process ready right after SIGTERM and took the shutdown for over, so that check_exit had nothing to restart. That this check was due twice is not shown, the harness has no log.

--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -503,7 +503,10 @@
             Recovery::CheckReadiness(instance) => {
                 if self.instances[instance].is_ready() {
                     self.record_fault_end(instance, InstanceFault::Process);
-                    if let Some(shutdown) = self.active_shutdown(instance) {
+                    // Right after SIGTERM, a process may still be ready. Its shutdown is over only
+                    // after its exit; otherwise nothing would restart it.
+                    let shutdown = self.active_shutdown(instance);
+                    if let Some(shutdown) = shutdown.filter(|shutdown| shutdown.exit.is_some()) {
                         shutdown.ready_at = Some(Instant::now());
                     }
                 } else {
