soak: execute recoveries that are overdue

Cause: recover_all waits until 10 ms after the last recovery is due. If that is past already, because the machine is busy or a readiness check took longer, recover_until does nothing, and recover_all spins until its timeout of 15 s.

Now the wait begins at the present time at the earliest.

--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -542,7 +542,9 @@
                     self.keep_logs()
                 )));
             }
-            self.recover_until(last_due + Duration::from_millis(10))?;
+            // The last recovery may be overdue; it would otherwise never be executed.
+            let until = last_due.max(Instant::now()) + Duration::from_millis(10);
+            self.recover_until(until)?;
         }
         for target in &self.platform.targets {
             target.clear_faults();
