serving: observe client and target connections with one stream type

The stream that limits response heads repeated the one that observes client connections, line by line. ObservedStream has an observer now: the activity of a client connection, or the limit of a response head. No behaviour changes.

--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -3,10 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddrV4;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
-use std::task::Poll;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -22,21 +19,19 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use log::debug;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 
 use crate::body::BodyError;
 use crate::net;
+use crate::observed_stream::ObservedStream;
+use crate::observed_stream::StreamObserver;
 use arbutus_coord::Millis;
 
 /// Maximum size of a response head, and of the bytes of a body that were received and not read yet.
 /// Heads have a few hundred bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
-/// Value of [`HeadLimitedStream::allowed_bytes`] while a body is received.
+/// Value of [`HeadLimit::allowed_bytes`] while a body is received.
 const UNLIMITED: usize = usize::MAX;
 
 /// Why a call over a connection failed.
@@ -88,68 +83,52 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// Number of bytes that may still arrive before the next response head is complete.
-    allowed_bytes: Rc<Cell<usize>>,
+    head_limit: HeadLimit,
     _driver: AbortOnDrop,
 }
 
-/// The stream of a connection, which fails when too many bytes arrive before a response head.
+/// Fails a connection when too many bytes arrive before a response head.
 ///
 /// The HTTP library skips interim responses, however many there are, and does nothing else as long
 /// as they arrive.
-struct HeadLimitedStream {
-    stream: TcpStream,
+#[derive(Clone, Debug)]
+struct HeadLimit {
+    /// Number of bytes that may still arrive before the next response head is complete.
     allowed_bytes: Rc<Cell<usize>>,
 }
 
-impl AsyncRead for HeadLimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let allowed = self.allowed_bytes.get();
-        if allowed == 0 {
-            let error = "the response has no head within the size limit";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
-        }
-        let filled_before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if allowed != UNLIMITED {
-            let received = buf.filled().len() - filled_before;
-            self.allowed_bytes.set(allowed.saturating_sub(received));
+impl HeadLimit {
+    fn new() -> Self {
+        Self {
+            allowed_bytes: Rc::new(Cell::new(MAX_BUFFER_BYTES)),
         }
-        polled
-    }
-}
-
-impl AsyncWrite for HeadLimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    /// Limits the bytes of the next response head.
+    fn begin_head(&self) {
+        self.allowed_bytes.set(MAX_BUFFER_BYTES);
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    /// Ends the limit: the head is complete, and a body may follow.
+    fn end_head(&self) {
+        self.allowed_bytes.set(UNLIMITED);
     }
+}
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+impl StreamObserver for HeadLimit {
+    fn check_read(&self) -> io::Result<()> {
+        if self.allowed_bytes.get() > 0 {
+            return Ok(());
+        }
+        let error = "the response has no head within the size limit";
+        Err(io::Error::new(io::ErrorKind::InvalidData, error))
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+    fn record_read(&self, bytes: usize) {
+        let allowed_bytes = self.allowed_bytes.get();
+        if allowed_bytes != UNLIMITED {
+            self.allowed_bytes.set(allowed_bytes.saturating_sub(bytes));
+        }
     }
 }
 
@@ -163,11 +142,8 @@
         let stream = net::connect(address, timeout_ms)
             .await
             .map_err(CallError::Connect)?;
-        let allowed_bytes = Rc::new(Cell::new(MAX_BUFFER_BYTES));
-        let stream = HeadLimitedStream {
-            stream,
-            allowed_bytes: Rc::clone(&allowed_bytes),
-        };
+        let head_limit = HeadLimit::new();
+        let stream = ObservedStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -180,7 +156,7 @@
         });
         Ok(Self {
             sender,
-            allowed_bytes,
+            head_limit,
             _driver: AbortOnDrop::new(driver),
         })
     }
@@ -209,9 +185,9 @@
         if self.sender.ready().await.is_err() {
             return Err(CallError::Unsent);
         }
-        self.allowed_bytes.set(MAX_BUFFER_BYTES);
+        self.head_limit.begin_head();
         let response = self.sender.try_send_request(request).await;
-        self.allowed_bytes.set(UNLIMITED);
+        self.head_limit.end_head();
         response.map_err(|mut error| match error.take_message() {
             Some(_) => CallError::Unsent,
             None => CallError::Interrupted(error.into_error()),
--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -10,11 +10,8 @@
 
 use std::cell::Cell;
 use std::io;
-use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::Context;
-use std::task::Poll;
 
 use http::HeaderValue;
 use http::Request;
@@ -26,9 +23,6 @@
 use hyper_util::rt::TokioIo;
 use log::debug;
 use log::info;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -36,6 +30,8 @@
 
 use crate::net;
 use crate::net::sleep;
+use crate::observed_stream::ObservedStream;
+use crate::observed_stream::StreamObserver;
 use crate::request;
 use crate::response::ClientBody;
 use crate::shared::Phase;
@@ -152,69 +148,20 @@
     }
 }
 
-/// The stream of a client connection; sets the activity when the first byte of a request arrives,
-/// and when bytes of a response leave that the request has handed over.
-struct ObservedStream {
-    stream: TcpStream,
-    activity: Rc<ConnectionActivity>,
-}
-
-impl ObservedStream {
-    /// Restarts the idle time after a write: a response is written after its request has ended.
-    fn observe_write(&self, polled: &Poll<io::Result<usize>>) {
-        let has_written = matches!(polled, Poll::Ready(Ok(bytes)) if *bytes > 0);
-        if has_written && self.activity.state.get().0 == Activity::Idle {
-            self.activity.set(Activity::Idle);
+/// Sets the activity when the first byte of a request arrives, and when bytes of a response leave that
+/// the request has handed over.
+impl StreamObserver for Rc<ConnectionActivity> {
+    fn record_read(&self, _bytes: usize) {
+        if self.state.get().0 == Activity::Idle {
+            self.set(Activity::ReadingHead);
         }
     }
-}
 
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let filled_before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > filled_before && self.activity.state.get().0 == Activity::Idle {
-            self.activity.set(Activity::ReadingHead);
+    /// Restarts the idle time: a response is written after its request has ended.
+    fn record_write(&self, _bytes: usize) {
+        if self.state.get().0 == Activity::Idle {
+            self.set(Activity::Idle);
         }
-        polled
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.observe_write(&polled);
-        polled
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.observe_write(&polled);
-        polled
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
     }
 }
 
@@ -253,10 +200,7 @@
         timeout_shortened: Notify::new(),
         shared: Rc::clone(&shared),
     });
-    let io = TokioIo::new(ObservedStream {
-        stream,
-        activity: Rc::clone(&activity),
-    });
+    let io = TokioIo::new(ObservedStream::new(stream, Rc::clone(&activity)));
     let service = service_fn(|http_request: Request<Incoming>| {
         let guard = InProgressGuard::new(&activity);
         handle_request(
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod net;
+pub mod observed_stream;
 pub mod peer;
 pub mod peer_frames;
 pub mod peer_messages;
