--- a/crates/policy/src/serving/request_durations.rs
+++ b/crates/policy/src/serving/request_durations.rs
@@ -17,7 +17,9 @@
 
 /// For each route, the duration that nine in ten of its recent requests do not exceed.
 ///
-/// A slow request raises the forecast by nine times what a fast one lowers it.
+/// A slow request raises the forecast by nine times what a fast one lowers it. One number a route is
+/// enough for that; the histograms of [`crate::latency::RecentLatency`] take kilobytes for each of
+/// thousands of routes.
 #[derive(Debug, Default)]
 pub struct RequestDurations {
     forecasts_ms: BTreeMap<String, f64>,
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -195,21 +195,13 @@
         self.is_reused
     }
 
-    /// Records the handles in the response to a stage call; returns false if the target has sent one
-    /// of them before, on any connection. It has then written an earlier response once more.
-    pub fn record_handles<'a>(&self, mut handles: impl Iterator<Item = &'a str>) -> bool {
+    /// Records what identifies the response to a stage call: its handles or, if it has none, its
+    /// body. Returns false if the target has sent one of them before, on any connection; the response
+    /// may then be an earlier one that was written once more.
+    pub fn record_results<'a>(&self, mut results: impl Iterator<Item = &'a [u8]>) -> bool {
         let mut targets = self.pool.targets.borrow_mut();
         let state = targets.entry(self.target.clone()).or_default();
-        handles.all(|handle| state.seen_results.record(handle.as_bytes()))
-    }
-
-    /// Records the response to a stage call of which no piece was computed; returns false if the
-    /// target has sent the same one before, on any connection.
-    #[must_use]
-    pub fn record_failed_response(&self, body: &[u8]) -> bool {
-        let mut targets = self.pool.targets.borrow_mut();
-        let state = targets.entry(self.target.clone()).or_default();
-        state.seen_results.record(body)
+        results.all(|result| state.seen_results.record(result))
     }
 
     /// Returns the connection to the pool. The response must have been read completely.
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::iter;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -538,15 +539,15 @@
         StageRequest::Free => PostOutcome::Freed,
         StageRequest::Run { pieces } => {
             let results = decode_results(entry, &body, pieces).ok_or(CallError::Mismatched)?;
-            let handles = results.iter().flatten().map(String::as_str);
-            if !connection.record_handles(handles) {
+            let handles = results.iter().flatten().map(String::as_bytes);
+            if !connection.record_results(handles) {
                 warn!(target_id = entry.id.as_str(); "target repeated the response to an earlier stage call");
                 return Err(CallError::Mismatched);
             }
             // Without a handle, a response that the target has sent before may be written once more.
             // The true response may still arrive, so the connection is not used again.
             let has_handles = results.iter().any(Result::is_ok);
-            if !has_handles && !connection.record_failed_response(&body) {
+            if !has_handles && !connection.record_results(iter::once(&*body)) {
                 return Ok(PostOutcome::Computed(results));
             }
             PostOutcome::Computed(results)
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -112,11 +112,8 @@
         revision: u64,
         wait_ms: Millis,
     ) -> Result<WatchResponse, StoreError> {
-        let path = watch_path(kind, revision, wait_ms);
-        let body = self
-            .call(kind, Method::GET, &path, None, wait_ms + CALL_TIMEOUT_MS)
-            .await?;
-        decode_watch(&body).map_err(StoreError::Malformed)
+        let timeout_ms = wait_ms + CALL_TIMEOUT_MS;
+        self.read_changes(kind, revision, wait_ms, timeout_ms).await
     }
 
     /// Returns the changes after a revision without waiting for one.
@@ -129,9 +126,22 @@
         kind: ObjectKind,
         revision: u64,
     ) -> Result<WatchResponse, StoreError> {
-        let path = watch_path(kind, revision, Millis::ZERO);
-        let call = self.call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
-        decode_watch(&call.await?).map_err(StoreError::Malformed)
+        self.read_changes(kind, revision, Millis::ZERO, SHORT_CALL_TIMEOUT_MS)
+            .await
+    }
+
+    async fn read_changes(
+        &self,
+        kind: ObjectKind,
+        revision: u64,
+        wait_ms: Millis,
+        timeout_ms: Millis,
+    ) -> Result<WatchResponse, StoreError> {
+        let path = watch_path(kind, revision, wait_ms);
+        let body = self
+            .call(kind, Method::GET, &path, None, timeout_ms)
+            .await?;
+        decode_watch(&body).map_err(StoreError::Malformed)
     }
 
     /// Makes one call and returns the response body.
--- a/crates/serving/src/watch/liveness.rs
+++ b/crates/serving/src/watch/liveness.rs
@@ -7,6 +7,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use http::Method;
 use log::info;
 use log::warn;
@@ -66,23 +67,23 @@
         }
     }
 
-    async fn probe_stale(&self) -> Result<(), StoreError> {
+    /// Reads the smallest list, which is that of the evacuated failure domains.
+    async fn read_smallest_list(&self, path: &str) -> Result<Bytes, StoreError> {
         let kind = ObjectKind::Evacuations;
-        let path = stale_list_path(kind);
-        let call = self
-            .client
-            .call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
-        call.await.map(drop)
+        self.client
+            .call(kind, Method::GET, path, None, SHORT_CALL_TIMEOUT_MS)
+            .await
+    }
+
+    async fn probe_stale(&self) -> Result<(), StoreError> {
+        let path = stale_list_path(ObjectKind::Evacuations);
+        self.read_smallest_list(&path).await.map(drop)
     }
 
-    /// Reads the current revision of the store with the smallest list.
     async fn read_revision(&self) -> Result<(), StoreError> {
-        let kind = ObjectKind::Evacuations;
-        let path = list_path(kind, None);
-        let call = self
-            .client
-            .call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
-        let page = decode_list(&call.await?).map_err(StoreError::Malformed)?;
+        let path = list_path(ObjectKind::Evacuations, None);
+        let body = self.read_smallest_list(&path).await?;
+        let page = decode_list(&body).map_err(StoreError::Malformed)?;
         self.store_revision.send_if_modified(|revision| {
             let is_later = page.revision > *revision;
             *revision = page.revision.max(*revision);
