--- a/crates/daemon/tests/platform_connections.rs
+++ b/crates/daemon/tests/platform_connections.rs
@@ -21,12 +21,9 @@
 const PEER_PORT: u16 = 7_740;
 const METRICS_PORT: u16 = 9_464;
 
-/// Guards against an idle timeout that runs while a response is still being written, and cuts it
-/// off.
-#[test]
-fn a_response_that_takes_longer_than_the_idle_timeout_is_written_completely() {
-    /// The client reads the body in 4 seconds; the idle timeout is 2 seconds.
-    const READ_INTERVAL: Duration = Duration::from_millis(40);
+/// Requests a body of [`slow_client::BODY_BYTES`] from a new instance, and receives it after a pause.
+/// Returns its length as far as it arrived.
+fn receive_large_response(pause: Duration, read_interval: Duration) -> usize {
     let cluster = start_cluster(1);
     for target in &cluster.platform.targets {
         target.set_min_body_bytes(slow_client::BODY_BYTES);
@@ -34,7 +31,17 @@
     let connection = ClientRequest::new("GET", "/safe/1", "slow-reader")
         .send(cluster.instances[0].client_address())
         .expect("the instance accepts connections");
-    let body_bytes = slow_client::receive_body(connection, READ_INTERVAL);
+    thread::sleep(pause);
+    slow_client::receive_body(connection, read_interval)
+}
+
+/// Guards against an idle timeout that runs while a response is still being written, and cuts it
+/// off.
+#[test]
+fn a_response_that_takes_longer_than_the_idle_timeout_is_written_completely() {
+    /// The client reads the body in 4 seconds; the idle timeout is 2 seconds.
+    const READ_INTERVAL: Duration = Duration::from_millis(40);
+    let body_bytes = receive_large_response(Duration::ZERO, READ_INTERVAL);
     assert_eq!(body_bytes, slow_client::BODY_BYTES);
 }
 
@@ -45,15 +52,7 @@
     /// Shorter than the idle timeout, which is 2 seconds and a margin.
     const PAUSE: Duration = Duration::from_secs(2);
     const READ_INTERVAL: Duration = Duration::from_millis(5);
-    let cluster = start_cluster(1);
-    for target in &cluster.platform.targets {
-        target.set_min_body_bytes(slow_client::BODY_BYTES);
-    }
-    let connection = ClientRequest::new("GET", "/safe/1", "paused-reader")
-        .send(cluster.instances[0].client_address())
-        .expect("the instance accepts connections");
-    thread::sleep(PAUSE);
-    let body_bytes = slow_client::receive_body(connection, READ_INTERVAL);
+    let body_bytes = receive_large_response(PAUSE, READ_INTERVAL);
     assert_eq!(body_bytes, slow_client::BODY_BYTES);
 }
 
--- a/crates/daemon/tests/platform_odd_entries.rs
+++ b/crates/daemon/tests/platform_odd_entries.rs
@@ -9,9 +9,9 @@
 use crate::common::start_cluster;
 use arbutus_platform::store::ObjectKind;
 use arbutus_policy::serving::model::RouteKind;
-use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::example::configuration;
 use arbutus_standins::simulated_platform::example::route;
+use arbutus_standins::simulated_platform::instance;
 
 /// Time within which a change in the store has to take effect.
 const CHANGE_BOUND: Duration = Duration::from_secs(2);
@@ -72,15 +72,6 @@
 }
 
 impl TestCluster {
-    /// Returns the status of a request at each instance.
-    fn statuses(&self, path: &str) -> Vec<u16> {
-        let calls = self.instances.iter().map(|instance| {
-            let response = ClientRequest::new("GET", path, path).call(instance.client_address());
-            response.expect("the instance accepts connections").status
-        });
-        calls.collect()
-    }
-
     /// Fails if an instance has not observed that a target drains.
     fn assert_drain_is_observed(&self, id: &str, cause: &str) {
         let target = self.platform.target(id);
@@ -91,7 +82,11 @@
         thread::sleep(CHANGE_BOUND);
         let served_before = target.executed_requests().len();
         for _ in 0..6 {
-            assert_eq!(self.statuses("/safe/1"), [200, 200], "{cause}");
+            assert_eq!(
+                instance::statuses(&self.instances, "/safe/1"),
+                [200, 200],
+                "{cause}"
+            );
         }
         let served = target.executed_requests().len();
         assert_eq!(served, served_before, "{cause}");
@@ -135,7 +130,10 @@
         thread::sleep(READ_TIME);
         let served_before = cluster.platform.target("d1").executed_requests().len();
         for _ in 0..4 {
-            assert_eq!(cluster.statuses("/safe/1"), [200, 200]);
+            assert_eq!(
+                instance::statuses(&cluster.instances, "/safe/1"),
+                [200, 200]
+            );
         }
         let served = cluster.platform.target("d1").executed_requests().len();
         let text = String::from_utf8_lossy(&content[..content.len().min(120)]).into_owned();
@@ -156,12 +154,15 @@
         store.put_raw(ObjectKind::Configuration, &name, content);
     }
     thread::sleep(CHANGE_BOUND);
-    assert_eq!(cluster.statuses("/safe/1"), [200, 200]);
+    assert_eq!(
+        instance::statuses(&cluster.instances, "/safe/1"),
+        [200, 200]
+    );
     let mut newer = configuration(5);
     newer.routes.push(route("/new/", RouteKind::Safe, "desk"));
     store
         .put_configuration(&newer)
         .expect("the object can be encoded");
     thread::sleep(CHANGE_BOUND);
-    assert_eq!(cluster.statuses("/new/1"), [200, 200]);
+    assert_eq!(instance::statuses(&cluster.instances, "/new/1"), [200, 200]);
 }
--- a/crates/daemon/tests/platform_watch.rs
+++ b/crates/daemon/tests/platform_watch.rs
@@ -14,6 +14,7 @@
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::example::configuration;
 use arbutus_standins::simulated_platform::example::route;
+use arbutus_standins::simulated_platform::instance;
 use arbutus_standins::simulated_platform::instance::InstanceProcess;
 
 /// Time within which a change in the store has to take effect.
@@ -39,17 +40,6 @@
     assert_eq!(cluster.platform.store.lose_watch_responses(kind, 0), 0);
 }
 
-/// Returns the status of a request at each instance.
-fn statuses(cluster: &TestCluster, path: &str) -> Vec<u16> {
-    let instances = cluster.instances.iter();
-    instances
-        .map(|instance| {
-            let response = ClientRequest::new("GET", path, path).call(instance.client_address());
-            response.expect("the instance accepts connections").status
-        })
-        .collect()
-}
-
 /// Guards against routes and keys of an old configuration that are served on, because the store has
 /// lost the response of a watch and its connection stays open.
 #[test]
@@ -64,7 +54,7 @@
         .expect("the object can be encoded");
     wait_for_lost_responses(&cluster, ObjectKind::Configuration);
     thread::sleep(REST_OF_CONTACT);
-    assert_eq!(statuses(&cluster, "/new/1"), [200, 200]);
+    assert_eq!(instance::statuses(&cluster.instances, "/new/1"), [200, 200]);
     // The watch that follows the lost one has to report changes, too.
     let mut without_keys = configuration(6);
     without_keys.organisations_by_key = Some(BTreeMap::new());
@@ -72,7 +62,10 @@
         .put_configuration(&without_keys)
         .expect("the object can be encoded");
     thread::sleep(CONFIGURATION_BOUND);
-    assert_eq!(statuses(&cluster, "/safe/1"), [401, 401]);
+    assert_eq!(
+        instance::statuses(&cluster.instances, "/safe/1"),
+        [401, 401]
+    );
 }
 
 /// Guards against requests to a target that drains, and that are lost when it exits, because the
@@ -96,7 +89,10 @@
     thread::sleep(DRAIN_BOUND);
     let served_before = desks[0].executed_requests().len();
     for _ in 0..10 {
-        assert_eq!(statuses(&cluster, "/safe/1"), [200, 200]);
+        assert_eq!(
+            instance::statuses(&cluster.instances, "/safe/1"),
+            [200, 200]
+        );
     }
     assert_eq!(desks[0].executed_requests().len(), served_before);
     assert!(desks[1].executed_requests().len() >= 20);
@@ -115,7 +111,10 @@
     let target = cluster.platform.target("d1");
     let served_before = target.executed_requests().len();
     for _ in 0..10 {
-        assert_eq!(statuses(&cluster, "/safe/1"), [200, 200]);
+        assert_eq!(
+            instance::statuses(&cluster.instances, "/safe/1"),
+            [200, 200]
+        );
     }
     assert_eq!(target.executed_requests().len(), served_before);
 }
--- a/crates/standins/src/simulated_platform/flooder.rs
+++ b/crates/standins/src/simulated_platform/flooder.rs
@@ -16,6 +16,7 @@
 
 const WRITE_BYTES: usize = 64 * 1024;
 const REQUEST_BYTES: usize = 64 * 1024;
+const MAX_HEADERS: usize = 64;
 
 /// What the target writes without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::VariantArray)]
@@ -105,17 +106,16 @@
 ) -> io::Result<()> {
     let mut request = vec![0; REQUEST_BYTES];
     let length = stream.read(&mut request)?;
-    let text = String::from_utf8_lossy(&request[..length]).into_owned();
-    let prefix = format!("{}: ", names::REQUEST_ID);
-    let mut lines = text.lines();
-    let request_id = lines
-        .find_map(|line| {
-            let name = line.get(..prefix.len())?;
-            let value = line.get(prefix.len()..)?;
-            name.eq_ignore_ascii_case(&prefix).then_some(value)
-        })
-        .unwrap_or_default();
-    let (begin, repeated) = flood.content(request_id);
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    head.parse(&request[..length]).map_err(io::Error::other)?;
+    let id_header = head
+        .headers
+        .iter()
+        .find(|header| header.name.eq_ignore_ascii_case(names::REQUEST_ID.as_str()));
+    // Calls of stages have no identifier.
+    let request_id = id_header.map_or(&b""[..], |header| header.value);
+    let (begin, repeated) = flood.content(&String::from_utf8_lossy(request_id));
     stream.write_all(begin.as_bytes())?;
     let repeated = repeated.repeat(WRITE_BYTES / repeated.len());
     loop {
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -35,6 +35,20 @@
 /// Last byte of the loopback address of the next instance.
 static NEXT_HOST_NUMBER: AtomicU8 = AtomicU8::new(1);
 
+/// Sends a GET request to each instance, and returns the statuses of the responses.
+///
+/// # Panics
+///
+/// Panics if an instance does not accept the connection.
+#[must_use]
+pub fn statuses(instances: &[InstanceProcess], path: &str) -> Vec<u16> {
+    let calls = instances.iter().map(|instance| {
+        let response = ClientRequest::new("GET", path, path).call(instance.client_address());
+        response.expect("the instance accepts connections").status
+    });
+    calls.collect()
+}
+
 /// A running instance.
 ///
 /// When it is dropped, its process is killed, and its settings file and log are deleted. The log is
