--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -28,3 +28,4 @@
 pub mod target_directory;
 pub mod target_limits;
 pub mod target_selection;
+pub mod target_view;
