--- a/crates/policy/src/serving/model.rs
+++ b/crates/policy/src/serving/model.rs
@@ -112,6 +112,9 @@
     pub max_cold_requests_per_s: f64,
     /// Number of requests that a target executes concurrently; `None` if not configured.
     pub slots: Option<u32>,
+    /// Number of tokens of requests in execution for which a target has memory; `None` if not
+    /// configured.
+    pub token_capacity: Option<u64>,
     /// Properties of a stage service; `None` for a service that computes no stages.
     pub stage: Option<StageServiceSpec>,
 }
--- a/crates/policy/src/serving/target_view/aggregator.rs
+++ b/crates/policy/src/serving/target_view/aggregator.rs
@@ -5,7 +5,7 @@
 use arbutus_coord::Millis;
 use arbutus_coord::rendezvous;
 
-/// How long an aggregator may send nothing before another one is chosen.
+/// How long the aggregator of the local failure domain may send nothing before another one is chosen.
 pub const AGGREGATOR_SILENCE_MS: Millis = Millis(1_000);
 /// Key by which the instances of a domain are ranked.
 const RANK_KEY: &str = "target-view/";
@@ -22,6 +22,8 @@
 pub struct AggregatorChoice {
     /// By failure domain and instance.
     candidates: BTreeMap<String, BTreeMap<String, Candidate>>,
+    /// The first instance of each failure domain by rank, as of the last choice.
+    first: BTreeMap<String, String>,
 }
 
 impl AggregatorChoice {
@@ -35,8 +37,14 @@
         candidate.last_received_at = Some(now);
     }
 
+    /// Returns whether an instance was the first of its failure domain by rank at the last choice.
+    #[must_use]
+    pub fn is_first(&self, domain: &str, name: &str) -> bool {
+        self.first.get(domain).is_some_and(|first| first == name)
+    }
+
     /// Returns the aggregator of a failure domain: the first of `members` by rendezvous hashing that
-    /// is not silent. If all are, the first one.
+    /// is not silent, that is, has sent something within `silence_ms`. If all are, the first one.
     ///
     /// `local` is the local instance, which is never silent for itself, if it is in this domain.
     pub fn choose<'a>(
@@ -45,9 +53,13 @@
         domain: &str,
         members: impl Iterator<Item = &'a str>,
         local: Option<&str>,
+        silence_ms: Millis,
     ) -> Option<&'a str> {
         let key = format!("{RANK_KEY}{domain}");
         let ranked = rendezvous::ranked(key.as_bytes(), members);
+        if let Some(&first) = ranked.first() {
+            self.first.insert(domain.to_owned(), first.to_owned());
+        }
         let candidates = self.candidates.entry(domain.to_owned()).or_default();
         candidates.retain(|name, _| ranked.contains(&name.as_str()));
         let mut chosen = None;
@@ -65,7 +77,7 @@
                 .map_or(candidate.expected_since, |at| {
                     at.max(candidate.expected_since)
                 });
-            if heard_at + AGGREGATOR_SILENCE_MS >= now {
+            if heard_at + silence_ms >= now {
                 chosen = Some(rank);
                 break;
             }
--- a/crates/policy/src/serving/target_view/mod.rs
+++ b/crates/policy/src/serving/target_view/mod.rs
@@ -9,9 +9,11 @@
 use std::collections::BTreeMap;
 
 pub mod aggregator;
+pub mod exchange;
 pub mod messages;
 mod sender;
 mod usual_level;
+mod viewed_target;
 
 use crate::serving::target_view::messages::MessageStamp;
 use crate::serving::target_view::messages::OutcomeCounts;
@@ -19,7 +21,11 @@
 use crate::serving::target_view::messages::TargetObservation;
 use crate::serving::target_view::messages::TargetSummary;
 use crate::serving::target_view::sender::SenderState;
-use crate::serving::target_view::usual_level::UsualLevel;
+use crate::serving::target_view::viewed_target::Advice;
+use crate::serving::target_view::viewed_target::Figures;
+use crate::serving::target_view::viewed_target::SentSummary;
+use crate::serving::target_view::viewed_target::Unsent;
+use crate::serving::target_view::viewed_target::ViewedTarget;
 use arbutus_coord::Millis;
 
 /// How long a load is used. The budget of a receiver allows about 200 summaries a second, so each of
@@ -27,12 +33,6 @@
 pub const VIEW_VALID_MS: Millis = Millis(2_000);
 /// How long the pace and the ramp weight of a target are used; during this time, they move towards 1.
 pub const PACE_VALID_MS: Millis = Millis(60_000);
-/// How long the pace and the ramp weight that this instance determined itself take precedence over
-/// those of other aggregators.
-const LOCAL_ADVICE_MS: Millis = Millis(2_000);
-/// Smaller changes of pace and ramp weight are not sent, because they change no choice and would displace
-/// changes of the load from the budget.
-const MIN_ADVICE_CHANGE: f64 = 0.05;
 /// Maximum number of targets; the ones that were observed first are removed.
 const MAX_TARGETS: usize = 4_096;
 /// Maximum number of senders whose message numbers are remembered.
@@ -75,52 +75,28 @@
     pub outcomes: OutcomeCounts,
 }
 
-/// The figures of a load report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Figures {
-    running: u32,
-    waiting: u32,
-    slots: Option<u32>,
-    work_percent: Option<u32>,
-}
-
-/// Pace and ramp weight of a target, and when this instance learnt them.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Advice {
-    pace: Option<f64>,
-    ramp_weight: Option<f64>,
-    learnt_at: Millis,
-    is_local: bool,
-}
-
-/// What was last sent to a group of receivers.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct SentSummary {
-    figures: Figures,
-    observed_at: Millis,
-    pace: Option<f64>,
-    ramp_weight: Option<f64>,
-    sent_at: Millis,
-}
-
-/// What this instance observed and has not sent to the aggregator yet.
-#[derive(Clone, Copy, Debug, Default)]
-struct Unsent {
-    has_load: bool,
-    pace: PaceSample,
-    outcomes: OutcomeCounts,
-    since: Millis,
+impl NewSamples {
+    /// Returns the samples of an observation, or `None` if it has none.
+    #[must_use]
+    pub fn of(observation: &TargetObservation) -> Option<Self> {
+        let has_samples =
+            observation.pace.weight > 0.0 || observation.outcomes != OutcomeCounts::default();
+        has_samples.then(|| Self {
+            target: observation.target.clone(),
+            incarnation: observation.incarnation,
+            pace: observation.pace,
+            outcomes: observation.outcomes,
+        })
+    }
 }
 
-#[derive(Clone, Debug, Default)]
-struct ViewedTarget {
-    incarnation: Option<u64>,
-    figures: Figures,
-    observed_at: Millis,
-    usual_level: UsualLevel,
-    advice: Option<Advice>,
-    unsent: Option<Unsent>,
-    sent: BTreeMap<Receivers, SentSummary>,
+/// Who told a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// A response of the target, to this instance or to a member of its failure domain.
+    Response,
+    /// An aggregator.
+    Aggregator,
 }
 
 /// The targets, as all instances of a failure domain observe them.
@@ -139,8 +115,7 @@
 
     /// Records what this instance learnt from a response.
     pub fn observe(&mut self, now: Millis, observation: &TargetObservation) {
-        let observed_at = now - observation.age_ms;
-        if !self.merge_load(observed_at, observation) {
+        if !self.merge_load(now - observation.age_ms, observation, Source::Response) {
             return;
         }
         let Some(viewed) = self.targets.get_mut(&observation.target) else {
@@ -150,7 +125,6 @@
             since: now,
             ..Unsent::default()
         });
-        unsent.has_load = true;
         unsent.pace.add(observation.pace);
         unsent.outcomes.add(observation.outcomes);
     }
@@ -180,6 +154,16 @@
         unsent.outcomes.add(outcomes);
     }
 
+    /// Returns the size of the records of all that this instance observed and has not sent yet.
+    #[must_use]
+    pub fn unsent_bytes(&self) -> u64 {
+        let unsent = self.targets.iter().filter_map(|(id, viewed)| {
+            let observation = viewed.observation(Millis::MAX, id)?;
+            Some(observation.record().encoded_bytes() as u64)
+        });
+        unsent.sum()
+    }
+
     /// Takes what this instance observed and has not sent yet, up to `budget_bytes` of records. What
     /// has waited longest comes first.
     pub fn take_observations(
@@ -199,20 +183,9 @@
             let Some(viewed) = self.targets.get_mut(&id) else {
                 continue;
             };
-            let Some(unsent) = viewed.unsent else {
+            let Some(observation) = viewed.observation(now, &id) else {
                 continue;
             };
-            let observation = TargetObservation {
-                target: id,
-                incarnation: viewed.incarnation,
-                age_ms: now - viewed.observed_at,
-                running: viewed.figures.running,
-                waiting: viewed.figures.waiting,
-                slots: viewed.figures.slots,
-                work_percent: viewed.figures.work_percent,
-                pace: unsent.pace,
-                outcomes: unsent.outcomes,
-            };
             used_bytes += observation.record().encoded_bytes();
             if used_bytes > budget_bytes {
                 break;
@@ -238,17 +211,10 @@
         let mut samples = Vec::new();
         for observation in observations {
             let observed_at = sent_at - observation.age_ms;
-            if !self.merge_load(observed_at, observation) {
+            if !self.merge_load(observed_at, observation, Source::Response) {
                 continue;
             }
-            if observation.pace.weight > 0.0 || observation.outcomes != OutcomeCounts::default() {
-                samples.push(NewSamples {
-                    target: observation.target.clone(),
-                    incarnation: observation.incarnation,
-                    pace: observation.pace,
-                    outcomes: observation.outcomes,
-                });
-            }
+            samples.extend(NewSamples::of(observation));
         }
         samples
     }
@@ -273,7 +239,7 @@
             let Some(viewed) = self.targets.get_mut(&id) else {
                 continue;
             };
-            let summary = viewed.summary(now, &id);
+            let summary = viewed.summary(now, &id, receivers);
             used_bytes += summary.record().encoded_bytes();
             if used_bytes > budget_bytes {
                 break;
@@ -304,7 +270,7 @@
         let mut used_bytes = 0;
         let summaries = recent
             .into_iter()
-            .map(|(id, viewed)| viewed.summary(now, id));
+            .map(|(id, viewed)| viewed.summary(now, id, Receivers::Domain));
         let within_budget = summaries.take_while(|summary| {
             used_bytes += summary.record().encoded_bytes();
             used_bytes <= budget_bytes
@@ -334,7 +300,8 @@
                 work_percent: summary.work_percent,
                 ..TargetObservation::default()
             };
-            if !self.merge_load(sent_at - summary.age_ms, &observation) {
+            let observed_at = sent_at - summary.age_ms;
+            if !self.merge_load(observed_at, &observation, Source::Aggregator) {
                 continue;
             }
             let Some(viewed) = self.targets.get_mut(&summary.target) else {
@@ -441,7 +408,12 @@
     }
 
     /// Merges a load; returns false if it belongs to an incarnation that has been replaced.
-    fn merge_load(&mut self, observed_at: Millis, observation: &TargetObservation) -> bool {
+    fn merge_load(
+        &mut self,
+        observed_at: Millis,
+        observation: &TargetObservation,
+        source: Source,
+    ) -> bool {
         self.make_room(&observation.target);
         let viewed = self
             .targets
@@ -467,7 +439,11 @@
                 slots: observation.slots,
                 work_percent: observation.work_percent,
             };
-            if let Some(percent) = observation.work_percent {
+            viewed.is_relayed = source == Source::Aggregator;
+            if viewed.is_relayed {
+                // The aggregator knows a later load than the one that was to be sent to it.
+                viewed.unsent = viewed.unsent.filter(Unsent::has_samples);
+            } else if let Some(percent) = observation.work_percent {
                 viewed.usual_level.record(observed_at, percent);
             }
         }
@@ -489,75 +465,6 @@
     }
 }
 
-impl ViewedTarget {
-    fn is_usable(&self, now: Millis) -> bool {
-        self.observed_at + VIEW_VALID_MS >= now && self.observed_at != Millis::ZERO
-    }
-
-    fn has_advice(&self, now: Millis) -> bool {
-        self.advice
-            .is_some_and(|advice| advice.learnt_at + PACE_VALID_MS >= now)
-    }
-
-    fn adopt_advice(&mut self, advice: Advice) {
-        let is_superseded = self.advice.is_some_and(|known| {
-            known.learnt_at >= advice.learnt_at
-                || (known.is_local && known.learnt_at + LOCAL_ADVICE_MS >= advice.learnt_at)
-        });
-        if !is_superseded && (advice.pace.is_some() || advice.ramp_weight.is_some()) {
-            self.advice = Some(advice);
-        }
-    }
-
-    fn summary(&self, now: Millis, id: &str) -> TargetSummary {
-        let advice = self.advice.filter(|_| self.has_advice(now));
-        TargetSummary {
-            target: id.to_owned(),
-            incarnation: self.incarnation,
-            age_ms: now - self.observed_at,
-            running: self.figures.running,
-            waiting: self.figures.waiting,
-            slots: self.figures.slots,
-            work_percent: self.figures.work_percent,
-            usual_work_percent: self.usual_level.percent(),
-            pace: advice.and_then(|advice| advice.pace),
-            ramp_weight: advice.and_then(|advice| advice.ramp_weight),
-        }
-    }
-
-    /// Returns how much there is to tell receivers about the target, or `None` if they know all.
-    fn change(&self, now: Millis, receivers: Receivers) -> Option<f64> {
-        let (pace, ramp_weight) = self
-            .advice
-            .filter(|_| self.has_advice(now))
-            .map_or((None, None), |advice| (advice.pace, advice.ramp_weight));
-        let Some(sent) = self.sent.get(&receivers) else {
-            return (self.is_usable(now) || self.has_advice(now)).then_some(f64::INFINITY);
-        };
-        let is_newer = self.is_usable(now) && self.observed_at > sent.observed_at;
-        let advice_change = difference(pace, sent.pace) + difference(ramp_weight, sent.ramp_weight);
-        if !is_newer && advice_change < MIN_ADVICE_CHANGE {
-            return None;
-        }
-        let slots = f64::from(self.figures.slots.unwrap_or(1).max(1));
-        let load = |figures: Figures| f64::from(figures.running.saturating_add(figures.waiting));
-        let load_change = (load(self.figures) - load(sent.figures)).abs() / slots;
-        let work = |figures: Figures| {
-            figures
-                .work_percent
-                .map(|percent| f64::from(percent) / 100.0)
-        };
-        let work_change = difference(work(self.figures), work(sent.figures));
-        // Without this term, targets whose load hardly changes would expire at the receivers.
-        let waited = (now - sent.sent_at).0 as f64 / VIEW_VALID_MS.0 as f64;
-        Some(load_change + work_change + advice_change + waited)
-    }
-}
-
-fn difference(left: Option<f64>, right: Option<f64>) -> f64 {
-    (left.unwrap_or(1.0) - right.unwrap_or(1.0)).abs()
-}
-
 fn descending(left: f64, right: f64) -> Ordering {
     right.total_cmp(&left)
 }
--- a/crates/policy/src/serving/target_view/usual_level.rs
+++ b/crates/policy/src/serving/target_view/usual_level.rs
@@ -8,29 +8,31 @@
 /// outweigh the time before it.
 const SLOT_MS: u64 = 200;
 /// Number of reports of which the median is taken. A rise lasts about 600 ms, which is 3 of them.
-const SAMPLES: usize = 31;
-/// From this number of own reports on, the level of the aggregator is not used.
+const MAX_SAMPLES: usize = 31;
+/// From this number of reports on, a rise does not decide the median.
 const MIN_SAMPLES: usize = 7;
+/// [`MIN_SAMPLES`] reports within this time make the level of an aggregator unnecessary.
+const RECENT_MS: Millis = Millis(10_000);
 
 /// The median of the recent work percentages of a target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UsualLevel {
-    samples: VecDeque<u32>,
-    latest_slot: u64,
+    /// When each percentage was reported, and the percentage.
+    samples: VecDeque<(Millis, u32)>,
     /// The level that an aggregator named, and when.
     adopted: Option<(Millis, u32)>,
 }
 
 impl UsualLevel {
-    /// Records a report; earlier ones of the same 200 ms are replaced.
+    /// Records a report of a response; an earlier one of the same 200 ms is replaced.
     pub(super) fn record(&mut self, reported_at: Millis, percent: u32) {
-        let slot = reported_at.0 / SLOT_MS;
-        if slot == self.latest_slot && !self.samples.is_empty() {
+        let slot = |at: Millis| at.0 / SLOT_MS;
+        let latest = self.samples.back();
+        if latest.is_some_and(|&(at, _)| slot(at) == slot(reported_at)) {
             self.samples.pop_back();
         }
-        self.latest_slot = slot;
-        self.samples.push_back(percent);
-        if self.samples.len() > SAMPLES {
+        self.samples.push_back((reported_at, percent));
+        if self.samples.len() > MAX_SAMPLES {
             self.samples.pop_front();
         }
     }
@@ -45,11 +47,25 @@
 
     /// Returns the level, or `None` if the target has reported none.
     pub(super) fn percent(&self) -> Option<u32> {
-        let adopted = self.adopted.map(|(_, percent)| percent);
-        if self.samples.len() < MIN_SAMPLES && adopted.is_some() {
-            return adopted;
+        let Some((named_at, adopted)) = self.adopted else {
+            return self.median();
+        };
+        let since = named_at - RECENT_MS;
+        let recent = self.samples.iter().filter(|&&(at, _)| at >= since);
+        if recent.count() >= MIN_SAMPLES {
+            self.median()
+        } else {
+            Some(adopted)
         }
-        let mut sorted: Vec<u32> = self.samples.iter().copied().collect();
+    }
+
+    /// Returns the level by the reports of responses alone, or `None` if there are too few.
+    pub(super) fn observed_percent(&self) -> Option<u32> {
+        self.median().filter(|_| self.samples.len() >= MIN_SAMPLES)
+    }
+
+    fn median(&self) -> Option<u32> {
+        let mut sorted: Vec<u32> = self.samples.iter().map(|&(_, percent)| percent).collect();
         sorted.sort_unstable();
         // Deviations are rises, so the smaller of two middle values is the better one.
         sorted.get(sorted.len().saturating_sub(1) / 2).copied()
--- a/crates/serving/tests/request_record.rs
+++ b/crates/serving/tests/request_record.rs
@@ -33,6 +33,7 @@
         },
         cold_rate_factor: 1.0,
         extra_cold_rate_per_s: 0.0,
+        shares_target_load: false,
     };
     Shared::new(settings, Clock::new())
 }
--- a/crates/standins/src/simulated_platform/example.rs
+++ b/crates/standins/src/simulated_platform/example.rs
@@ -83,6 +83,7 @@
         cold_duration_ms: Millis::ZERO,
         max_cold_requests_per_s: 0.0,
         slots: None,
+        token_capacity: None,
         stage,
     }
 }
