serving: share the load of targets within a failure domain

Each instance sends what responses say about the load of targets to the aggregator of its failure domain, and the aggregator sends what changed to the domain and to the other aggregators (peer messages of version 6). Periodic messages to a peer that does not read are dropped rather than queued.

--- a/crates/policy/src/serving/target_view/exchange.rs
+++ b/crates/policy/src/serving/target_view/exchange.rs
@@ -50,7 +50,7 @@
 const REQUEST_INTERVAL_MS: Millis = Millis(1_000);
 /// Bytes of a message without its records and the name of the sender: frame header 5, variant 1,
 /// lengths 3, stamp 14.
-const MESSAGE_BYTES: u64 = 23;
+pub const MESSAGE_BYTES: u64 = 23;
 /// Size of the reply to an instance that has started: what it may receive in two seconds.
 pub const KNOWN_TARGETS_BYTES: usize = 6_000;
 
--- a/crates/policy/src/serving/target_view/messages.rs
+++ b/crates/policy/src/serving/target_view/messages.rs
@@ -141,7 +141,7 @@
 }
 
 /// The part of an observation that is added to earlier ones.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct SampleRecord {
     pace: PaceSample,
     outcomes: OutcomeCounts,
@@ -184,10 +184,10 @@
     #[must_use]
     pub fn observation(&self, record: &ObservationRecord) -> Option<TargetObservation> {
         let (target, incarnation) = self.names.get(&record.target_hash)?;
-        let samples = record.samples.unwrap_or(SampleRecord {
-            pace: PaceSample::default(),
-            outcomes: OutcomeCounts::default(),
-        });
+        let samples = record.samples.unwrap_or_default();
+        // Leaves out numbers that are not finite.
+        let mut pace = PaceSample::default();
+        pace.add(samples.pace);
         Some(TargetObservation {
             target: target.clone(),
             incarnation: *incarnation,
@@ -196,7 +196,7 @@
             waiting: record.waiting,
             slots: known(record.slots),
             work_percent: known(record.work_percent),
-            pace: samples.pace,
+            pace,
             outcomes: samples.outcomes,
         })
     }
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::stages::RequestStages;
 use crate::target_choice;
 use crate::target_notices;
+use crate::target_reports;
 use arbutus_coord::Millis;
 use arbutus_platform::request::SystemHeaders;
 use arbutus_platform::response;
@@ -528,6 +529,7 @@
             load.running,
             load.waiting,
         );
+        target_reports::record_load(shared, attempt.target(), &load);
     }
     match response_class {
         ResponseClass::Success | ResponseClass::Failure => {
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -73,6 +73,12 @@
     pub limited_targets: Gauge,
     /// Targets that have asked this instance for a pause that lasts.
     pub paused_targets: Gauge,
+    /// Targets whose load the shared view knows.
+    pub viewed_targets: Gauge,
+    /// Mean age of these loads.
+    pub view_age_ms: Gauge,
+    /// Changes of the aggregator of this failure domain.
+    pub aggregator_changes: Counter,
 }
 
 impl fmt::Debug for Metrics {
@@ -86,6 +92,13 @@
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
 }
 
+/// Registers a gauge.
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::default();
+    registry.register(name, help, gauge.clone());
+    gauge
+}
+
 impl Metrics {
     /// Creates and registers all metrics.
     #[must_use]
@@ -123,13 +136,11 @@
             "Pieces of a stage call of the own queues",
             pieces_per_call.clone(),
         );
-        let in_progress = Gauge::default();
-        registry.register("in_progress", "Requests in progress", in_progress.clone());
-        let client_connections = Gauge::default();
-        registry.register(
+        let in_progress = gauge(&mut registry, "in_progress", "Requests in progress");
+        let client_connections = gauge(
+            &mut registry,
             "client_connections",
             "Open client connections",
-            client_connections.clone(),
         );
         let accepted_during_shutdown = Counter::default();
         registry.register(
@@ -137,23 +148,36 @@
             "Requests accepted during the shutdown",
             accepted_during_shutdown.clone(),
         );
-        let log_lines_dropped = Gauge::default();
-        registry.register(
+        let log_lines_dropped = gauge(
+            &mut registry,
             "log_lines_dropped",
             "Lines that the log dropped",
-            log_lines_dropped.clone(),
         );
-        let limited_targets = Gauge::default();
-        registry.register(
+        let limited_targets = gauge(
+            &mut registry,
             "limited_targets",
             "Targets that name a limit on their requests",
-            limited_targets.clone(),
         );
-        let paused_targets = Gauge::default();
-        registry.register(
+        let paused_targets = gauge(
+            &mut registry,
             "paused_targets",
             "Targets that asked for a pause that lasts",
-            paused_targets.clone(),
+        );
+        let viewed_targets = gauge(
+            &mut registry,
+            "viewed_targets",
+            "Targets whose load the shared view knows",
+        );
+        let view_age_ms = gauge(
+            &mut registry,
+            "view_age_ms",
+            "Mean age of the loads in the shared view",
+        );
+        let aggregator_changes = Counter::default();
+        registry.register(
+            "aggregator_changes",
+            "Changes of the aggregator of the failure domain",
+            aggregator_changes.clone(),
         );
         Self {
             registry,
@@ -170,6 +194,9 @@
             log_lines_dropped,
             limited_targets,
             paused_targets,
+            viewed_targets,
+            view_age_ms,
+            aggregator_changes,
         }
     }
 
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use tokio::time::sleep_until;
 
 use crate::crashes;
+use crate::follow_state::FollowState;
 use crate::net;
 use crate::peer_frames;
 use crate::peer_frames::FrameReader;
@@ -36,6 +38,7 @@
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
 use crate::target_notices;
+use crate::target_reports;
 use crate::update::StateUpdate;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
@@ -64,6 +67,8 @@
 pub struct PeerConnections {
     shared: Rc<Shared>,
     command_senders: RefCell<BTreeMap<String, UnboundedSender<PeerCommand>>>,
+    /// Peers to which commands are being written.
+    writing: RefCell<BTreeSet<String>>,
     stage_client: RefCell<Weak<StageClient>>,
     store: Rc<StoreState>,
 }
@@ -75,6 +80,7 @@
         Rc::new(Self {
             shared,
             command_senders: RefCell::new(BTreeMap::new()),
+            writing: RefCell::new(BTreeSet::new()),
             stage_client: RefCell::new(Weak::new()),
             store,
         })
@@ -141,6 +147,14 @@
         }
     }
 
+    /// Sends a command that may be lost, unless the peer has not read the previous ones yet. Without
+    /// this, periodic commands to a frozen peer would take more and more memory.
+    pub fn send_droppable(self: &Rc<Self>, peer: &str, command: PeerCommand) {
+        if !self.writing.borrow().contains(peer) {
+            self.send(peer, command);
+        }
+    }
+
     async fn run_connection(
         self: Rc<Self>,
         peer: String,
@@ -157,6 +171,7 @@
             None => Err(io::ErrorKind::AddrNotAvailable.into()),
         };
         self.command_senders.borrow_mut().remove(&peer);
+        self.writing.borrow_mut().remove(&peer);
         drop(commands);
         self.store.record_follow_refusal(&peer, result.is_err());
         let stage_client = self.stage_client.borrow().upgrade();
@@ -183,7 +198,9 @@
             tokio::select! {
                 command = commands.recv() => {
                     let Some(command) = command else { return Ok(()) };
+                    self.writing.borrow_mut().insert(peer.to_owned());
                     write_commands(&mut writer, command, commands).await?;
+                    self.writing.borrow_mut().remove(peer);
                 }
                 reply = replies.recv() => {
                     let Some(reply) = reply else {
@@ -290,6 +307,9 @@
             PeerReply::LeavingTargets(reports) => {
                 target_notices::merge_leaving(&self.shared, &reports);
             }
+            PeerReply::TargetSummaries(message) => {
+                target_reports::merge_known_targets(&self.shared, &message);
+            }
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -523,57 +543,22 @@
                     replies.push(PeerReply::PromptCrashes(crashes));
                 }
             }
-            PeerCommand::TargetLimits(reports) => {
-                target_notices::merge_limits(&self.shared, &reports);
-            }
-            PeerCommand::KnownTargetLimits => {
-                let reports = self.shared.target_limits.borrow().reports(now);
-                if !reports.is_empty() {
-                    replies.push(PeerReply::TargetLimits(reports));
-                }
-            }
-            PeerCommand::LeavingTargets(reports) => {
-                target_notices::merge_leaving(&self.shared, &reports);
+            command @ (PeerCommand::TargetLimits(_)
+            | PeerCommand::KnownTargetLimits
+            | PeerCommand::LeavingTargets(_)
+            | PeerCommand::KnownLeavingTargets) => {
+                target_notices::handle_command(&self.shared, command, replies);
             }
-            PeerCommand::KnownLeavingTargets => {
-                let reports = self.shared.directory.borrow().leaving_reports();
-                if !reports.is_empty() {
-                    replies.push(PeerReply::LeavingTargets(reports));
-                }
+            command @ (PeerCommand::TargetObservations(_)
+            | PeerCommand::TargetSummaries(_)
+            | PeerCommand::KnownTargets) => {
+                target_reports::handle_command(&self.shared, command, replies);
             }
             PeerCommand::ClearedParts(parts) => crashes::clear_parts(&self.shared, &parts),
         }
     }
 }
 
-/// Whether a connected peer follows this instance, and the store revisions that the peer knows.
-#[derive(Debug, Default)]
-struct FollowState {
-    is_following: bool,
-    known_revisions: Vec<(ObjectKind, u64)>,
-    accepts_compression: bool,
-    /// Number of updates that were sent to a peer that acknowledges them, and that it has not
-    /// acknowledged yet.
-    unacknowledged: u32,
-}
-
-impl FollowState {
-    fn new(known_revisions: Vec<(ObjectKind, u64)>, accepts_compression: bool) -> Self {
-        Self {
-            is_following: false,
-            known_revisions,
-            accepts_compression,
-            unacknowledged: 0,
-        }
-    }
-
-    /// Returns whether an update is on its way to a follower. The revisions that it names are then
-    /// older than what it has been sent.
-    fn awaits_acknowledgement(&self) -> bool {
-        self.is_following && self.unacknowledged > 0
-    }
-}
-
 /// Removes a submitter when dropped.
 struct SubmitterGuard {
     queues: Rc<StageQueues>,
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -21,11 +21,13 @@
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 use arbutus_policy::serving::target_limits::LimitReport;
+use arbutus_policy::serving::target_view::exchange::ObservationMessage;
+use arbutus_policy::serving::target_view::exchange::SummaryMessage;
 
 /// Version of the messages in this module. An instance writes it to its entry in the store. It sends
 /// a peer only commands of versions that the entry of the peer names, and uses later replies only for
 /// such commands.
-pub const PEER_PROTOCOL: u32 = 5;
+pub const PEER_PROTOCOL: u32 = 6;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
 /// First version that has [`PeerCommand::TargetLimits`].
@@ -34,6 +36,8 @@
 pub const CONFIRMED_CRASHES_PROTOCOL: u32 = 4;
 /// First version that has [`PeerCommand::LeavingTargets`].
 pub const LEAVING_TARGETS_PROTOCOL: u32 = 5;
+/// First version that has [`PeerCommand::TargetObservations`].
+pub const TARGET_VIEW_PROTOCOL: u32 = 6;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -121,6 +125,12 @@
     LeavingTargets(Vec<LeavingReport>),
     /// Requests all targets that have said that they shut down.
     KnownLeavingTargets,
+    /// What a member of the failure domain observed of targets.
+    TargetObservations(ObservationMessage),
+    /// What an aggregator knows of targets.
+    TargetSummaries(SummaryMessage),
+    /// Requests all that the peer knows of targets.
+    KnownTargets,
 }
 
 /// A message to the instance that opened a connection.
@@ -170,4 +180,6 @@
     RecentResponses(Vec<(Fingerprint, Millis)>),
     /// All targets that have said that they shut down.
     LeavingTargets(Vec<LeavingReport>),
+    /// All that the sender knows of targets.
+    TargetSummaries(SummaryMessage),
 }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -32,6 +32,7 @@
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
+use crate::target_reports;
 use crate::watch::StoreState;
 use crate::watcher_selection;
 use arbutus_coord::Clock;
@@ -254,7 +255,7 @@
             Rc::clone(&request_connections),
         )
     });
-    start_report_tasks(shared, connections);
+    start_report_tasks(shared, stage_client, connections);
     let housekeeping_shared = Rc::clone(shared);
     supervise("housekeeping", move || {
         background::run_housekeeping(Rc::clone(&housekeeping_shared), dropped_lines.clone())
@@ -262,8 +263,20 @@
     Ok(())
 }
 
-/// Starts the exchange of reports about crashes and limits with the other instances.
-fn start_report_tasks(shared: &Rc<Shared>, connections: Rc<PeerConnections>) {
+/// Starts the exchange of reports about crashes, limits and loads with the other instances.
+fn start_report_tasks(
+    shared: &Rc<Shared>,
+    stage_client: Rc<StageClient>,
+    connections: Rc<PeerConnections>,
+) {
+    let (view_shared, view_connections) = (Rc::clone(shared), Rc::clone(&connections));
+    supervise("target-reports", move || {
+        target_reports::run(
+            Rc::clone(&view_shared),
+            Rc::clone(&stage_client),
+            Rc::clone(&view_connections),
+        )
+    });
     let (request_shared, request_connections) = (Rc::clone(shared), Rc::clone(&connections));
     supervise("ask-quarantine", move || {
         background::request_peer_reports(
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::metrics::Metrics;
 use crate::net::sleep;
 use crate::pool::Pool;
+use crate::target_reports::TargetReports;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
 use arbutus_platform::settings::InstanceSettings;
@@ -100,6 +101,8 @@
     pub directory: RefCell<TargetDirectory>,
     /// Load and recent failures of each target.
     pub target_states: RefCell<TargetStates>,
+    /// What all instances together know of the load of targets.
+    pub target_reports: TargetReports,
     /// How long the services take to the first event of a stream.
     pub first_event_forecast: RefCell<FirstEventForecast>,
     /// How long requests take.
@@ -144,6 +147,7 @@
     pub fn new(settings: InstanceSettings, clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             body_memory: BodyMemory::new(settings.memory_bytes),
+            target_reports: TargetReports::new(&settings.name, &settings.failure_domain),
             settings,
             clock,
             metrics: Metrics::new(),
@@ -225,6 +229,7 @@
             let id = match change {
                 TargetChange::Appeared(id) | TargetChange::Gone(id) => {
                     self.target_states.borrow_mut().remove(id);
+                    self.target_reports.view.borrow_mut().remove(id);
                     self.target_limits.borrow_mut().remove(id);
                     self.pool.close_idle(id);
                     id
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -292,6 +292,13 @@
         })
     }
 
+    /// Returns whether a peer shuts down or could not be reached.
+    #[must_use]
+    pub fn is_unavailable(&self, peer: &str) -> bool {
+        let unavailable_peers = self.unavailable_peers.borrow();
+        unavailable_peers.is_unavailable(self.shared.now(), peer)
+    }
+
     /// Calls `decide` with the current time, this instance, whether it is shutting down, the other
     /// instances, and the unavailable ones among them.
     fn with_members<T>(
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -32,6 +32,7 @@
 use crate::shared::Shared;
 use crate::target_notices;
 use crate::target_notices::Sender;
+use crate::target_reports;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_platform::response;
@@ -527,6 +528,9 @@
         headers.contains_key(names::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
     if status != StatusCode::MISDIRECTED_REQUEST {
         target_notices::record_response(shared, entry, status, &headers, sent_at, !not_executed);
+        if let Some(load) = response::reported_load(&headers) {
+            target_reports::record_load(shared, entry, &load);
+        }
     }
     let body = body::read_up_to(response.into_body(), MAX_STAGE_RESPONSE_BYTES)
         .await
--- a/crates/serving/src/target_notices.rs
+++ b/crates/serving/src/target_notices.rs
@@ -6,6 +6,8 @@
 use log::info;
 use log::warn;
 
+use crate::peer_messages::PeerCommand;
+use crate::peer_messages::PeerReply;
 use crate::shared::Shared;
 use arbutus_coord::Millis;
 use arbutus_platform::response;
@@ -77,6 +79,27 @@
     true
 }
 
+/// Handles a command of a peer about limits or shutdowns of targets; ignores other commands.
+pub fn handle_command(shared: &Shared, command: PeerCommand, replies: &mut Vec<PeerReply>) {
+    match command {
+        PeerCommand::TargetLimits(reports) => merge_limits(shared, &reports),
+        PeerCommand::KnownTargetLimits => {
+            let reports = shared.target_limits.borrow().reports(shared.now());
+            if !reports.is_empty() {
+                replies.push(PeerReply::TargetLimits(reports));
+            }
+        }
+        PeerCommand::LeavingTargets(reports) => merge_leaving(shared, &reports),
+        PeerCommand::KnownLeavingTargets => {
+            let reports = shared.directory.borrow().leaving_reports();
+            if !reports.is_empty() {
+                replies.push(PeerReply::LeavingTargets(reports));
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Applies what a peer knows of targets that shut down.
 pub fn merge_leaving(shared: &Shared, reports: &[LeavingReport]) {
     for report in reports {
--- a/crates/serving/tests/malformed_messages.rs
+++ b/crates/serving/tests/malformed_messages.rs
@@ -28,6 +28,15 @@
 use arbutus_policy::serving::target_backoff::TargetBackoffs;
 use arbutus_policy::serving::target_limits::LimitReport;
 use arbutus_policy::serving::target_limits::TargetLimits;
+use arbutus_policy::serving::target_view::TargetView;
+use arbutus_policy::serving::target_view::exchange;
+use arbutus_policy::serving::target_view::exchange::ObservationMessage;
+use arbutus_policy::serving::target_view::exchange::ViewExchange;
+use arbutus_policy::serving::target_view::exchange::ViewMember;
+use arbutus_policy::serving::target_view::messages::MessageStamp;
+use arbutus_policy::serving::target_view::messages::OutcomeCounts;
+use arbutus_policy::serving::target_view::messages::TargetNames;
+use arbutus_policy::serving::target_view::messages::TargetObservation;
 use arbutus_serving::peer_frames;
 use arbutus_serving::peer_messages::PeerCommand;
 use arbutus_serving::peer_messages::PeerReply;
@@ -175,7 +184,7 @@
 
 fn target_head() -> String {
     format!(
-        "{}: id1\n{}: s\n{}: 3,1,8\n{}: 0.5\n{}: 1\nretry-after: 2.5\nkeep-alive: timeout=5, max=9\nconnection: close",
+        "{}: id1\n{}: s\n{}: 3,1,8,120\n{}: 0.5\n{}: 1\nretry-after: 2.5\nkeep-alive: timeout=5, max=9\nconnection: close",
         names::REQUEST_ID,
         names::STAMP,
         names::LOAD,
@@ -255,8 +264,26 @@
         target: "t1".to_owned(),
         incarnation: Some(4),
     }];
+    let mut exchange = ViewExchange::new("i1", "x", 7);
+    let mut view = TargetView::new();
+    let load = TargetObservation {
+        target: "t1".to_owned(),
+        running: 3,
+        work_percent: Some(120),
+        ..TargetObservation::default()
+    };
+    view.observe(Millis(400), &load);
+    let summaries = exchange.known_targets(Millis(500), &view);
+    let observations = ObservationMessage {
+        sender: "i2".to_owned(),
+        stamp: summaries.stamp,
+        records: vec![load.record()],
+    };
     let commands = [
         PeerCommand::Ping,
+        PeerCommand::TargetObservations(observations),
+        PeerCommand::TargetSummaries(summaries.clone()),
+        PeerCommand::KnownTargets,
         PeerCommand::TargetLimits(limits.clone()),
         PeerCommand::LeavingTargets(leaving.clone()),
         PeerCommand::KnownLeavingTargets,
@@ -265,6 +292,7 @@
         PeerReply::Pong,
         PeerReply::TargetLimits(limits),
         PeerReply::LeavingTargets(leaving),
+        PeerReply::TargetSummaries(summaries),
     ];
     let commands = commands.iter().map(peer_frames::encode);
     let replies = replies.iter().map(peer_frames::encode);
@@ -285,3 +313,73 @@
         true
     });
 }
+
+/// Guards against a merge that panics, or a view that grows or reports absurd loads, because of
+/// decodable messages with damaged figures.
+#[test]
+fn damaged_target_messages_are_merged_without_harm() {
+    check(|index, changes| {
+        let messages = peer_messages();
+        let bytes = mutate(&messages[index as usize % messages.len()], &changes);
+        let mut exchange = ViewExchange::new("i0", "x", 1);
+        let names = TargetNames::new([("t1", None)].into_iter());
+        exchange.set_targets(names);
+        let mut view = TargetView::new();
+        let now = Millis(1_000);
+        let command = frame::read::<PeerCommand>(&mut &*bytes, frame::MAX_FRAME_BYTES);
+        match command {
+            Ok((PeerCommand::TargetObservations(message), _)) => {
+                exchange.receive_observations(now, &mut view, &message);
+            }
+            Ok((PeerCommand::TargetSummaries(message), _)) => {
+                exchange.receive_summaries(now, &mut view, "x", &message);
+            }
+            _ => {}
+        }
+        let members = [ViewMember {
+            name: "i1",
+            failure_domain: "x",
+        }];
+        let _step = exchange.step(now, &mut view, &members, false);
+        view.coverage(now).0 <= 1
+    });
+}
+
+/// Guards against an estimate of the size of a record that is too small, with which an instance
+/// would receive more than its budget.
+#[test]
+fn records_take_the_bytes_that_are_counted_for_them() {
+    check(|index, _| {
+        let figure = u32::from(index);
+        let load = TargetObservation {
+            target: format!("t{index}"),
+            incarnation: Some(u64::from(figure) << 40),
+            age_ms: Millis(figure.into()),
+            running: figure / 3,
+            waiting: figure / 90,
+            slots: Some(figure / 2 + 1),
+            work_percent: (index % 2 == 0).then_some(figure + 1),
+            outcomes: OutcomeCounts {
+                late: figure % 300,
+                ..OutcomeCounts::default()
+            },
+            ..TargetObservation::default()
+        };
+        let record = load.record();
+        let size = |message: &PeerCommand| peer_frames::encode(message).expect("valid").len();
+        let stamp = MessageStamp {
+            sender_incarnation: u32::MAX,
+            sequence: u32::MAX,
+            sender_uptime_ms: Millis(1 << 27),
+        };
+        let with = |records| ObservationMessage {
+            sender: "i2".to_owned(),
+            stamp,
+            records,
+        };
+        let empty = size(&PeerCommand::TargetObservations(with(Vec::new())));
+        let one = size(&PeerCommand::TargetObservations(with(vec![record])));
+        one - empty == record.encoded_bytes()
+            && empty as u64 <= exchange::MESSAGE_BYTES + "i2".len() as u64
+    });
+}
