policy: test the shared view with a simulated fleet

They found that a member sent the load that its aggregator had told it back to the aggregator, together with its own samples: the delays of the network were missing from its age on each turn (140 ms in the test). Such a load now counts as outdated. Messages that waited while an instance was frozen no longer define the shortest delay of their sender. A member sends its most recent loads first, in smaller records: the oldest ones were outdated on arrival in a large domain.

--- a/crates/policy/src/serving/target_view/exchange.rs
+++ b/crates/policy/src/serving/target_view/exchange.rs
@@ -32,9 +32,16 @@
 const OBSERVED_BYTES_PER_S: u64 = 2_200;
 /// What one aggregator sends to all receivers together: 8 % of the slowest links (10 Mbit/s).
 const SENT_BYTES_PER_S: u64 = 100_000;
-/// A message is sent when there are at least this many bytes of records for it, or all there are.
-/// Otherwise the 35 bytes around the records would take most of the budget of a large domain.
-const MIN_RECORD_BYTES: u64 = 96;
+/// Summaries are sent when the budget allows this many bytes of them. Otherwise the 35 bytes around
+/// the records would take most of the budget of a large domain.
+const MIN_SUMMARY_BYTES: u64 = 96;
+/// Observations are sent when the budget allows about one. In a large domain, the loads of a larger
+/// message would be outdated when the budget allows it.
+const MIN_OBSERVATION_BYTES: u64 = 28;
+/// An instance whose last step was longer ago than this was frozen or had no processor time.
+const INTERRUPTION_MS: Millis = Millis(600);
+/// Time in which messages that waited during an interruption are received.
+const BACKLOG_MS: Millis = Millis(500);
 /// An aggregator that has nothing to tell sends an empty message at this interval, so that it does
 /// not pass for silent.
 const HEARTBEAT_INTERVAL_MS: Millis = Millis(400);
@@ -66,8 +73,9 @@
 /// Observations of one instance, for the aggregator of its failure domain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ObservationMessage {
-    /// Name of the instance.
-    pub sender: String,
+    /// Name of the instance, if it needs summaries of the receiver, which may not know that it is
+    /// the aggregator.
+    pub sender: Option<String>,
     /// Identifies the message.
     pub stamp: MessageStamp,
     /// The observations.
@@ -153,7 +161,8 @@
     observations_sent_at: Millis,
     summary_budgets: BTreeMap<Receivers, ByteBudget>,
     summaries_sent_at: BTreeMap<Receivers, Millis>,
-    /// Instances that sent observations, and when.
+    last_step_at: Option<Millis>,
+    /// Instances that asked for summaries, and when.
     requesters: BTreeMap<String, Millis>,
 }
 
@@ -176,6 +185,7 @@
             observations_sent_at: Millis::ZERO,
             summary_budgets: BTreeMap::new(),
             summaries_sent_at: BTreeMap::new(),
+            last_step_at: None,
             requesters: BTreeMap::new(),
         }
     }
@@ -218,6 +228,8 @@
         if !self.is_active {
             return step;
         }
+        self.check_interruption(now, view);
+        self.last_step_at = Some(now);
         let local_domain = self.failure_domain.clone();
         let domain_peers: Vec<&str> = in_domain(peers, &local_domain).collect();
         let is_candidate = !is_shutting_down || domain_peers.is_empty();
@@ -270,12 +282,15 @@
         message: &ObservationMessage,
     ) -> Vec<NewSamples> {
         self.is_active = true;
-        self.requesters.insert(message.sender.clone(), now);
+        if let Some(sender) = &message.sender {
+            self.requesters.insert(sender.clone(), now);
+        }
+        self.check_interruption(now, view);
         let records = message.records.iter();
         let observations: Vec<TargetObservation> = records
             .filter_map(|record| self.names.observation(record))
             .collect();
-        view.merge_observations(now, &message.sender, message.stamp, &observations)
+        view.merge_observations(now, message.stamp, &observations)
     }
 
     /// Merges summaries of an aggregator, which is an instance of the failure domain `domain`.
@@ -287,14 +302,14 @@
         message: &SummaryMessage,
     ) {
         self.is_active = true;
+        self.check_interruption(now, view);
         let records = message.records.iter();
         let summaries: Vec<TargetSummary> = records
             .filter_map(|record| self.names.summary(record))
             .collect();
-        if view.merge_summaries(now, &message.sender, message.stamp, &summaries) {
-            let sender = &message.sender;
-            self.aggregators.record_summaries(now, domain, sender);
-        }
+        view.merge_summaries(now, message.stamp, &summaries);
+        let sender = &message.sender;
+        self.aggregators.record_summaries(now, domain, sender);
     }
 
     /// Returns the reply to an instance that asks for all that this one knows.
@@ -308,7 +323,15 @@
         self.has_known_targets = true;
     }
 
-    /// Returns the peers of the domain that sent observations recently.
+    fn check_interruption(&mut self, now: Millis, view: &mut TargetView) {
+        let due_at = self.last_step_at.map(|at| at + INTERRUPTION_MS);
+        if due_at.is_some_and(|due_at| due_at < now) {
+            self.last_step_at = Some(now);
+            view.record_interruption(now, now + BACKLOG_MS);
+        }
+    }
+
+    /// Returns the peers of the domain that asked for summaries recently.
     fn requesters(&mut self, now: Millis, domain_peers: &[&str]) -> Vec<String> {
         self.requesters
             .retain(|_, asked_at| *asked_at + REQUESTER_VALID_MS >= now);
@@ -346,12 +369,13 @@
     ) {
         let bytes_per_s = OBSERVED_BYTES_PER_S / (domain_peers as u64).max(1);
         self.observation_budget.refill(now, bytes_per_s);
-        let overhead = MESSAGE_BYTES + self.name.len() as u64;
-        let for_records = self.observation_budget.bytes().saturating_sub(overhead);
-        let unsent_bytes = view.unsent_bytes();
         let is_first = self.aggregators.is_first(&self.failure_domain, aggregator);
+        let sender = (!is_first).then(|| self.name.clone());
+        let name_bytes = sender.as_ref().map_or(0, String::len);
+        let overhead = MESSAGE_BYTES + name_bytes as u64;
+        let for_records = self.observation_budget.bytes().saturating_sub(overhead);
         let must_ask = !is_first && self.observations_sent_at + REQUEST_INTERVAL_MS <= now;
-        if !must_ask && (unsent_bytes == 0 || for_records < unsent_bytes.min(MIN_RECORD_BYTES)) {
+        if !must_ask && for_records < MIN_OBSERVATION_BYTES {
             return;
         }
         let observations = view.take_observations(now, for_records as usize);
@@ -364,7 +388,7 @@
         self.observation_budget.take(overhead + sizes.sum::<u64>());
         self.observations_sent_at = now;
         let message = ObservationMessage {
-            sender: self.name.clone(),
+            sender,
             stamp: self.stamp(now),
             records,
         };
@@ -401,7 +425,7 @@
             Receivers::Aggregators => AGGREGATOR_HEARTBEAT_INTERVAL_MS,
         };
         let must_send = sent_at.is_none_or(|sent_at| sent_at + heartbeat_ms <= now);
-        if !must_send && for_records < MIN_RECORD_BYTES {
+        if !must_send && for_records < MIN_SUMMARY_BYTES {
             return;
         }
         let summaries = view.take_summaries(now, group, for_records as usize);
@@ -441,7 +465,7 @@
     fn refill(&mut self, now: Millis, bytes_per_s: u64) {
         let elapsed_ms = (now - self.updated_at).0;
         self.updated_at = now;
-        let largest = bytes_per_s.max(2 * MIN_RECORD_BYTES).saturating_mul(1_000);
+        let largest = bytes_per_s.max(2 * MIN_SUMMARY_BYTES).saturating_mul(1_000);
         let added = elapsed_ms.saturating_mul(bytes_per_s);
         self.available_milli_bytes = self
             .available_milli_bytes
--- a/crates/policy/src/serving/target_view/messages.rs
+++ b/crates/policy/src/serving/target_view/messages.rs
@@ -19,10 +19,10 @@
 const UNKNOWN: u32 = 0;
 /// Significant bits in each byte of an encoded number.
 const SIGNIFICANT_BITS_PER_BYTE: u32 = 7;
-/// Bytes of a single-precision number.
-const F32_BYTES: usize = 4;
 /// Largest pace, in percent, that is taken from a message.
 const MAX_PACE_PERCENT: u32 = 800;
+/// Steps per unit in which the sums of a [`PaceSample`] are sent.
+const PACE_STEPS: f32 = 100.0;
 /// Smallest pace, in percent, that is taken from a message.
 const MIN_PACE_PERCENT: u32 = 25;
 
@@ -48,8 +48,12 @@
 /// How many attempts at a target ended in which way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeCounts {
+    /// Requests that were sent.
+    pub sent: u32,
     /// Responses within the latency objective.
     pub in_time: u32,
+    /// Those of `in_time` that took more than half of the latency objective.
+    pub tight: u32,
     /// Responses after the latency objective.
     pub late: u32,
     /// Refusals: the target did not execute the request.
@@ -61,7 +65,9 @@
 impl OutcomeCounts {
     /// Adds other counts.
     pub fn add(&mut self, other: Self) {
+        self.sent = self.sent.saturating_add(other.sent);
         self.in_time = self.in_time.saturating_add(other.in_time);
+        self.tight = self.tight.saturating_add(other.tight);
         self.late = self.late.saturating_add(other.late);
         self.refused = self.refused.saturating_add(other.refused);
         self.failed = self.failed.saturating_add(other.failed);
@@ -120,7 +126,7 @@
 /// recent one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MessageStamp {
-    /// Random number of the run of the sender.
+    /// Random number that identifies this run of the sender.
     pub sender_incarnation: u32,
     /// Number of the message, counted by the sender from 1.
     pub sequence: u32,
@@ -129,7 +135,7 @@
 }
 
 /// A [`TargetObservation`] as it is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObservationRecord {
     target_hash: u32,
     age_ms: u32,
@@ -141,9 +147,12 @@
 }
 
 /// The part of an observation that is added to earlier ones.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct SampleRecord {
-    pace: PaceSample,
+    /// Sum of the logarithms, in hundredths.
+    log_ratio_steps: i32,
+    /// Sum of the weights, in hundredths.
+    weight_steps: u32,
     outcomes: OutcomeCounts,
 }
 
@@ -185,9 +194,10 @@
     pub fn observation(&self, record: &ObservationRecord) -> Option<TargetObservation> {
         let (target, incarnation) = self.names.get(&record.target_hash)?;
         let samples = record.samples.unwrap_or_default();
-        // Leaves out numbers that are not finite.
-        let mut pace = PaceSample::default();
-        pace.add(samples.pace);
+        let pace = PaceSample {
+            log_ratio_sum: samples.log_ratio_steps as f32 / PACE_STEPS,
+            weight: samples.weight_steps as f32 / PACE_STEPS,
+        };
         Some(TargetObservation {
             target: target.clone(),
             incarnation: *incarnation,
@@ -236,7 +246,8 @@
             slots: self.slots.unwrap_or(UNKNOWN),
             work_percent: self.work_percent.unwrap_or(UNKNOWN),
             samples: has_samples.then_some(SampleRecord {
-                pace: self.pace,
+                log_ratio_steps: (self.pace.log_ratio_sum * PACE_STEPS).round() as i32,
+                weight_steps: (self.pace.weight * PACE_STEPS).round() as u32,
                 outcomes: self.outcomes,
             }),
         }
@@ -257,13 +268,19 @@
         ];
         let samples = self.samples.map_or(0, |samples| {
             let outcomes = samples.outcomes;
+            // The sign takes the lowest bit.
+            let log_ratio = samples.log_ratio_steps;
             let counts = [
+                (log_ratio << 1 ^ log_ratio >> 31) as u32,
+                samples.weight_steps,
+                outcomes.sent,
                 outcomes.in_time,
+                outcomes.tight,
                 outcomes.late,
                 outcomes.refused,
                 outcomes.failed,
             ];
-            2 * F32_BYTES + encoded_bytes(&counts)
+            encoded_bytes(&counts)
         });
         encoded_bytes(&numbers) + 1 + samples
     }
--- a/crates/policy/src/serving/target_view/mod.rs
+++ b/crates/policy/src/serving/target_view/mod.rs
@@ -7,6 +7,7 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 pub mod aggregator;
 pub mod exchange;
@@ -103,7 +104,10 @@
 #[derive(Debug, Default)]
 pub struct TargetView {
     targets: BTreeMap<String, ViewedTarget>,
-    senders: BTreeMap<String, SenderState>,
+    /// By the number that identifies their run.
+    senders: BTreeMap<u32, SenderState>,
+    /// Senders that this instance hears for the first time in this period are not believed.
+    distrusted: Option<Range<Millis>>,
 }
 
 impl TargetView {
@@ -121,10 +125,7 @@
         let Some(viewed) = self.targets.get_mut(&observation.target) else {
             return;
         };
-        let unsent = viewed.unsent.get_or_insert(Unsent {
-            since: now,
-            ..Unsent::default()
-        });
+        let unsent = viewed.unsent.get_or_insert_default();
         unsent.pace.add(observation.pace);
         unsent.outcomes.add(observation.outcomes);
     }
@@ -132,7 +133,6 @@
     /// Records samples of this instance that came without a load, such as a failed connection.
     pub fn add_samples(
         &mut self,
-        now: Millis,
         target: &str,
         incarnation: Option<u64>,
         pace: PaceSample,
@@ -146,36 +146,28 @@
                 ..ViewedTarget::default()
             };
         }
-        let unsent = viewed.unsent.get_or_insert(Unsent {
-            since: now,
-            ..Unsent::default()
-        });
+        let unsent = viewed.unsent.get_or_insert_default();
         unsent.pace.add(pace);
         unsent.outcomes.add(outcomes);
     }
 
-    /// Returns the size of the records of all that this instance observed and has not sent yet.
-    #[must_use]
-    pub fn unsent_bytes(&self) -> u64 {
-        let unsent = self.targets.iter().filter_map(|(id, viewed)| {
-            let observation = viewed.observation(Millis::MAX, id)?;
-            Some(observation.record().encoded_bytes() as u64)
-        });
-        unsent.sum()
-    }
-
-    /// Takes what this instance observed and has not sent yet, up to `budget_bytes` of records. What
-    /// has waited longest comes first.
+    /// Takes what this instance observed and has not sent yet, up to `budget_bytes` of records. The
+    /// most recent loads come first, because a load that waits for the budget is outdated when it
+    /// arrives. Outdated loads are sent only for the samples that come with them.
     pub fn take_observations(
         &mut self,
         now: Millis,
         budget_bytes: usize,
     ) -> Vec<TargetObservation> {
-        let mut waiting: Vec<(Millis, String)> = self
-            .targets
-            .iter()
-            .filter_map(|(id, viewed)| Some((viewed.unsent?.since, id.clone())))
-            .collect();
+        let mut waiting = Vec::new();
+        for (id, viewed) in &mut self.targets {
+            if !viewed.is_usable(now) {
+                viewed.unsent = viewed.unsent.filter(Unsent::has_samples);
+            }
+            if viewed.unsent.is_some() {
+                waiting.push((viewed.response_age_ms(now), id.clone()));
+            }
+        }
         waiting.sort_unstable();
         let mut taken = Vec::new();
         let mut used_bytes = 0;
@@ -201,11 +193,10 @@
     pub fn merge_observations(
         &mut self,
         now: Millis,
-        sender: &str,
         stamp: MessageStamp,
         observations: &[TargetObservation],
     ) -> Vec<NewSamples> {
-        let Some(sent_at) = self.accept(now, sender, stamp) else {
+        let Some(sent_at) = self.accept(now, stamp) else {
             return Vec::new();
         };
         let mut samples = Vec::new();
@@ -282,11 +273,10 @@
     pub fn merge_summaries(
         &mut self,
         now: Millis,
-        sender: &str,
         stamp: MessageStamp,
         summaries: &[TargetSummary],
     ) -> bool {
-        let Some(sent_at) = self.accept(now, sender, stamp) else {
+        let Some(sent_at) = self.accept(now, stamp) else {
             return false;
         };
         for summary in summaries {
@@ -320,6 +310,13 @@
         true
     }
 
+    /// Records that this instance did not run for a while, until `now`, so that messages may have
+    /// waited for it. The delay of the first messages of a sender is not known, so they are ignored
+    /// until `until`.
+    pub fn record_interruption(&mut self, now: Millis, until: Millis) {
+        self.distrusted = Some(now..until);
+    }
+
     /// Sets the pace and the ramp weight of a target, as determined by this instance.
     pub fn set_advice(
         &mut self,
@@ -399,12 +396,22 @@
 
     /// Returns when a message was sent, on the clock of this instance, or `None` if it was received
     /// before.
-    fn accept(&mut self, now: Millis, sender: &str, stamp: MessageStamp) -> Option<Millis> {
-        if !self.senders.contains_key(sender) && self.senders.len() >= MAX_SENDERS {
-            self.senders.pop_first();
+    fn accept(&mut self, now: Millis, stamp: MessageStamp) -> Option<Millis> {
+        let id = stamp.sender_incarnation;
+        if !self.senders.contains_key(&id) && self.senders.len() >= MAX_SENDERS {
+            let oldest = self
+                .senders
+                .iter()
+                .min_by_key(|(_, state)| state.last_received_at);
+            if let Some(oldest) = oldest.map(|(&id, _)| id) {
+                self.senders.remove(&oldest);
+            }
         }
-        let state = self.senders.entry(sender.to_owned()).or_default();
-        state.accept(now, stamp)
+        let state = self
+            .senders
+            .entry(id)
+            .or_insert_with(|| SenderState::new(now));
+        state.accept(now, stamp, self.distrusted.as_ref())
     }
 
     /// Merges a load; returns false if it belongs to an incarnation that has been replaced.
--- a/crates/policy/src/serving/target_view/usual_level.rs
+++ b/crates/policy/src/serving/target_view/usual_level.rs
@@ -9,8 +9,9 @@
 const SLOT_MS: u64 = 200;
 /// Number of reports of which the median is taken. A rise lasts about 600 ms, which is 3 of them.
 const MAX_SAMPLES: usize = 31;
-/// From this number of reports on, a rise does not decide the median.
-const MIN_SAMPLES: usize = 7;
+/// From this number of reports on, rises do not decide the median. With 7 reports, which an instance
+/// often has after some seconds, they did.
+const MIN_SAMPLES: usize = 21;
 /// [`MIN_SAMPLES`] reports within this time make the level of an aggregator unnecessary.
 const RECENT_MS: Millis = Millis(10_000);
 
--- a/crates/policy/src/serving/target_view/viewed_target.rs
+++ b/crates/policy/src/serving/target_view/viewed_target.rs
@@ -52,7 +52,6 @@
 pub(super) struct Unsent {
     pub(super) pace: PaceSample,
     pub(super) outcomes: OutcomeCounts,
-    pub(super) since: Millis,
 }
 
 impl Unsent {
@@ -95,13 +94,23 @@
         }
     }
 
+    /// Returns the age of the load as a member tells it to the aggregator. What came from an aggregator
+    /// counts as outdated: it would return with the delays of the network missing from its age.
+    pub(super) fn response_age_ms(&self, now: Millis) -> Millis {
+        if self.is_relayed {
+            Millis::MAX
+        } else {
+            now - self.observed_at
+        }
+    }
+
     /// Returns what has not been sent to the aggregator yet.
     pub(super) fn observation(&self, now: Millis, id: &str) -> Option<TargetObservation> {
         let unsent = self.unsent?;
         Some(TargetObservation {
             target: id.to_owned(),
             incarnation: self.incarnation,
-            age_ms: now - self.observed_at,
+            age_ms: self.response_age_ms(now),
             running: self.figures.running,
             waiting: self.figures.waiting,
             slots: self.figures.slots,
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -19,5 +19,8 @@
 mod support;
 mod target_backoff;
 mod target_directory;
+mod target_herding;
 mod target_limits;
 mod target_selection;
+mod target_view;
+mod target_view_fleet;
--- a/crates/serving/tests/malformed_messages.rs
+++ b/crates/serving/tests/malformed_messages.rs
@@ -275,7 +275,7 @@
     view.observe(Millis(400), &load);
     let summaries = exchange.known_targets(Millis(500), &view);
     let observations = ObservationMessage {
-        sender: "i2".to_owned(),
+        sender: Some("i2".to_owned()),
         stamp: summaries.stamp,
         records: vec![load.record()],
     };
@@ -373,7 +373,7 @@
             sender_uptime_ms: Millis(1 << 27),
         };
         let with = |records| ObservationMessage {
-            sender: "i2".to_owned(),
+            sender: Some("i2".to_owned()),
             stamp,
             records,
         };
