--- a/crates/policy/src/serving/target_view/messages.rs
+++ b/crates/policy/src/serving/target_view/messages.rs
@@ -1,7 +1,7 @@
 //! What instances tell each other about targets, and the compact records that travel.
 //!
-//! Records name a target and its incarnation by a hash of 32 bits, which takes 5 bytes where the
-//! names take about 30. The receiver resolves it by its own list of targets, so an invented or
+//! Records name a target and its incarnation by a hash of 32 bits, which takes 5 bytes whatever the
+//! length of the names. The receiver resolves it by its own list of targets, so an invented or
 //! outdated record takes no memory. With 300 targets, two of them have the same hash with a
 //! probability of one in 100,000; their loads would then be confused, which is not unsafe.
 
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -112,8 +112,8 @@
     min_body_bytes: usize,
     /// Requests per second that the target names in its responses as its limit.
     request_limit_per_s: Option<f64>,
-    /// Whether every response says that the target shuts down.
-    is_leaving: bool,
+    /// Headers that every response has.
+    added_headers: HeaderMap,
     /// Value of the Retry-After header with which the target rejects every request.
     rejects_with_retry_after: Option<String>,
     /// When each request to the target arrived, stage calls included.
@@ -213,7 +213,16 @@
 
     /// Says in every response from now on that the target shuts down.
     pub fn set_leaving(&self) {
-        self.lock().is_leaving = true;
+        let value = HeaderValue::from_static("1");
+        self.lock()
+            .added_headers
+            .insert(names::TARGET_LEAVING, value);
+    }
+
+    /// Reports this load in every response from now on.
+    pub fn set_load(&self, load: &'static str) {
+        let value = HeaderValue::from_static(load);
+        self.lock().added_headers.insert(names::LOAD, value);
     }
 
     /// Rejects every request from now on with status 503 and this value of the Retry-After header;
@@ -300,10 +309,9 @@
 ) -> io::Result<Response<TargetBody>> {
     target.lock().arrivals.push(Instant::now());
     let mut response = execute(Arc::clone(&target), request).await?;
-    if target.lock().is_leaving {
-        let value = HeaderValue::from_static("1");
-        response.headers_mut().insert(names::TARGET_LEAVING, value);
-    }
+    response
+        .headers_mut()
+        .extend(target.lock().added_headers.clone());
     if let Some(requests_per_s) = target.lock().request_limit_per_s {
         let value = HeaderValue::from_str(&requests_per_s.to_string()).map_err(io::Error::other)?;
         response.headers_mut().insert(names::REQUEST_LIMIT, value);
