policy: test budget, interruptions and second aggregators of the view

Taking out the mechanisms one at a time showed which had no test: the budget of the domain, the distrust after an interruption, and summaries for members that name themselves. With the three new tests, each of these fails without its line: the check of message numbers (two tests fail), the delay added to an age (three), record_interruption, the 3,000 bytes/s of the domain, and the summaries for requesters (one each).

--- a/crates/policy/tests/serving/target_view.rs
+++ b/crates/policy/tests/serving/target_view.rs
@@ -1,6 +1,9 @@
 //! Guards against instances that choose targets by an outdated or wrong view when an aggregator, the
 //! network or an instance fails, and against messages that take more than their share of a link.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
 use crate::target_view_fleet::Faults;
 use crate::target_view_fleet::Fleet;
 use crate::target_view_fleet::State;
@@ -9,11 +12,16 @@
 use arbutus_policy::serving::target_view::Receivers;
 use arbutus_policy::serving::target_view::TargetView;
 use arbutus_policy::serving::target_view::VIEW_VALID_MS;
+use arbutus_policy::serving::target_view::exchange::MESSAGE_BYTES;
+use arbutus_policy::serving::target_view::exchange::ObservationMessage;
+use arbutus_policy::serving::target_view::exchange::Outgoing;
 use arbutus_policy::serving::target_view::exchange::RECEIVED_BYTES_PER_S;
 use arbutus_policy::serving::target_view::exchange::ViewExchange;
 use arbutus_policy::serving::target_view::exchange::ViewMember;
 use arbutus_policy::serving::target_view::messages::MessageStamp;
 use arbutus_policy::serving::target_view::messages::OutcomeCounts;
+use arbutus_policy::serving::target_view::messages::SummaryRecord;
+use arbutus_policy::serving::target_view::messages::TargetNames;
 use arbutus_policy::serving::target_view::messages::TargetObservation;
 use arbutus_policy::serving::target_view::messages::TargetSummary;
 
@@ -139,7 +147,7 @@
     let first = view.take_summaries(now, Receivers::Domain, 20);
     assert_eq!(first.len(), 1);
     assert_eq!(first[0].target, "t7");
-    let mut sent = std::collections::BTreeSet::new();
+    let mut sent = BTreeSet::new();
     for _ in 0..9 {
         now = now + Millis(200);
         for index in 0..40 {
@@ -367,3 +375,115 @@
         assert!(max(&received) <= allowed, "{instances} instances");
     }
 }
+
+/// Guards against an aggregator that sends more than the budget of a receiver when many targets
+/// change at once.
+#[test]
+fn an_aggregator_with_many_changes_keeps_to_the_budget_of_each_receiver() {
+    let mut exchange = ViewExchange::new("a", "x", 1);
+    exchange.activate();
+    let mut view = TargetView::new();
+    let names: Vec<String> = (0..10).map(|index| format!("p{index}")).collect();
+    let members: Vec<ViewMember<'_>> = names
+        .iter()
+        .map(|name| ViewMember {
+            name,
+            failure_domain: "x",
+        })
+        .collect();
+    let mut bytes_by_receiver = BTreeMap::new();
+    for step in 1..=125_u64 {
+        let now = Millis(5_000 + step * 200);
+        for index in 0..300 {
+            let running = step as u32 * 7 + index;
+            view.observe(now, &load(&format!("t{index}"), 1, 0, running % 32));
+        }
+        // The others send nothing, so that this instance becomes the aggregator.
+        for message in exchange.step(now, &mut view, &members, false).messages {
+            if let Outgoing::Summaries { receivers, message } = message {
+                let sizes = message.records.iter().map(SummaryRecord::encoded_bytes);
+                let bytes = MESSAGE_BYTES as usize + 1 + sizes.sum::<usize>();
+                for receiver in receivers {
+                    *bytes_by_receiver.entry(receiver).or_insert(0) += bytes as u64;
+                }
+            }
+        }
+    }
+    assert_eq!(bytes_by_receiver.len(), 10, "{bytes_by_receiver:?}");
+    for (receiver, bytes) in bytes_by_receiver {
+        assert!(bytes >= RECEIVED_BYTES_PER_S * 10, "the budget is not used");
+        // 25 s, and the second that is saved up.
+        assert!(bytes <= RECEIVED_BYTES_PER_S * 26, "{receiver}: {bytes}");
+    }
+}
+
+/// Guards against messages that waited while this instance was frozen and come from a sender that it
+/// has not heard before: nothing tells how long they waited.
+#[test]
+fn a_new_sender_is_ignored_right_after_an_interruption() {
+    let mut exchange = ViewExchange::new("a", "x", 1);
+    exchange.activate();
+    exchange.set_targets(TargetNames::new([("t", Some(1))].into_iter()));
+    let mut view = TargetView::new();
+    let message = |sequence, sender_uptime_ms| ObservationMessage {
+        sender: None,
+        stamp: stamp(sequence, sender_uptime_ms),
+        records: vec![load("t", 1, 0, 5).record()],
+    };
+    let _step = exchange.step(Millis(5_000), &mut view, &[], false);
+    let resumed_at = Millis(9_000);
+    exchange.receive_observations(resumed_at, &mut view, &message(1, 500));
+    exchange.receive_observations(resumed_at, &mut view, &message(2, 1_500));
+    assert_eq!(view.load(resumed_at, "t", Some(1)), None);
+    for now in [9_200, 9_400, 9_600] {
+        let _step = exchange.step(Millis(now), &mut view, &[], false);
+    }
+    let later = Millis(9_700);
+    exchange.receive_observations(later, &mut view, &message(3, 5_200));
+    assert!(view.load(later, "t", Some(1)).is_some());
+}
+
+/// Guards against a member without a view that cannot hear the first aggregator by rank and turns to
+/// one that can hear it.
+#[test]
+fn a_member_that_names_itself_gets_summaries_from_another_aggregator() {
+    let members = ["a", "b", "c"].map(|name| ViewMember {
+        name,
+        failure_domain: "x",
+    });
+    let others = |local: &str| -> Vec<ViewMember<'_>> {
+        let others = members.iter().filter(|member| member.name != local);
+        others.copied().collect()
+    };
+    let mut served = 0;
+    for local in ["a", "b", "c"] {
+        let mut exchange = ViewExchange::new(local, "x", 1);
+        exchange.activate();
+        let mut view = TargetView::new();
+        let peers = others(local);
+        let now = Millis(5_000);
+        let _step = exchange.step(now, &mut view, &peers, false);
+        let first = exchange.aggregator().expect("there is one").to_owned();
+        if first == local {
+            continue;
+        }
+        let asking = peers.iter().find(|peer| peer.name != first);
+        let asking = asking.expect("there is a third instance").name;
+        let request = ObservationMessage {
+            sender: Some(asking.to_owned()),
+            stamp: stamp(1, 500),
+            records: Vec::new(),
+        };
+        exchange.receive_observations(now, &mut view, &request);
+        let step = exchange.step(Millis(5_200), &mut view, &peers, false);
+        served += step
+            .messages
+            .iter()
+            .filter(|message| {
+                matches!(message, Outgoing::Summaries { receivers, .. }
+                    if *receivers == [asking.to_owned()])
+            })
+            .count();
+    }
+    assert_eq!(served, 2, "both that are not the first one by rank");
+}
