--- a/crates/policy/src/serving/target_view/mod.rs
+++ b/crates/policy/src/serving/target_view/mod.rs
@@ -29,8 +29,8 @@
 use crate::serving::target_view::viewed_target::ViewedTarget;
 use arbutus_coord::Millis;
 
-/// How long a load is used. The budget of a receiver allows about 200 summaries a second, so each of
-/// 300 targets is refreshed within this time.
+/// How long a load is used. With 74 instances and 95 targets, 97 % of the loads of a failure domain
+/// are renewed within this time.
 pub const VIEW_VALID_MS: Millis = Millis(2_000);
 /// How long the pace and the ramp weight of a target are used; during this time, they move towards 1.
 pub const PACE_VALID_MS: Millis = Millis(60_000);
