--- a/crates/serving/tests/request_record.rs
+++ b/crates/serving/tests/request_record.rs
@@ -24,6 +24,7 @@
         peer_ports: (1, 1),
         store_address: address,
         memory_bytes: 1,
+        file_descriptors: None,
         link_mbps: 0,
         shutdown_grace_ms: Millis(5_000),
         retry_limits: RetryLimits {
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -18,6 +18,7 @@
 
 use crate::process::Process;
 use crate::simulated_platform::client::ClientRequest;
+use crate::usage;
 use crate::usage::ProcessUsage;
 use arbutus_coord::Millis;
 use arbutus_platform::names::READINESS_PATH;
@@ -49,6 +50,24 @@
     calls.collect()
 }
 
+/// What the settings of an instance allow its process.
+#[derive(Clone, Copy, Debug)]
+pub struct ResourceLimits {
+    /// Memory of the process.
+    pub memory_bytes: u64,
+    /// Open files and connections; `None` to leave the field out of the settings file.
+    pub file_descriptors: Option<u64>,
+}
+
+impl Default for ResourceLimits {
+    fn default() -> Self {
+        Self {
+            memory_bytes: 128 * 1_048_576,
+            file_descriptors: None,
+        }
+    }
+}
+
 /// A running instance.
 ///
 /// When it is dropped, its process is killed, and its settings file and log are deleted. The log is
@@ -75,6 +94,22 @@
         directory: &Path,
         store: SocketAddrV4,
         failure_domain: &str,
+    ) -> io::Result<Self> {
+        let limits = ResourceLimits::default();
+        Self::start_with_limits(program, directory, store, failure_domain, limits)
+    }
+
+    /// Starts an instance as [`InstanceProcess::start`] does, with these limits in its settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot be written or the process cannot be started.
+    pub fn start_with_limits(
+        program: &Path,
+        directory: &Path,
+        store: SocketAddrV4,
+        failure_domain: &str,
+        limits: ResourceLimits,
     ) -> io::Result<Self> {
         let host_number = NEXT_HOST_NUMBER.fetch_add(1, Ordering::Relaxed);
         // Test processes that run in parallel have different networks, so that the fixed ports below
@@ -90,7 +125,8 @@
             readiness_address: SocketAddrV4::new(ip, 8_621),
             peer_ports: (7_740, 7_755),
             store_address: store,
-            memory_bytes: 128 * 1_048_576,
+            memory_bytes: limits.memory_bytes,
+            file_descriptors: limits.file_descriptors,
             link_mbps: 10,
             shutdown_grace_ms: SHUTDOWN_GRACE_MS,
             retry_limits: RetryLimits {
@@ -158,6 +194,15 @@
         ProcessUsage::read(self.process.id())
     }
 
+    /// Returns the number of files and connections that the process has open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn open_file_count(&self) -> io::Result<usize> {
+        usage::open_file_count(self.process.id())
+    }
+
     /// Returns the memory that the process may use according to its settings.
     #[must_use]
     pub fn memory_bytes(&self) -> u64 {
@@ -170,6 +215,12 @@
         self.settings.client_address
     }
 
+    /// Returns the address for readiness probes.
+    #[must_use]
+    pub fn readiness_address(&self) -> SocketAddrV4 {
+        self.settings.readiness_address
+    }
+
     /// Returns whether the readiness path responds with status 200.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/standins/src/usage.rs
+++ b/crates/standins/src/usage.rs
@@ -20,6 +20,8 @@
     pub cpu_time: Duration,
     /// Resident memory in kilobytes.
     pub resident_kb: u64,
+    /// Largest resident memory since the start of the process, in kilobytes.
+    pub peak_resident_kb: u64,
     /// Number of threads.
     pub threads: u64,
 }
@@ -45,11 +47,21 @@
         Ok(Self {
             cpu_time: Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
             resident_kb: status_value_or_zero(&status, "VmRSS:"),
+            peak_resident_kb: status_value_or_zero(&status, "VmHWM:"),
             threads: status_value_or_zero(&status, "Threads:"),
         })
     }
 }
 
+/// Returns the number of files and connections that a process has open.
+///
+/// # Errors
+///
+/// Returns an error if the process does not exist or the proc file system cannot be read.
+pub fn open_file_count(process_id: u32) -> io::Result<usize> {
+    Ok(fs::read_dir(format!("/proc/{process_id}/fd"))?.count())
+}
+
 fn field_or_zero(fields: &[&str], index: usize) -> u64 {
     fields
         .get(index)
