serving: limit the memory and the connections of clients

Cause: the bodies of requests had no bound over all clients, a refused body was collected before it was dropped, a body larger than allowed was collected up to the limit, and neither client connections nor those of the readiness and metrics ports had a bound.

Change (docs/design/client-limits.md): client_memory charges all bodies of requests to a quarter of the memory; a body of known length is charged before it is read, one that does not fit waits unread, and one that has not received 4 KB for 500 ms gives way to those that wait and gets 503. client_limits bounds the connections by half the descriptors and by memory; idle ones give way first, then incomplete heads, then halted bodies. Bodies that are refused are dropped as they arrive. A connection whose client has read nothing for idle_timeout_ms is closed while memory is short. Metrics by reason, one log line a second.

Read for slow senders and collected bytes, nothing changed: dispatch::read_body and body::BodyMemory (bounded memory, deadline of the request), stream::Relay (deadline; four groups of events), stage_queues (1 MB a response, timeout of the call), store::StoreClient::call_once (16 MB a response, timeout of the call; four watches may hold 64 MB, more than a small machine has left), connection::HeadLimit (64 KB a head). Open: peer_frames::read_frame allocates and zeroes the announced length, up to 4 MB, before the payload arrives, and PeerServer::run bounds neither its connections nor their idle time; the peer port must not be reachable for clients. FrameReader's channel has no bound.

--- a/crates/daemon/tests/client_crowds/crowd.rs
+++ b/crates/daemon/tests/client_crowds/crowd.rs
@@ -55,6 +55,11 @@
 
 impl CrowdedInstance {
     pub fn start() -> Self {
+        Self::start_with_route_timeout(None)
+    }
+
+    /// Starts with another timeout of all routes than that of the example.
+    pub fn start_with_route_timeout(route_timeout_ms: Option<Millis>) -> Self {
         let one_case = ONE_CASE.lock().unwrap_or_else(PoisonError::into_inner);
         let platform = SimulatedPlatform::start(&example::TARGETS).expect("the targets start");
         let mut configuration = example::configuration(1);
@@ -64,6 +69,9 @@
             header_timeout_ms: Millis(3_000),
             idle_timeout_ms: Millis(15_000),
         };
+        for route in &mut configuration.routes {
+            route.timeout_ms = route_timeout_ms.unwrap_or(route.timeout_ms);
+        }
         let stored = platform.store.put_configuration(&configuration);
         stored.expect("the object can be encoded");
         // The cases can be played against another build of the program, such as a release build.
@@ -174,7 +182,7 @@
 }
 
 impl<'a> Client<'a> {
-    fn connect(
+    pub fn connect(
         address: SocketAddrV4,
         number: usize,
         path: &'static str,
--- a/crates/daemon/tests/client_crowds/main.rs
+++ b/crates/daemon/tests/client_crowds/main.rs
@@ -10,6 +10,7 @@
 use std::io::Write;
 use std::net::SocketAddrV4;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::crowd::CrowdedInstance;
 use crate::crowd::MAX_BODY_BYTES;
 use crate::crowd::PATHS;
+use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 
@@ -208,6 +210,43 @@
     assert_none(&violations.concat());
 }
 
+/// Guards against bodies that came to a halt and keep the memory from other clients until their
+/// deadline, which is later than that of the other client.
+#[test]
+fn a_large_request_is_served_while_stalled_bodies_hold_the_memory() {
+    let crowded = CrowdedInstance::start_with_route_timeout(Some(Millis(20_000)));
+    let address = crowded.instance.client_address();
+    let is_over = AtomicBool::new(false);
+    let crowd: Vec<_> = (0..6)
+        .filter_map(|number| {
+            let mut client = Client::connect(address, number, "/unsafe/1", &is_over)?;
+            write_head_with_length(&mut client, MAX_BODY_BYTES);
+            client.write_body(MAX_BODY_BYTES - 4, 100_000);
+            Some(client)
+        })
+        .collect();
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let request = ClientRequest::new("POST", "/unsafe/1", "ordinary").with_body(&body);
+    let response = request.call(address).expect("the instance reads the body");
+    assert_eq!(response.status, 200);
+    drop(crowd);
+}
+
+/// Guards against a release of the HTTP library that bounds the number of header fields otherwise.
+#[test]
+fn heads_with_more_than_a_hundred_fields_are_refused() {
+    let crowded = CrowdedInstance::start();
+    for (further_fields, status) in [(90, 200), (100, 431)] {
+        let mut request = ClientRequest::new("GET", "/safe/1", "fields");
+        for number in 0..further_fields {
+            request = request.with_header(&format!("x-{number}"), "1");
+        }
+        let response = request.call(crowded.instance.client_address());
+        let response = response.expect("the instance responds");
+        assert_eq!(response.status, status);
+    }
+}
+
 /// Guards against limits that refuse the largest legal request of a slow client when there is no
 /// crowd.
 #[test]
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -158,6 +158,9 @@
         let paused = shared.target_backoffs.borrow_mut().expire(now);
         let paused = i64::try_from(paused).unwrap_or(i64::MAX);
         shared.metrics.paused_targets.set(paused);
+        let body_bytes = shared.client_memory.held_bytes();
+        let body_bytes = i64::try_from(body_bytes).unwrap_or(i64::MAX);
+        shared.metrics.request_body_bytes.set(body_bytes);
         let total = dropped_lines.total();
         shared
             .metrics
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -30,6 +30,8 @@
     TooLarge,
     /// the bodies of responses take up too much memory
     OutOfMemory,
+    /// the body came to a halt while others waited for memory
+    Stalled,
 }
 
 impl std::error::Error for BodyError {}
@@ -53,6 +55,17 @@
     Ok(complete.freeze())
 }
 
+/// Reads a body and drops it as it arrives, until its end, its failure or `max_bytes`.
+pub async fn discard_up_to(body: &mut Incoming, max_bytes: usize) {
+    let mut length = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        length += frame.data_ref().map_or(0, Bytes::len);
+        if length > max_bytes {
+            return;
+        }
+    }
+}
+
 /// The memory that the bodies of responses share.
 #[derive(Debug)]
 pub struct BodyMemory {
@@ -71,6 +84,12 @@
         })
     }
 
+    /// Returns whether more than half of the memory is in use.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.held_bytes.get() > self.max_bytes / 2
+    }
+
     /// Reads the body of a response.
     ///
     /// # Errors
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -438,7 +438,7 @@
         input_handles: &stages.results(),
         last_event_id,
     });
-    let request = request.and_then(|builder| builder.body(Full::new(context.body.clone())));
+    let request = request.and_then(|builder| builder.body(Full::new(context.body.bytes().clone())));
     let request = match request {
         Ok(request) => request,
         Err(error) => return AttemptOutcome::Unsent(format!("cannot build request: {error}")),
--- a/crates/serving/src/frontend.rs
+++ b/crates/serving/src/frontend.rs
@@ -28,6 +28,11 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
+use crate::client_limits;
+use crate::client_limits::ClientConnections;
+use crate::client_limits::LimitReason;
+use crate::client_memory::BodyProgress;
+use crate::client_memory::STALL_TIMEOUT_MS;
 use crate::net;
 use crate::net::sleep;
 use crate::observed_stream::ObservedStream;
@@ -59,6 +64,8 @@
     Idle,
     /// A request head is being received.
     ReadingHead,
+    /// The body of a request is being received.
+    ReceivingBody,
     /// A request is being processed.
     Serving,
 }
@@ -70,11 +77,31 @@
     state: Cell<(Activity, Millis)>,
     /// Number of requests received so far.
     request_count: Cell<u64>,
-    /// Notified when a new activity has a shorter timeout than the previous one.
+    /// When the body that is being received last progressed.
+    body_progress: Cell<BodyProgress>,
+    /// Since when the client has not read anything of what waits for it.
+    blocked_since: Cell<Option<Millis>>,
+    /// Whether the connection has to give way to others.
+    is_close_requested: Cell<bool>,
+    /// Notified when a new activity has a shorter timeout than the previous one, and when the
+    /// connection has to give way.
     timeout_shortened: Notify,
 }
 
 impl ConnectionActivity {
+    fn new(shared: &Rc<Shared>) -> Rc<Self> {
+        let now = shared.now();
+        Rc::new(Self {
+            state: Cell::new((Activity::Idle, now)),
+            request_count: Cell::new(0),
+            body_progress: Cell::new(BodyProgress::new(now)),
+            blocked_since: Cell::new(None),
+            is_close_requested: Cell::new(false),
+            timeout_shortened: Notify::new(),
+            shared: Rc::clone(shared),
+        })
+    }
+
     fn set(&self, activity: Activity) {
         self.state.set((activity, self.shared.now()));
         if activity == Activity::ReadingHead {
@@ -89,9 +116,58 @@
         match activity {
             Activity::Idle => since + limits.idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS,
             Activity::ReadingHead => since + limits.header_timeout_ms,
-            Activity::Serving => Millis::MAX,
+            Activity::ReceivingBody | Activity::Serving => Millis::MAX,
         }
     }
+
+    /// Returns the order in which connections give way to others, lowest first: idle ones, those
+    /// with an incomplete head, and those whose body has come to a halt; within these, the longest.
+    /// Returns `None` for a connection that does not give way.
+    #[must_use]
+    pub fn rank_for_closing(&self) -> Option<(u8, Millis)> {
+        if self.is_close_requested.get() {
+            return None;
+        }
+        let (activity, since) = self.state.get();
+        match activity {
+            Activity::Idle => Some((0, since)),
+            Activity::ReadingHead if self.is_head_stalled() => Some((1, since)),
+            Activity::ReceivingBody if self.is_body_stalled() => Some((2, since)),
+            Activity::ReadingHead | Activity::ReceivingBody | Activity::Serving => None,
+        }
+    }
+
+    /// Requests that the connection gives way to another one.
+    pub fn request_close(&self) {
+        self.is_close_requested.set(true);
+        self.timeout_shortened.notify_one();
+    }
+
+    fn is_head_stalled(&self) -> bool {
+        self.shared.now() - self.state.get().1 >= STALL_TIMEOUT_MS
+    }
+
+    fn is_body_stalled(&self) -> bool {
+        let stalled_ms = self.body_progress.get().stalled_ms(self.shared.now());
+        stalled_ms >= STALL_TIMEOUT_MS
+    }
+
+    /// Returns whether the client has not read anything for longer than a connection may be idle.
+    fn is_unread(&self, limits: &ClientLimits) -> bool {
+        let unread_ms = limits.idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS;
+        let blocked_since = self.blocked_since.get();
+        blocked_since.is_some_and(|since| self.shared.now() - since >= unread_ms)
+    }
+}
+
+/// Marks that the body of a request is being received, until it is dropped.
+#[derive(Debug)]
+pub struct ReceivingBodyGuard(Rc<ConnectionActivity>);
+
+impl Drop for ReceivingBodyGuard {
+    fn drop(&mut self) {
+        self.0.set(Activity::Serving);
+    }
 }
 
 /// Counts a request as in progress until its response is handed to the HTTP library or abandoned.
@@ -108,6 +184,15 @@
         Self(Rc::clone(activity))
     }
 
+    /// Marks that the body of the request is being received.
+    #[must_use]
+    pub fn begin_body(&self) -> ReceivingBodyGuard {
+        let now = self.0.shared.now();
+        self.0.body_progress.set(BodyProgress::new(now));
+        self.0.set(Activity::ReceivingBody);
+        ReceivingBodyGuard(Rc::clone(&self.0))
+    }
+
     /// Returns whether the request is the first of its connection.
     #[must_use]
     pub fn is_first_of_connection(&self) -> bool {
@@ -151,18 +236,31 @@
 /// Sets the activity when the first byte of a request arrives, and when bytes of a response leave that
 /// the request has handed over.
 impl StreamObserver for Rc<ConnectionActivity> {
-    fn record_read(&self, _bytes: usize) {
-        if self.state.get().0 == Activity::Idle {
-            self.set(Activity::ReadingHead);
+    fn record_read(&self, bytes: usize) {
+        match self.state.get().0 {
+            Activity::Idle => self.set(Activity::ReadingHead),
+            Activity::ReceivingBody => {
+                let progress = self.body_progress.get();
+                let progress = progress.with_bytes(self.shared.now(), bytes);
+                self.body_progress.set(progress);
+            }
+            Activity::ReadingHead | Activity::Serving => {}
         }
     }
 
     /// Restarts the idle time: a response is written after its request has ended.
     fn record_write(&self, _bytes: usize) {
+        self.blocked_since.set(None);
         if self.state.get().0 == Activity::Idle {
             self.set(Activity::Idle);
         }
     }
+
+    fn record_blocked_write(&self) {
+        if self.blocked_since.get().is_none() {
+            self.blocked_since.set(Some(self.shared.now()));
+        }
+    }
 }
 
 /// Accepts client connections until [`Phase::Closing`].
@@ -175,6 +273,7 @@
     stage_client: Rc<StageClient>,
     listener: Rc<TcpListener>,
 ) -> Result<(), String> {
+    let connections = ClientConnections::new(client_limits::max_connections(&shared.settings));
     loop {
         let stream = tokio::select! {
             // Connections that are known to be established go before the end of the listener, which
@@ -184,22 +283,28 @@
             () = shared.wait_for_phase(|phase| phase == Phase::Closing) => return Ok(()),
         };
         let guard = OpenConnectionGuard::new(&shared);
-        let connection = serve_connection(Rc::clone(&shared), Rc::clone(&stage_client), stream);
+        tokio::select! {
+            () = connections.wait_for_place() => {}
+            // A connection that was accepted is served, also without a place.
+            () = shared.wait_for_phase(|phase| phase == Phase::Closing) => {}
+        }
+        let activity = ConnectionActivity::new(&shared);
+        let place = connections.add(&activity);
+        let connection = serve_connection(activity, Rc::clone(&stage_client), stream);
         spawn_local(async move {
             connection.await;
-            drop(guard);
+            drop((place, guard));
         });
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stage_client: Rc<StageClient>, stream: TcpStream) {
+async fn serve_connection(
+    activity: Rc<ConnectionActivity>,
+    stage_client: Rc<StageClient>,
+    stream: TcpStream,
+) {
+    let shared = Rc::clone(&activity.shared);
     let limits = shared.client_limits();
-    let activity = Rc::new(ConnectionActivity {
-        state: Cell::new((Activity::Idle, shared.now())),
-        request_count: Cell::new(0),
-        timeout_shortened: Notify::new(),
-        shared: Rc::clone(&shared),
-    });
     let io = TokioIo::new(ObservedStream::new(stream, Rc::clone(&activity)));
     let service = service_fn(|http_request: Request<Incoming>| {
         let guard = InProgressGuard::new(&activity);
@@ -247,8 +352,20 @@
                     }
                     return;
                 }
+                if activity.is_unread(&limits) && shared.is_client_memory_short() {
+                    shared.record_limit(LimitReason::UnreadResponse);
+                    return;
+                }
+            }
+            () = activity.timeout_shortened.notified() => {
+                if activity.is_close_requested.get() {
+                    match give_way(&activity) {
+                        GiveWay::Now => return,
+                        GiveWay::AfterResponse => connection.as_mut().graceful_shutdown(),
+                        GiveWay::Never => activity.is_close_requested.set(false),
+                    }
+                }
             }
-            () = activity.timeout_shortened.notified() => {}
             () = shutdown.as_mut(), if !is_shutting_down => {
                 is_shutting_down = true;
                 connection.as_mut().graceful_shutdown();
@@ -257,6 +374,36 @@
     }
 }
 
+/// How a connection gives way to another one.
+enum GiveWay {
+    Now,
+    /// What is left of a response is written first.
+    AfterResponse,
+    /// A request was received meanwhile.
+    Never,
+}
+
+/// Decides how a connection gives way. It was polled before, so what has arrived is known.
+fn give_way(activity: &ConnectionActivity) -> GiveWay {
+    let (reason, give_way) = match activity.state.get().0 {
+        Activity::Idle if activity.request_count.get() > 0 => {
+            (LimitReason::IdleConnection, GiveWay::AfterResponse)
+        }
+        Activity::Idle => (LimitReason::IdleConnection, GiveWay::Now),
+        Activity::ReadingHead if activity.is_head_stalled() => {
+            (LimitReason::IncompleteHead, GiveWay::Now)
+        }
+        Activity::ReceivingBody if activity.is_body_stalled() => {
+            (LimitReason::StalledConnection, GiveWay::Now)
+        }
+        Activity::ReadingHead | Activity::ReceivingBody | Activity::Serving => {
+            return GiveWay::Never;
+        }
+    };
+    activity.shared.record_limit(reason);
+    give_way
+}
+
 /// Waits until a connection is closed after its request in progress, or at once if it has none:
 /// when connections are no longer kept open after SIGTERM, or when the instance closes all of them.
 async fn wait_for_connection_shutdown(shared: &Shared) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod announce;
 pub mod background;
 pub mod body;
+pub mod client_limits;
+pub mod client_memory;
 pub mod connection;
 pub mod crashes;
 pub mod dispatch;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -42,6 +42,13 @@
     pub event: &'static str,
 }
 
+/// Labels of clients that were refused or closed because of a limit.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct LimitLabels {
+    /// Why, such as `stalled_body`.
+    pub reason: &'static str,
+}
+
 type Histograms = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
 /// The metrics of an instance.
@@ -65,6 +72,10 @@
     pub in_progress: Gauge,
     /// Open client connections.
     pub client_connections: Gauge,
+    /// Clients that were refused or closed because of a limit.
+    pub limited_clients: Family<LimitLabels, Counter>,
+    /// Memory that the bodies of requests hold, in bytes.
+    pub request_body_bytes: Gauge,
     /// Requests whose head arrived after SIGTERM.
     pub accepted_during_shutdown: Counter,
     /// Log lines dropped since the process started.
@@ -131,6 +142,18 @@
             "Open client connections",
             client_connections.clone(),
         );
+        let limited_clients = Family::default();
+        registry.register(
+            "limited_clients",
+            "Clients refused or closed because of a limit",
+            limited_clients.clone(),
+        );
+        let request_body_bytes = Gauge::default();
+        registry.register(
+            "request_body_bytes",
+            "Memory that bodies of requests hold",
+            request_body_bytes.clone(),
+        );
         let accepted_during_shutdown = Counter::default();
         registry.register(
             "accepted_during_shutdown",
@@ -166,6 +189,8 @@
             pieces_per_call,
             in_progress,
             client_connections,
+            limited_clients,
+            request_body_bytes,
             accepted_during_shutdown,
             log_lines_dropped,
             limited_targets,
--- a/crates/serving/src/observed_stream.rs
+++ b/crates/serving/src/observed_stream.rs
@@ -26,6 +26,9 @@
 
     /// Called with the number of bytes that were written, if there are any.
     fn record_write(&self, _bytes: usize) {}
+
+    /// Called when bytes cannot be written because the peer has not read earlier ones.
+    fn record_blocked_write(&self) {}
 }
 
 /// A TCP stream with an observer.
@@ -43,10 +46,10 @@
     }
 
     fn observe_write(&self, polled: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(bytes)) = polled
-            && *bytes > 0
-        {
-            self.observer.record_write(*bytes);
+        match polled {
+            Poll::Ready(Ok(bytes)) if *bytes > 0 => self.observer.record_write(*bytes),
+            Poll::Ready(_) => {}
+            Poll::Pending => self.observer.record_blocked_write(),
         }
     }
 }
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -14,6 +13,8 @@
 
 use crate::body;
 use crate::body::BodyError;
+use crate::client_limits::LimitReason;
+use crate::client_memory::ChargedBody;
 use crate::crashes;
 use crate::dispatch;
 use crate::dispatch::DispatchError;
@@ -78,7 +79,7 @@
     /// The priority of the organisation, or of the route if it has none; 0 is the most urgent.
     pub priority: u32,
     /// The complete request body.
-    pub body: Bytes,
+    pub body: ChargedBody,
     /// When the request head arrived.
     pub arrived_at: Millis,
     /// When the request is abandoned.
@@ -280,12 +281,12 @@
     guard: InProgressGuard,
 ) -> Result<Response<ClientBody>, io::Error> {
     let arrived_at = shared.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let client = match ClientRequest::new(head.method, head.uri, &head.headers) {
         Ok(client) => client,
         Err(error) => {
             info!(reason:% = error; "malformed request rejected");
-            discard_body(shared, body).await;
+            discard_body(shared, &mut body, &guard).await;
             return Ok(LocalReply::bad_request(&error, guard));
         }
     };
@@ -298,12 +299,12 @@
         );
         Ok(reply.response(Some(&client.id), retry_after_ms, guard))
     };
-    let reject_unread = async |reply: LocalReply, body: Incoming, guard: InProgressGuard| {
-        discard_body(shared, body).await;
+    let reject_unread = async |reply: LocalReply, mut body: Incoming, guard: InProgressGuard| {
+        discard_body(shared, &mut body, &guard).await;
         reject(reply, None, guard)
     };
     let Some(route_table) = shared.route_table() else {
-        discard_body(shared, body).await;
+        discard_body(shared, &mut body, &guard).await;
         return reject(LocalReply::Refused, Some(STARTING_RETRY_AFTER_MS), guard);
     };
     let (route, organisation) =
@@ -324,11 +325,11 @@
         route: &route.name,
         arrived_at,
     };
-    let received = receive_body(shared, body, deadline).await;
+    let received = receive_body(shared, &mut body, deadline, &guard).await;
     drop(body_read_guard);
     let body = match received {
         Ok(body) => body,
-        Err(reply) => return reject(reply, None, guard),
+        Err((reply, retry_after_ms)) => return reject(reply, retry_after_ms, guard),
     };
     let priority = organisation
         .as_ref()
@@ -349,7 +350,7 @@
     let fingerprint = crash_quarantine::fingerprint(
         client.path_and_query(),
         organisation.as_deref().unwrap_or_default(),
-        &body,
+        body.bytes(),
     );
     let prompt_parts = hash_shared_parts(&client, &service);
     let record = RequestRecord::new(
@@ -379,18 +380,32 @@
     process(context, stage_client, guard).await
 }
 
-/// Receives the body of a request, or returns the response to the client if that is not possible.
+/// Receives the body of a request, or returns the reply to the client and its retry delay if that is
+/// not possible.
 async fn receive_body(
     shared: &Shared,
-    body: Incoming,
+    body: &mut Incoming,
     deadline: Millis,
-) -> Result<Bytes, LocalReply> {
-    let receiving = body::read_up_to(body, shared.client_limits().max_body_bytes);
-    match timeout((deadline - shared.now()).to_duration(), receiving).await {
+    guard: &InProgressGuard,
+) -> Result<ChargedBody, (LocalReply, Option<Millis>)> {
+    let receiving_guard = guard.begin_body();
+    let max_bytes = shared.client_limits().max_body_bytes;
+    let receiving = shared.client_memory.read(shared, body, max_bytes);
+    let received = timeout((deadline - shared.now()).to_duration(), receiving).await;
+    drop(receiving_guard);
+    match received {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge)) => Err(LocalReply::TooLarge),
-        Ok(Err(_incomplete)) => Err(LocalReply::BadRequest),
-        Err(_elapsed) => Err(LocalReply::SlowBody),
+        Ok(Err(BodyError::TooLarge)) => {
+            shared.record_limit(LimitReason::LargeBody);
+            discard_body(shared, body, guard).await;
+            Err((LocalReply::TooLarge, None))
+        }
+        Ok(Err(BodyError::Stalled)) => {
+            shared.record_limit(LimitReason::StalledBody);
+            Err((LocalReply::Refused, Some(BUSY_RETRY_AFTER_MS)))
+        }
+        Ok(Err(_incomplete)) => Err((LocalReply::BadRequest, None)),
+        Err(_elapsed) => Err((LocalReply::SlowBody, None)),
     }
 }
 
@@ -400,12 +415,13 @@
     arrived_at + (client_timeout_ms - RESPONSE_MARGIN_MS).min(route.timeout_ms)
 }
 
-/// Reads the body of a request that is rejected by its head, as long as it stays within the limits.
-/// The connection would otherwise be closed before the body has arrived, and the kernel would reset
-/// it, by which the client can lose the response.
-async fn discard_body(shared: &Shared, body: Incoming) {
+/// Reads the body of a request that is rejected, and drops it as it arrives, as long as it stays
+/// within the limits. The connection would otherwise be closed before the body has arrived, and the
+/// kernel would reset it, by which the client can lose the response.
+async fn discard_body(shared: &Shared, body: &mut Incoming, guard: &InProgressGuard) {
+    let _receiving_guard = guard.begin_body();
     let limits = shared.client_limits();
-    let reading = body::read_up_to(body, limits.max_body_bytes);
+    let reading = body::discard_up_to(body, limits.max_body_bytes);
     // If the body is too large or late, the connection is closed after the response.
     let _result = timeout(limits.header_timeout_ms.to_duration(), reading).await;
 }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -10,6 +10,9 @@
 use tokio::sync::watch;
 
 use crate::body::BodyMemory;
+use crate::client_limits::LimitReason;
+use crate::client_limits::LimitRecord;
+use crate::client_memory::ClientMemory;
 use crate::metrics::Metrics;
 use crate::net::sleep;
 use crate::pool::Pool;
@@ -116,6 +119,9 @@
     pub prompt_quarantine: RefCell<PromptQuarantine>,
     /// The memory that the bodies of responses share.
     pub body_memory: Rc<BodyMemory>,
+    /// The memory that the bodies of requests share.
+    pub client_memory: Rc<ClientMemory>,
+    limit_record: LimitRecord,
     /// Number of requests in progress.
     pub in_progress: Cell<usize>,
     /// Number of open client connections.
@@ -144,6 +150,8 @@
     pub fn new(settings: InstanceSettings, clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             body_memory: BodyMemory::new(settings.memory_bytes),
+            client_memory: ClientMemory::new(settings.memory_bytes),
+            limit_record: LimitRecord::default(),
             settings,
             clock,
             metrics: Metrics::new(),
@@ -179,6 +187,17 @@
         self.clock.now()
     }
 
+    /// Counts and logs that a limit on clients took effect.
+    pub fn record_limit(&self, reason: LimitReason) {
+        self.limit_record.record(self.now(), &self.metrics, reason);
+    }
+
+    /// Returns whether the bodies of requests or of responses use more than half of their memory.
+    #[must_use]
+    pub fn is_client_memory_short(&self) -> bool {
+        self.client_memory.is_short() || self.body_memory.is_short()
+    }
+
     /// Returns the current routes, or `None` before a configuration is known.
     #[must_use]
     pub fn route_table(&self) -> Option<Rc<RouteTable>> {
