peer: allocate messages as their bytes arrive

Cause: a connection to the peer port that announced a message of 4 MB and sent nothing took 4 MB at once, since the buffer was allocated and zeroed for the announced length.

Change: the buffer grows by up to 16 KB for each read. Two tests more: 40 such connections, and requests that are at a target while 300 connections arrive.

Tests run: arbutus-serving, arbutus-config, platform, platform_watch, platform_connections, platform_quarantine, platform_request_limit.

--- a/crates/daemon/tests/client_crowds/main.rs
+++ b/crates/daemon/tests/client_crowds/main.rs
@@ -27,6 +27,7 @@
 const MANY_CLIENTS: usize = 300;
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
 const METRICS_PORT: u16 = 9_464;
+const PEER_PORT: u16 = 7_740;
 
 fn withstand_on_each_path(name: &str, clients: usize, play: fn(&mut Client)) {
     let violations = PATHS.map(|path| {
@@ -232,6 +233,47 @@
     drop(crowd);
 }
 
+/// Guards against memory that is allocated for a message between instances when only its length has
+/// arrived.
+#[test]
+fn announced_messages_at_the_peer_port_stay_within_the_memory() {
+    let crowded = CrowdedInstance::start();
+    let address = SocketAddrV4::new(*crowded.instance.client_address().ip(), PEER_PORT);
+    // The version, and a length of 4 MB.
+    let play = |client: &mut Client| {
+        client.write(b"\x01\0\x40\0\0");
+    };
+    let violations = crowded.withstand("peer port", address, CROWD_CLIENTS, play, "-");
+    assert_none(&violations);
+}
+
+/// Guards against connections that are closed for new ones although their request is at a target.
+#[test]
+fn requests_in_progress_are_served_while_connections_are_closed_for_others() {
+    const RESPONSE_DELAY: Duration = Duration::from_millis(1_500);
+    let crowded = CrowdedInstance::start();
+    let address = crowded.instance.client_address();
+    for target in ["d1", "d2"].map(|id| crowded.platform.target(id)) {
+        target.set_response_delay(RESPONSE_DELAY);
+    }
+    let clients: Vec<_> = (0..10)
+        .map(|number| {
+            let request = ClientRequest::new("POST", "/unsafe/1", &format!("busy-{number}"));
+            let request = request.with_body("a booking");
+            thread::spawn(move || request.call(address).map(|response| response.status))
+        })
+        .collect();
+    thread::sleep(RESPONSE_DELAY / 3);
+    let crowd: Vec<_> = (0..MANY_CLIENTS)
+        .map(|_| TcpStream::connect(address).expect("the backlog has space"))
+        .collect();
+    for client in clients {
+        let status = client.join().expect("the client does not panic");
+        assert_eq!(status.expect("the instance accepts"), 200);
+    }
+    drop(crowd);
+}
+
 /// Guards against a release of the HTTP library that bounds the number of header fields otherwise.
 #[test]
 fn heads_with_more_than_a_hundred_fields_are_refused() {
--- a/crates/serving/src/peer_frames.rs
+++ b/crates/serving/src/peer_frames.rs
@@ -202,7 +202,6 @@
     let expected_bytes = HEADER_BYTES + length;
     let started = Instant::now();
     progress.last_received.set(started);
-    bytes.resize(expected_bytes, 0);
     let mut received_bytes = HEADER_BYTES;
     while received_bytes < expected_bytes {
         progress.pending.set(Some(PendingFrame {
@@ -211,6 +210,8 @@
             started,
         }));
         let end = expected_bytes.min(received_bytes + READ_BUFFER_BYTES);
+        // Memory is taken as bytes arrive, and not for the length that the peer announces.
+        bytes.resize(end, 0);
         let read_bytes = reader.read(&mut bytes[received_bytes..end]).await?;
         if read_bytes == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
