--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -21,6 +21,7 @@
 pub mod prompt_quarantine;
 pub mod request_durations;
 pub mod retry_budget;
+pub mod rollout;
 pub mod routes;
 pub mod stage_graph;
 pub mod store_role;
--- /dev/null
+++ b/crates/policy/src/serving/rollout/exposure.rs
@@ -0,0 +1,1 @@
+//! How many requests the new version may get.
