rollouts: add the shell of roll-outs, off without bounds.exposure_share

Cause: an order to move a service to another version has to be read from the store, obeyed at every instance and decided by one of them. Change: the settings, the object kind with its status, versions of targets, messages of version 6, the hooks in the choice and the dispatch, and a task that reports, decides and writes the state conditionally. Signatures of the decoders of the store take the kind, since only orders have a status.

--- a/crates/policy/src/serving/model.rs
+++ b/crates/policy/src/serving/model.rs
@@ -186,4 +186,6 @@
     pub accepts_work: bool,
     /// How long the target stays cold, counted from when it wrote the entry.
     pub cold_remaining_ms: Millis,
+    /// Version of the target's software, if it publishes one.
+    pub version: Option<String>,
 }
--- a/crates/policy/tests/serving/support.rs
+++ b/crates/policy/tests/serving/support.rs
@@ -24,6 +24,7 @@
         slots: 4,
         accepts_work: true,
         cold_remaining_ms: Millis::ZERO,
+        version: None,
     }
 }
 
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -24,6 +24,8 @@
 use crate::crashes::PromptSuspicion;
 use crate::pool::PooledConnection;
 use crate::request::RequestContext;
+use crate::rollouts;
+use crate::rollouts::RequestEvidence;
 use crate::shared::Shared;
 use crate::stages::RequestStages;
 use crate::target_choice;
@@ -80,6 +82,7 @@
 struct AttemptRecord {
     shared: Rc<Shared>,
     entry: TargetEntry,
+    evidence: Option<RequestEvidence>,
     outcome: TargetOutcome,
 }
 
@@ -92,6 +95,9 @@
         self.shared
             .metrics
             .count_attempt(&self.entry.service, event);
+        if let Some(evidence) = &self.evidence {
+            rollouts::record_end(&self.shared, &self.entry, evidence, self.outcome);
+        }
     }
 }
 
@@ -103,10 +109,12 @@
 }
 
 impl TargetAttempt {
-    fn new(shared: &Rc<Shared>, entry: TargetEntry, connection: PooledConnection) -> Self {
+    fn new(context: &RequestContext, entry: TargetEntry, connection: PooledConnection) -> Self {
+        let shared = &context.shared;
         shared.target_states.borrow_mut().record_send(&entry.id);
         let record = AttemptRecord {
             shared: Rc::clone(shared),
+            evidence: rollouts::record_send(shared, &context.route.name, &entry),
             entry,
             outcome: TargetOutcome::Abandoned,
         };
@@ -423,7 +431,8 @@
         .directory
         .borrow()
         .may_send(&entry.id, entry.incarnation)
-        && !target_notices::is_paused(shared, &entry.id);
+        && !target_notices::is_paused(shared, &entry.id)
+        && rollouts::may_send(context, entry);
     if !may_send_now {
         connection.release(shared.now(), None);
         return AttemptOutcome::Unsent(
@@ -448,7 +457,7 @@
         .borrow_mut()
         .record_send(shared.now(), &entry.id);
     let sent_at = shared.now();
-    let mut attempt = TargetAttempt::new(shared, entry.clone(), connection);
+    let mut attempt = TargetAttempt::new(context, entry.clone(), connection);
     let attempt_timeout_ms = attempt_timeout_ms(context);
     let response_future = async {
         match attempt.connection.get() {
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -73,6 +73,10 @@
     pub limited_targets: Gauge,
     /// Targets that have asked this instance for a pause that lasts.
     pub paused_targets: Gauge,
+    /// Requests sent while an order is in force, by service and version side.
+    rollout_sends: Family<EventLabels, Counter>,
+    /// Phases and states of roll-outs that began, by service.
+    rollout_steps: Family<EventLabels, Counter>,
 }
 
 impl fmt::Debug for Metrics {
@@ -155,6 +159,18 @@
             "Targets that asked for a pause that lasts",
             paused_targets.clone(),
         );
+        let rollout_sends = Family::default();
+        registry.register(
+            "rollout_sends",
+            "Sends to targets while a roll-out is in progress",
+            rollout_sends.clone(),
+        );
+        let rollout_steps = Family::default();
+        registry.register(
+            "rollout_steps",
+            "Phases and states of roll-outs that began",
+            rollout_steps.clone(),
+        );
         Self {
             registry,
             requests,
@@ -170,9 +186,29 @@
             log_lines_dropped,
             limited_targets,
             paused_targets,
+            rollout_sends,
+            rollout_steps,
         }
     }
 
+    /// Counts a request that is sent to the old or new version of a service.
+    pub fn count_rollout_send(&self, service: &str, side: &'static str) {
+        let labels = EventLabels {
+            subject: service.to_owned(),
+            event: side,
+        };
+        self.rollout_sends.get_or_create(&labels).inc();
+    }
+
+    /// Counts a phase or state of a roll-out that began.
+    pub fn count_rollout_step(&self, service: &str, step: &'static str) {
+        let labels = EventLabels {
+            subject: service.to_owned(),
+            event: step,
+        };
+        self.rollout_steps.get_or_create(&labels).inc();
+    }
+
     /// Records the time to the end of a response.
     pub fn record_response(&self, labels: &RequestLabels, duration_ms: Millis) {
         observe(&self.response_seconds, labels, duration_ms);
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -24,6 +24,7 @@
 use tokio::time::sleep_until;
 
 use crate::crashes;
+use crate::follow_state::FollowState;
 use crate::net;
 use crate::peer_frames;
 use crate::peer_frames::FrameReader;
@@ -32,6 +33,7 @@
 use crate::peer_messages::CONFIRMED_CRASHES_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
+use crate::rollouts;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
@@ -45,6 +47,7 @@
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceReport;
 use arbutus_policy::serving::batch::SubmissionId;
+use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 
 /// Connect timeout, shorter than the 1 s after which TCP retransmits a dropped SYN.
@@ -110,6 +113,11 @@
         known_revisions: Vec<(ObjectKind, u64)>,
         follow: bool,
     ) {
+        let mut known_revisions = known_revisions;
+        if !rollouts::is_understood_by(&self.shared, peer) {
+            // The peer could not decode the command.
+            known_revisions.retain(|(kind, _)| *kind != ObjectKind::Rollouts);
+        }
         let command = if self.understands_updates(peer) {
             PeerCommand::Updates {
                 known_revisions,
@@ -209,7 +217,10 @@
                     next_ping = Instant::now() + PING_INTERVAL_MS.to_duration();
                     let stage_client = self.stage_client.borrow().upgrade();
                     let awaits_results = stage_client.is_some_and(|stage_client| stage_client.awaits_results_from(peer));
-                    if !awaits_results && !self.store.follows_or_asked(peer) {
+                    let awaits_reply = awaits_results
+                        || self.store.follows_or_asked(peer)
+                        || rollouts::is_decider(&self.shared, peer);
+                    if !awaits_reply {
                         if is_peer_shutting_down {
                             return Ok(());
                         }
@@ -290,6 +301,9 @@
             PeerReply::LeavingTargets(reports) => {
                 target_notices::merge_leaving(&self.shared, &reports);
             }
+            PeerReply::RolloutDirective(directive) => {
+                rollouts::apply_directive(&self.shared, directive);
+            }
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -435,6 +449,26 @@
         }
     }
 
+    /// Records the reported crashes, and adds earlier ones of the same prompt parts to the replies.
+    fn merge_prompt_crashes(
+        &self,
+        now: Millis,
+        reported: &[(Millis, PromptCrash)],
+        replies: &mut Vec<PeerReply>,
+    ) {
+        for (age_ms, crash) in reported {
+            let earlier = self
+                .shared
+                .prompt_quarantine
+                .borrow()
+                .earlier_crashes(now, crash);
+            if !earlier.is_empty() {
+                replies.push(PeerReply::PromptCrashes(earlier));
+            }
+            crashes::record_prompt_crash(&self.shared, *age_ms, crash);
+        }
+    }
+
     fn handle_command(
         &self,
         submitter: u64,
@@ -505,17 +539,7 @@
                 let _learnt = crashes::record_peer_responses(&self.shared, &responses);
             }
             PeerCommand::PromptCrashes(reported) => {
-                for (age_ms, crash) in &reported {
-                    let earlier = self
-                        .shared
-                        .prompt_quarantine
-                        .borrow()
-                        .earlier_crashes(now, crash);
-                    if !earlier.is_empty() {
-                        replies.push(PeerReply::PromptCrashes(earlier));
-                    }
-                    crashes::record_prompt_crash(&self.shared, *age_ms, crash);
-                }
+                self.merge_prompt_crashes(now, &reported, replies);
             }
             PeerCommand::QuarantinedPrompts => {
                 let crashes = self.shared.prompt_quarantine.borrow().all_crashes(now);
@@ -542,38 +566,14 @@
                 }
             }
             PeerCommand::ClearedParts(parts) => crashes::clear_parts(&self.shared, &parts),
+            PeerCommand::RolloutEvidence(report) => {
+                let directive = rollouts::merge_report(&self.shared, report);
+                replies.extend(directive.map(PeerReply::RolloutDirective));
+            }
         }
     }
 }
 
-/// Whether a connected peer follows this instance, and the store revisions that the peer knows.
-#[derive(Debug, Default)]
-struct FollowState {
-    is_following: bool,
-    known_revisions: Vec<(ObjectKind, u64)>,
-    accepts_compression: bool,
-    /// Number of updates that were sent to a peer that acknowledges them, and that it has not
-    /// acknowledged yet.
-    unacknowledged: u32,
-}
-
-impl FollowState {
-    fn new(known_revisions: Vec<(ObjectKind, u64)>, accepts_compression: bool) -> Self {
-        Self {
-            is_following: false,
-            known_revisions,
-            accepts_compression,
-            unacknowledged: 0,
-        }
-    }
-
-    /// Returns whether an update is on its way to a follower. The revisions that it names are then
-    /// older than what it has been sent.
-    fn awaits_acknowledgement(&self) -> bool {
-        self.is_following && self.unacknowledged > 0
-    }
-}
-
 /// Removes a submitter when dropped.
 struct SubmitterGuard {
     queues: Rc<StageQueues>,
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -19,13 +19,15 @@
 use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
+use arbutus_policy::serving::rollout::Directive;
+use arbutus_policy::serving::rollout::EvidenceReport;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 use arbutus_policy::serving::target_limits::LimitReport;
 
 /// Version of the messages in this module. An instance writes it to its entry in the store. It sends
 /// a peer only commands of versions that the entry of the peer names, and uses later replies only for
 /// such commands.
-pub const PEER_PROTOCOL: u32 = 5;
+pub const PEER_PROTOCOL: u32 = 6;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
 /// First version that has [`PeerCommand::TargetLimits`].
@@ -34,6 +36,8 @@
 pub const CONFIRMED_CRASHES_PROTOCOL: u32 = 4;
 /// First version that has [`PeerCommand::LeavingTargets`].
 pub const LEAVING_TARGETS_PROTOCOL: u32 = 5;
+/// First version that has [`PeerCommand::RolloutEvidence`] and knows [`ObjectKind::Rollouts`].
+pub const ROLLOUTS_PROTOCOL: u32 = 6;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -121,6 +125,9 @@
     LeavingTargets(Vec<LeavingReport>),
     /// Requests all targets that have said that they shut down.
     KnownLeavingTargets,
+    /// Reports the evidence of a roll-out to its decider, which replies with
+    /// [`PeerReply::RolloutDirective`].
+    RolloutEvidence(EvidenceReport),
 }
 
 /// A message to the instance that opened a connection.
@@ -170,4 +177,6 @@
     RecentResponses(Vec<(Fingerprint, Millis)>),
     /// All targets that have said that they shut down.
     LeavingTargets(Vec<LeavingReport>),
+    /// What the decider of a roll-out instructs the sender of a report to do.
+    RolloutDirective(Directive),
 }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -29,6 +29,7 @@
 use crate::peer::PeerServer;
 use crate::peer_messages::PEER_PROTOCOL;
 use crate::readiness;
+use crate::rollouts;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
@@ -39,7 +40,6 @@
 use arbutus_platform::settings;
 use arbutus_platform::settings::SettingsError;
 use arbutus_platform::store::InstanceEntry;
-use arbutus_platform::store::ObjectKind;
 
 /// The port of the metrics endpoint; `deploy/system.toml` contains it too.
 pub const METRICS_PORT: u16 = 9_464;
@@ -195,7 +195,7 @@
         Rc::clone(&listening_announcer).listen()
     });
     supervise("announcer", move || Rc::clone(&announcer).announce());
-    for kind in ObjectKind::ALL {
+    for kind in shared.object_kinds() {
         let store = Rc::clone(&store);
         supervise("store-watch", move || Rc::clone(&store).run_watch(kind));
     }
@@ -254,7 +254,7 @@
             Rc::clone(&request_connections),
         )
     });
-    start_report_tasks(shared, connections);
+    start_report_tasks(shared, stage_client, connections);
     let housekeeping_shared = Rc::clone(shared);
     supervise("housekeeping", move || {
         background::run_housekeeping(Rc::clone(&housekeeping_shared), dropped_lines.clone())
@@ -262,8 +262,20 @@
     Ok(())
 }
 
-/// Starts the exchange of reports about crashes and limits with the other instances.
-fn start_report_tasks(shared: &Rc<Shared>, connections: Rc<PeerConnections>) {
+/// Starts the exchange of reports about crashes, limits and roll-outs with the other instances.
+fn start_report_tasks(
+    shared: &Rc<Shared>,
+    stage_client: Rc<StageClient>,
+    connections: Rc<PeerConnections>,
+) {
+    let (rollout_shared, rollout_connections) = (Rc::clone(shared), Rc::clone(&connections));
+    supervise("rollouts", move || {
+        rollouts::task::run(
+            Rc::clone(&rollout_shared),
+            Rc::clone(&stage_client),
+            Rc::clone(&rollout_connections),
+        )
+    });
     let (request_shared, request_connections) = (Rc::clone(shared), Rc::clone(&connections));
     supervise("ask-quarantine", move || {
         background::request_peer_reports(
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use log::info;
 use tokio::sync::watch;
@@ -13,10 +15,12 @@
 use crate::metrics::Metrics;
 use crate::net::sleep;
 use crate::pool::Pool;
+use crate::rollouts::Rollouts;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
 use arbutus_platform::settings::InstanceSettings;
 use arbutus_platform::store::InstanceEntry;
+use arbutus_platform::store::ObjectKind;
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::cold_targets;
@@ -129,7 +133,14 @@
     backlogs: RefCell<BTreeMap<QueueName, (Millis, Millis)>>,
     /// Reports about crashes that still have to be sent to peers.
     pub pending_reports: RefCell<PendingReports>,
+    /// The roll-outs of the versions of services.
+    pub rollouts: RefCell<Rollouts>,
+    /// Identifies this run of the process; a later run has a greater value unless the clock of the
+    /// machine was set back.
+    pub process_incarnation: u64,
     targets_known: Cell<bool>,
+    /// Whether the orders are known, without which a version under trial could get all requests.
+    rollouts_known: Cell<bool>,
     phase: watch::Sender<Phase>,
     /// When the process received SIGTERM.
     sigterm_at: Cell<Option<Millis>>,
@@ -165,7 +176,10 @@
             retry_budgets: RefCell::new(BTreeMap::new()),
             backlogs: RefCell::new(BTreeMap::new()),
             pending_reports: RefCell::new(PendingReports::default()),
+            rollouts: RefCell::new(Rollouts::default()),
+            process_incarnation: process_incarnation(),
             targets_known: Cell::new(false),
+            rollouts_known: Cell::new(false),
             phase: watch::Sender::new(Phase::Starting),
             sigterm_at: Cell::new(None),
             is_exiting: Cell::new(false),
@@ -455,11 +469,33 @@
         self.is_exiting.get()
     }
 
+    /// Records that the orders of roll-outs are known.
+    pub fn mark_rollouts_known(&self) {
+        if !self.rollouts_known.replace(true) {
+            self.update_phase();
+        }
+    }
+
+    /// Returns the kinds of store objects that this instance reads.
+    pub fn object_kinds(&self) -> impl Iterator<Item = ObjectKind> + use<> {
+        let has_rollouts = self.settings.rollout_limits.is_some();
+        ObjectKind::ALL
+            .into_iter()
+            .filter(move |kind| has_rollouts || *kind != ObjectKind::Rollouts)
+    }
+
     fn update_phase(&self) {
-        let is_ready = self.targets_known.get() && self.route_table.borrow().is_some();
+        let is_ready = self.targets_known.get()
+            && self.route_table.borrow().is_some()
+            && (self.settings.rollout_limits.is_none() || self.rollouts_known.get());
         if is_ready && self.phase() == Phase::Starting {
             self.phase.send_replace(Phase::Serving);
             info!(after_ms = self.now().0; "serving");
         }
     }
 }
+
+fn process_incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/crates/serving/src/stage_client.rs
+++ b/crates/serving/src/stage_client.rs
@@ -19,10 +19,12 @@
 
 use crate::peer::PeerConnections;
 use crate::peer_messages::PeerCommand;
+use crate::peer_messages::ROLLOUTS_PROTOCOL;
 use crate::peer_messages::SubmitMessage;
 use crate::shared::Shared;
 use crate::stage_queues::StageQueues;
 use arbutus_coord::Millis;
+use arbutus_coord::rendezvous;
 use arbutus_platform::stage;
 use arbutus_policy::serving::batch::PieceReport;
 use arbutus_policy::serving::batch::PieceSource;
@@ -34,6 +36,9 @@
 use arbutus_policy::serving::ownership::UnavailableInstances;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 
+/// Begin of the key by which the instances are ranked to select the decider of a roll-out.
+const ROLLOUT_KEY_PREFIX: &str = "rollout/";
+
 /// The index of a piece and its progress.
 pub type PieceUpdate = (u32, PieceProgress);
 
@@ -292,6 +297,25 @@
         })
     }
 
+    /// Returns the instance that decides about the roll-out of a service: the first one by
+    /// rendezvous hashing that is available and knows roll-outs.
+    #[must_use]
+    pub fn rollout_decider(&self, service: &str) -> String {
+        let now = self.shared.now();
+        let unavailable_peers = self.unavailable_peers.borrow();
+        let peers = self.shared.peers();
+        let available = peers.iter().filter(|peer| {
+            peer.peer_protocol >= ROLLOUTS_PROTOCOL
+                && !unavailable_peers.is_unavailable(now, &peer.name)
+        });
+        let local = Some(self.shared.settings.name.as_str())
+            .filter(|_| !self.shared.phase().is_shutting_down());
+        let members = available.map(|peer| peer.name.as_str()).chain(local);
+        let key = format!("{ROLLOUT_KEY_PREFIX}{service}");
+        let owner = rendezvous::owner(key.as_bytes(), members);
+        owner.unwrap_or(&self.shared.settings.name).to_owned()
+    }
+
     /// Calls `decide` with the current time, this instance, whether it is shutting down, the other
     /// instances, and the unavailable ones among them.
     fn with_members<T>(
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -86,7 +86,7 @@
             let body = self
                 .call(kind, Method::GET, &path, None, CALL_TIMEOUT_MS)
                 .await?;
-            let page: ListPage = decode_list(&body).map_err(StoreError::Malformed)?;
+            let page: ListPage = decode_list(kind, &body).map_err(StoreError::Malformed)?;
             if page.undecodable > 0 {
                 log::warn!(kind = kind.label(), objects = page.undecodable; "cannot decode some store objects");
             }
@@ -141,7 +141,7 @@
         let body = self
             .call(kind, Method::GET, &path, None, timeout_ms)
             .await?;
-        decode_watch(&body).map_err(StoreError::Malformed)
+        decode_watch(kind, &body).map_err(StoreError::Malformed)
     }
 
     /// Makes one call and returns the response body.
--- a/crates/serving/src/target_choice.rs
+++ b/crates/serving/src/target_choice.rs
@@ -6,6 +6,7 @@
 
 use crate::net::sleep;
 use crate::request::RequestContext;
+use crate::rollouts;
 use crate::target_notices;
 use crate::target_notices::Sender;
 use arbutus_coord::Millis;
@@ -37,7 +38,8 @@
     let directory = context.shared.directory.borrow();
     directory
         .usable(&context.service)
-        .any(|known| !tried_targets.contains(&known.entry.id))
+        .filter(|known| !tried_targets.contains(&known.entry.id))
+        .any(|known| rollouts::may_send_with(context, &directory, &known.entry))
 }
 
 /// Selects a target, waiting for one to become available if necessary.
@@ -133,7 +135,7 @@
     let usable_connections = service.max_connections as usize * USABLE_CONNECTIONS_PERCENT / 100;
     let connections_per_instance = (usable_connections / shared.instance_count()).max(1);
     let directory = shared.directory.borrow();
-    let candidates: Vec<&TargetEntry> = directory
+    let mut candidates: Vec<&TargetEntry> = directory
         .usable(&context.service)
         .filter(|known| !tried_targets.contains(&known.entry.id))
         .filter(|known| {
@@ -149,6 +151,7 @@
                 || shared.pool.open_count(&entry.id) < connections_per_instance
         })
         .collect();
+    rollouts::retain_allowed(context, tried_targets.len(), &directory, &mut candidates);
     let criteria = SelectionCriteria {
         local_domain: &shared.settings.failure_domain,
         shared_prefix: context.client.shared_prefix(),
--- a/crates/serving/src/watch/liveness.rs
+++ b/crates/serving/src/watch/liveness.rs
@@ -83,7 +83,7 @@
     async fn read_revision(&self) -> Result<(), StoreError> {
         let path = list_path(ObjectKind::Evacuations, None);
         let body = self.read_smallest_list(&path).await?;
-        let page = decode_list(&body).map_err(StoreError::Malformed)?;
+        let page = decode_list(ObjectKind::Evacuations, &body).map_err(StoreError::Malformed)?;
         self.store_revision.send_if_modified(|revision| {
             let is_later = page.revision > *revision;
             *revision = page.revision.max(*revision);
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::net::sleep;
 use crate::peer_messages::PeerReply;
+use crate::rollouts;
 use crate::shared::Shared;
 use crate::store::SHORT_CALL_TIMEOUT_MS;
 use crate::store::StoreClient;
@@ -126,9 +127,9 @@
     #[must_use]
     pub fn revisions(&self) -> Vec<(ObjectKind, u64)> {
         let caches = self.caches.borrow();
-        ObjectKind::ALL
-            .iter()
-            .map(|&kind| (kind, caches.get(&kind).map_or(0, ObjectCache::revision)))
+        self.shared
+            .object_kinds()
+            .map(|kind| (kind, caches.get(&kind).map_or(0, ObjectCache::revision)))
             .collect()
     }
 
@@ -489,6 +490,7 @@
                     .collect();
                 self.shared.set_instances(entries);
             }
+            ObjectKind::Rollouts => rollouts::apply_objects(&self.shared, objects),
             ObjectKind::Targets => {}
         }
     }
--- a/crates/serving/src/watcher_selection.rs
+++ b/crates/serving/src/watcher_selection.rs
@@ -10,6 +10,7 @@
 
 use crate::net::sleep;
 use crate::peer::PeerConnections;
+use crate::rollouts;
 use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
@@ -37,8 +38,9 @@
         if shared.phase() == Phase::Starting {
             continue;
         }
-        let preferred =
-            stage_client.preferred_watcher(|name| store.is_store_unreachable_from(name));
+        let preferred = stage_client.preferred_watcher(|name| {
+            store.is_store_unreachable_from(name) || rollouts::lacks_orders(&shared, name)
+        });
         for peer in store.set_preferred_watcher(preferred.as_deref()) {
             connections.request_updates(&peer, store.revisions(), true);
         }
--- a/crates/serving/tests/malformed_messages.rs
+++ b/crates/serving/tests/malformed_messages.rs
@@ -18,9 +18,11 @@
 use arbutus_platform::names;
 use arbutus_platform::request::ClientRequest;
 use arbutus_platform::response;
+use arbutus_platform::rollout;
 use arbutus_platform::stage;
 use arbutus_platform::store;
 use arbutus_platform::store::ObjectChange;
+use arbutus_platform::store::ObjectKind;
 use arbutus_platform::store::StoredObject;
 use arbutus_policy::serving::event_splitter::EventSplitter;
 use arbutus_policy::serving::leaving_targets::LeavingReport;
@@ -118,8 +120,8 @@
     ];
     let changes = objects.clone().map(ObjectChange::Written);
     vec![
-        store::encode_list(&objects, 9).expect("valid"),
-        store::encode_watch(&changes, 9).expect("valid"),
+        store::encode_list(ObjectKind::Targets, &objects, 9).expect("valid"),
+        store::encode_watch(ObjectKind::Targets, &changes, 9).expect("valid"),
         configuration.into_bytes(),
     ]
 }
@@ -129,12 +131,18 @@
     check(|index, changes| {
         let messages = store_messages();
         let bytes = mutate(&messages[index as usize % messages.len()], &changes);
-        for object in store::decode_list(&bytes).map_or(Vec::new(), |page| page.objects) {
+        let page = store::decode_list(ObjectKind::Targets, &bytes);
+        for object in page.map_or(Vec::new(), |page| page.objects) {
             let _entry = store::decode_target(&object);
             let _entry = store::decode_instance(&object);
             let _configuration = configuration::decode(&object.content);
         }
-        let _changes = store::decode_watch(&bytes);
+        let _changes = store::decode_watch(ObjectKind::Targets, &bytes);
+        for object in
+            store::decode_list(ObjectKind::Rollouts, &bytes).map_or(Vec::new(), |page| page.objects)
+        {
+            let _entry = rollout::decode_rollout(&object);
+        }
         if let Ok(text) = std::str::from_utf8(&bytes)
             && let Ok(configuration) = configuration::decode(text)
         {
--- a/crates/serving/tests/request_record.rs
+++ b/crates/serving/tests/request_record.rs
@@ -33,6 +33,7 @@
         },
         cold_rate_factor: 1.0,
         extra_cold_rate_per_s: 0.0,
+        rollout_limits: None,
     };
     Shared::new(settings, Clock::new())
 }
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -100,6 +100,7 @@
             },
             cold_rate_factor: 1.5,
             extra_cold_rate_per_s: 5.0,
+            rollout_limits: None,
         };
         let settings_file =
             directory.join(format!("settings-{}-{host_number}.toml", process::id()));
--- a/crates/standins/src/simulated_platform/store.rs
+++ b/crates/standins/src/simulated_platform/store.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Method;
@@ -21,7 +22,10 @@
 use tokio::time::timeout;
 
 use crate::simulated_platform::link::Link;
+use arbutus_coord::Millis;
 use arbutus_platform::configuration;
+use arbutus_platform::rollout;
+use arbutus_platform::rollout::RolloutStatus;
 use arbutus_platform::store;
 use arbutus_platform::store::CONFIGURATION_OBJECT_NAME;
 use arbutus_platform::store::ObjectChange;
@@ -45,6 +49,11 @@
     /// Number of responses to watches of a kind that will be lost.
     lost_watch_responses: BTreeMap<ObjectKind, usize>,
     call_count: usize,
+    call_counts_by_kind: BTreeMap<ObjectKind, usize>,
+    /// The statuses of roll-outs that were written, with the time of the write.
+    rollout_statuses: Vec<(Instant, RolloutStatus)>,
+    /// Whether the response to the next write of a status is lost.
+    loses_status_response: bool,
     /// Bandwidth of the links of instances and the counter of their bytes; `None` if the links are
     /// not limited.
     instance_links: Option<(u64, Arc<AtomicU64>)>,
@@ -181,6 +190,68 @@
         self.lock().call_count
     }
 
+    /// Returns the number of requests for objects of a kind, including rejected ones.
+    #[must_use]
+    pub fn call_count_of(&self, kind: ObjectKind) -> usize {
+        let state = self.lock();
+        state.call_counts_by_kind.get(&kind).copied().unwrap_or(0)
+    }
+
+    /// Orders the roll-out of a service to a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the order cannot be encoded.
+    pub fn put_rollout(&self, service: &str, version: &str, duration_ms: Millis) -> io::Result<()> {
+        let content = rollout::encode_order_content(service, version, duration_ms)?;
+        self.put(ObjectKind::Rollouts, service, content);
+        Ok(())
+    }
+
+    /// Returns the statuses of roll-outs that were written, with the time of each write.
+    #[must_use]
+    pub fn rollout_statuses(&self) -> Vec<(Instant, RolloutStatus)> {
+        self.lock().rollout_statuses.clone()
+    }
+
+    /// Loses the response to the next write of a status: the write succeeds, and the connection
+    /// stays open without a response.
+    pub fn lose_next_status_response(&self) {
+        self.lock().loses_status_response = true;
+    }
+
+    async fn write_rollout_status(
+        &self,
+        name: &str,
+        body: &[u8],
+    ) -> io::Result<Response<Full<Bytes>>> {
+        let current = {
+            let state = self.lock();
+            let objects = state.objects.get(&ObjectKind::Rollouts);
+            objects.and_then(|objects| objects.get(name).cloned())
+        };
+        let Some(current) = current else {
+            return respond(StatusCode::NOT_FOUND, Vec::new());
+        };
+        if store::expected_revision(body).is_some_and(|revision| revision != current.revision) {
+            return respond(StatusCode::CONFLICT, Vec::new());
+        }
+        let content = rollout::apply_status_write(&current.content, body)?;
+        self.put(ObjectKind::Rollouts, name, content.clone());
+        let written = StoredObject { content, ..current };
+        let status = rollout::decode_rollout(&written)?.status;
+        let loses_response = {
+            let mut state = self.lock();
+            let entries = status.map(|status| (Instant::now(), status));
+            state.rollout_statuses.extend(entries);
+            std::mem::take(&mut state.loses_status_response)
+        };
+        if loses_response {
+            std::future::pending::<()>().await;
+        }
+        respond(StatusCode::OK, b"{}".to_vec())
+    }
+
     /// Limits what each instance that registers from now on sends to other instances. `sent_bytes`
     /// counts what they send.
     pub(super) fn limit_instance_links(&self, bytes_per_s: u64, sent_bytes: Arc<AtomicU64>) {
@@ -258,11 +329,18 @@
 ) -> io::Result<Response<Full<Bytes>>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    store.lock().call_count += 1;
     if store.lock().is_unavailable {
         return respond(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     }
-    let Some((kind, name)) = store::parse_path(head.uri.path()) else {
+    let path = store::parse_path(head.uri.path());
+    {
+        let mut state = store.lock();
+        state.call_count += 1;
+        if let Some((kind, _)) = path {
+            *state.call_counts_by_kind.entry(kind).or_default() += 1;
+        }
+    }
+    let Some((kind, name)) = path else {
         return respond(StatusCode::NOT_FOUND, Vec::new());
     };
     match (head.method, name) {
@@ -286,7 +364,7 @@
                 if store.takes_lost_watch_response(kind) {
                     std::future::pending::<()>().await;
                 }
-                return store.respond_with(store::encode_watch(&changes, latest)?);
+                return store.respond_with(store::encode_watch(kind, &changes, latest)?);
             }
             let (objects, revision) = {
                 let state = store.lock();
@@ -296,7 +374,22 @@
                     .unwrap_or_default();
                 (objects, state.revision)
             };
-            store.respond_with(store::encode_list(&objects, revision)?)
+            store.respond_with(store::encode_list(kind, &objects, revision)?)
+        }
+        (Method::GET, Some(name)) => {
+            let object = {
+                let state = store.lock();
+                let objects = state.objects.get(&kind);
+                objects.and_then(|objects| objects.get(name).cloned())
+            };
+            match object {
+                Some(object) => store.respond_with(store::encode_object(kind, &object)?),
+                None => respond(StatusCode::NOT_FOUND, Vec::new()),
+            }
+        }
+        (Method::PUT, Some(name)) if rollout::parse_status_path(kind, name).is_some() => {
+            let name = rollout::parse_status_path(kind, name).unwrap_or_default();
+            store.write_rollout_status(name, &body).await
         }
         (Method::PUT, Some(name)) => {
             let current_revision = {
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -129,6 +129,8 @@
     next_result_number: u64,
     /// Address in the store, if instances reach the target through a proxy.
     proxy: Option<SocketAddrV4>,
+    /// Version in the entry of the target.
+    version: Option<String>,
 }
 
 /// A target of a simulated platform.
@@ -172,6 +174,7 @@
             slots: 8,
             accepts_work: true,
             cold_remaining_ms: Millis::ZERO,
+            version: self.lock().version.clone(),
         }
     }
 
@@ -180,6 +183,11 @@
         self.lock().proxy = Some(address);
     }
 
+    /// Sets the version in entries that are written from now on.
+    pub fn set_version(&self, version: &str) {
+        self.lock().version = Some(version.to_owned());
+    }
+
     /// Adds a fault to the queue. Each request except stage calls takes the first fault.
     pub fn add_fault(&self, fault: Fault) {
         self.lock().faults.push_back(fault);
