rollout: judge the evidence of all instances and decide

One instance has to decide for all, since the evidence of each is too small: at a share of 10 % an instance sees a request to the new version every two seconds. Members report totals by route, version and group of targets; the decider compares both versions over periods that contain responses of both, bounds the share from the reported totals, and completes only after every instance has confirmed that no request is in progress at old targets.

--- a/crates/policy/src/serving/rollout/evidence.rs
+++ b/crates/policy/src/serving/rollout/evidence.rs
@@ -11,9 +11,9 @@
 /// Number of buckets of a histogram; the upper bound of each is larger than that of the one before
 /// by a factor of the square root of 2, so the last one holds durations of more than 46 s.
 pub const BUCKETS: usize = 32;
-/// Number of groups that the targets of each version are divided into. The evidence of one slow
-/// target is found in one group, and its size does not depend on the number of targets.
-const TARGET_GROUPS: u64 = 16;
+/// Number of groups that the new targets are divided into. The evidence of one slow target is found
+/// in one group, and the size of reports does not depend on the number of targets.
+const TARGET_GROUPS: u64 = 8;
 
 /// How a request to a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +43,7 @@
     pub route: String,
     /// Version of the targets.
     pub side: VersionSide,
-    /// Group of the targets, see [`target_group`].
+    /// Group of the targets, see [`target_group`]; 0 for the old version.
     pub target_group: u8,
     /// Number of requests that ended, with or without a failure.
     pub responses: u32,
@@ -77,6 +77,8 @@
     pub sent_all: u64,
     /// Number of requests in progress at old targets.
     pub old_in_flight: u64,
+    /// Number of requests in progress at new targets.
+    pub new_in_flight: u64,
     /// Evidence that has changed, and in turn some that has not.
     pub routes: Vec<RouteEvidence>,
 }
--- a/crates/policy/src/serving/rollout/mod.rs
+++ b/crates/policy/src/serving/rollout/mod.rs
@@ -13,6 +13,8 @@
 mod decider;
 mod evidence;
 mod exposure;
+mod judgement;
+mod ledger;
 mod member;
 mod targets;
 
