--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -283,7 +283,7 @@
     let finished = cluster.platform.targets[2..4]
         .iter()
         .flat_map(|target| target.executed_requests())
-        .any(|executed| executed.is_response_complete);
+        .any(|executed| executed.completed_at.is_some());
     assert!(
         !finished,
         "the target finished a request whose client had disconnected"
--- a/crates/serving/src/rollouts/task.rs
+++ b/crates/serving/src/rollouts/task.rs
@@ -124,17 +124,17 @@
         rollout.decider = None;
         rollout.directive = None;
     } else if rollout.decider.is_none() {
-        let mut decider = RolloutDecider::new(
+        *decider_count += 1;
+        rollout.decider_id = *decider_count;
+        // Sequence numbers start again with each decider.
+        let unique_name = format!("{name}/{}/{decider_count}", shared.process_incarnation);
+        rollout.decider = Some(RolloutDecider::new(
             now,
-            name,
+            &unique_name,
             rollout.order.clone(),
             *limits,
             rollout.order_age_ms(now),
-        );
-        decider.record_status(now, rollout.status());
-        *decider_count += 1;
-        rollout.decider_id = *decider_count;
-        rollout.decider = Some(decider);
+        ));
     }
 }
 
@@ -166,7 +166,7 @@
             } => {
                 info!(
                     service, version = rollout.order.version.as_str(), state:%,
-                    object_revision, reason = decider.reason().as_str();
+                    object_revision, reason = decider.reason();
                     "writing the state of a roll-out"
                 );
                 StoreTask::Write {
@@ -253,7 +253,7 @@
     info!(
         service, version = rollout.order.version.as_str(), phase:%,
         decider:? = rollout.decider_name, order_age_ms = rollout.order_age_ms(now).0,
-        reason = reason.unwrap_or_default().as_str();
+        reason = reason.unwrap_or_default();
         "phase of a roll-out changed"
     );
     shared.metrics.count_rollout_step(service, phase.into());
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -24,6 +24,7 @@
 use arbutus_platform::settings;
 use arbutus_platform::settings::InstanceSettings;
 use arbutus_policy::serving::retry_budget::RetryLimits;
+use arbutus_policy::serving::rollout::RolloutLimits;
 
 /// Time after SIGTERM after which the platform kills an instance.
 pub const SHUTDOWN_GRACE_MS: Millis = Millis(5_000);
@@ -75,6 +76,21 @@
         directory: &Path,
         store: SocketAddrV4,
         failure_domain: &str,
+    ) -> io::Result<Self> {
+        Self::start_with_limits(program, directory, store, failure_domain, None)
+    }
+
+    /// Starts an instance as [`InstanceProcess::start`] does, with limits for roll-outs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot be written or the process cannot be started.
+    pub fn start_with_limits(
+        program: &Path,
+        directory: &Path,
+        store: SocketAddrV4,
+        failure_domain: &str,
+        rollout_limits: Option<RolloutLimits>,
     ) -> io::Result<Self> {
         let host_number = NEXT_HOST_NUMBER.fetch_add(1, Ordering::Relaxed);
         // Test processes that run in parallel have different networks, so that the fixed ports below
@@ -100,7 +116,7 @@
             },
             cold_rate_factor: 1.5,
             extra_cold_rate_per_s: 5.0,
-            rollout_limits: None,
+            rollout_limits,
         };
         let settings_file =
             directory.join(format!("settings-{}-{host_number}.toml", process::id()));
@@ -165,6 +181,12 @@
         self.settings.memory_bytes
     }
 
+    /// Returns the name of the instance.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
     /// Returns the address for requests of clients.
     #[must_use]
     pub fn client_address(&self) -> SocketAddrV4 {
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -92,8 +92,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Whether the complete response was written to the connection.
-    pub is_response_complete: bool,
+    /// When the complete response was written to the connection.
+    pub completed_at: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -165,16 +165,17 @@
     /// a new incarnation.
     #[must_use]
     pub fn entry(&self) -> TargetEntry {
+        let state = self.lock();
         TargetEntry {
             id: self.id.clone(),
             incarnation: Some(1 + *self.crash_count.borrow()),
             service: self.service.clone(),
-            address: self.lock().proxy.unwrap_or(self.address),
+            address: state.proxy.unwrap_or(self.address),
             failure_domain: self.failure_domain.clone(),
             slots: 8,
             accepts_work: true,
             cold_remaining_ms: Millis::ZERO,
-            version: self.lock().version.clone(),
+            version: state.version.clone(),
         }
     }
 
@@ -358,7 +359,7 @@
             path: head.uri.to_string(),
             headers: head.headers.clone(),
             body: body.clone(),
-            is_response_complete: false,
+            completed_at: None,
         });
         let index = state.executed.len() - 1;
         (index, state.response_delay, state.min_body_bytes)
@@ -474,7 +475,7 @@
 impl ResponseCompletion {
     fn record(&self) {
         if let Some(request) = self.target.lock().executed.get_mut(self.index) {
-            request.is_response_complete = true;
+            request.completed_at = Some(Instant::now());
         }
     }
 }
