--- a/crates/daemon/tests/platform_rollout.rs
+++ b/crates/daemon/tests/platform_rollout.rs
@@ -19,6 +19,7 @@
 use arbutus_standins::simulated_platform::SimulatedPlatform;
 use arbutus_standins::simulated_platform::client::ClientRequest;
 use arbutus_standins::simulated_platform::example::configuration;
+use arbutus_standins::simulated_platform::example::staged_stream_request;
 use arbutus_standins::simulated_platform::instance::InstanceProcess;
 use arbutus_standins::simulated_platform::target::ExecutedRequest;
 use arbutus_standins::simulated_platform::target::Fault;
@@ -45,6 +46,32 @@
 const ALL_REQUESTS: usize = 20_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+fn start_instances(
+    platform: &SimulatedPlatform,
+    rollout_limits: Option<RolloutLimits>,
+) -> Vec<InstanceProcess> {
+    platform
+        .store
+        .put_configuration(&configuration(1))
+        .expect("the object can be encoded");
+    let program = Path::new(env!("CARGO_BIN_EXE_arbutusd"));
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let store = platform.store.address;
+    let instances: Vec<InstanceProcess> = (0..INSTANCES)
+        .map(|index| {
+            let domain = ["x", "y"][index % 2];
+            InstanceProcess::start_with_limits(program, directory, store, domain, rollout_limits)
+                .expect("the instance starts")
+        })
+        .collect();
+    for instance in &instances {
+        instance.wait_until_ready().expect("the instance is ready");
+    }
+    // All instances see each other.
+    thread::sleep(Duration::from_millis(1_500));
+    instances
+}
+
 /// Instances, the old targets of a service, and new ones that are not in the store yet.
 struct Cluster {
     platform: SimulatedPlatform,
@@ -77,31 +104,7 @@
                     .remove(ObjectKind::Targets, &target.entry().id);
             }
         }
-        platform
-            .store
-            .put_configuration(&configuration(1))
-            .expect("the object can be encoded");
-        let program = Path::new(env!("CARGO_BIN_EXE_arbutusd"));
-        let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let store = platform.store.address;
-        let instances: Vec<InstanceProcess> = (0..INSTANCES)
-            .map(|index| {
-                let domain = ["x", "y"][index % 2];
-                let started = InstanceProcess::start_with_limits(
-                    program,
-                    directory,
-                    store,
-                    domain,
-                    rollout_limits,
-                );
-                started.expect("the instance starts")
-            })
-            .collect();
-        for instance in &instances {
-            instance.wait_until_ready().expect("the instance is ready");
-        }
-        // All instances see each other.
-        thread::sleep(Duration::from_millis(1_500));
+        let instances = start_instances(&platform, rollout_limits);
         Self {
             platform,
             instances,
@@ -331,3 +334,38 @@
     let new = cluster.executed(&NEW).len();
     assert!(new > 0, "targets of any version are used");
 }
+
+/// Guards against a stage target of a version under trial that computes pieces: the owner of a queue
+/// does not limit how many it gets.
+#[test]
+fn a_version_under_trial_gets_no_pieces_of_stages() {
+    let targets = [
+        ("e1", "engines", "x"),
+        ("f1", "first", "x"),
+        ("f2", "first", "y"),
+        ("s1", "second", "y"),
+    ];
+    let platform = SimulatedPlatform::start(&targets).expect("the servers start");
+    for (id, version) in [("f1", "v1"), ("f2", "v2")] {
+        let target = platform.target(id);
+        target.set_version(version);
+        let entry = target.entry();
+        platform
+            .store
+            .put_target(&entry)
+            .expect("it can be encoded");
+    }
+    platform
+        .store
+        .put_rollout("first", "v2", Millis(60_000))
+        .expect("the order can be encoded");
+    let instances = start_instances(&platform, Some(LIMITS));
+    for number in 0..40 {
+        let (id, key) = (format!("p{number}"), format!("key{number}"));
+        let request = staged_stream_request(&id, "2,2", &key);
+        let response = request.call(instances[number % INSTANCES].client_address());
+        assert_eq!(response.expect("the instance accepts").status, 200);
+    }
+    assert_eq!(platform.target("f2").stage_calls().len(), 0);
+    assert!(!platform.target("f1").stage_calls().is_empty());
+}
--- a/crates/serving/src/rollouts/mod.rs
+++ b/crates/serving/src/rollouts/mod.rs
@@ -197,6 +197,7 @@
     });
     drop(rollouts);
     shared.mark_rollouts_known();
+    shared.notify_target_changes();
 }
 
 /// Applies an object that was read from the store.
@@ -391,6 +392,23 @@
     })
 }
 
+/// Returns whether roll-outs allow that pieces of a stage are sent to a target.
+///
+/// The owner of a queue does not choose a version for each piece. A version that is ordered gets no
+/// pieces until it is completed, so it is not completed for lack of evidence.
+#[must_use]
+pub fn allows_pieces(shared: &Shared, entry: &TargetEntry) -> bool {
+    let rollouts = shared.rollouts.borrow();
+    let Some(rollout) = rollouts.services.get(&entry.service) else {
+        return true;
+    };
+    let allowed = match rollout.stored_state {
+        Some(RolloutState::Completed) => VersionSide::New,
+        Some(RolloutState::InProgress | RolloutState::RolledBack) | None => VersionSide::Old,
+    };
+    rollout.side_of(entry).is_none_or(|side| side == allowed)
+}
+
 /// A request in progress at a target, for the evidence of a roll-out.
 #[derive(Debug)]
 pub struct RequestEvidence {
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -256,6 +256,11 @@
         self.target_changes.send_modify(|count| *count += 1);
     }
 
+    /// Notifies subscribers that other targets may get requests.
+    pub fn notify_target_changes(&self) {
+        self.target_changes.send_modify(|count| *count += 1);
+    }
+
     /// Returns a receiver that is notified of each change of targets or services.
     #[must_use]
     pub fn subscribe_target_changes(&self) -> watch::Receiver<u64> {
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -29,6 +29,7 @@
 use crate::body;
 use crate::connection::CallError;
 use crate::net::sleep;
+use crate::rollouts;
 use crate::shared::Shared;
 use crate::target_notices;
 use crate::target_notices::Sender;
@@ -265,7 +266,8 @@
         let entries = directory
             .usable(&self.name.service)
             .map(|known| &known.entry)
-            .filter(|entry| domain.is_none_or(|domain| domain == entry.failure_domain));
+            .filter(|entry| domain.is_none_or(|domain| domain == entry.failure_domain))
+            .filter(|entry| rollouts::allows_pieces(shared, entry));
         queue.set_targets(entries);
     }
 
@@ -507,7 +509,8 @@
     let may_send = shared
         .directory
         .borrow()
-        .may_send(&entry.id, entry.incarnation);
+        .may_send(&entry.id, entry.incarnation)
+        && rollouts::allows_pieces(shared, entry);
     if (is_work && !may_send) || target_notices::is_paused(shared, &entry.id) {
         return Ok(PostOutcome::NotExecuted);
     }
