rollouts: hold a further version until its order can be known

Cause: orders and targets come with different calls of the store, so new targets may be known before their order is and then got all requests.

--- a/crates/daemon/tests/platform_rollout.rs
+++ b/crates/daemon/tests/platform_rollout.rs
@@ -115,7 +115,7 @@
         ids.iter().map(|id| self.platform.target(id)).collect()
     }
 
-    /// Writes the order, and then starts the new targets.
+    /// Writes the order and the entries of the new targets, which instances may read in any order.
     fn order(&self) -> Instant {
         let duration_ms = Millis(ORDER_DURATION.as_millis() as u64);
         let store = &self.platform.store;
@@ -123,7 +123,6 @@
             .put_rollout(SERVICE, "v2", duration_ms)
             .expect("the order can be encoded");
         let ordered_at = Instant::now();
-        thread::sleep(Duration::from_millis(500));
         for target in self.targets(&NEW) {
             store
                 .put_target(&target.entry())
@@ -327,7 +326,7 @@
     let cluster = Cluster::start(None);
     let clients = Clients::start(&cluster);
     cluster.order();
-    thread::sleep(Duration::from_secs(2));
+    thread::sleep(Duration::from_secs(1));
     assert_eq!(clients.stop(), 0);
     let calls = cluster.platform.store.call_count_of(ObjectKind::Rollouts);
     assert_eq!(calls, 0);
--- a/crates/serving/src/rollouts/mod.rs
+++ b/crates/serving/src/rollouts/mod.rs
@@ -9,6 +9,7 @@
 //! knows, and the receiver translates every revision that the same order has had to the first one
 //! that it knows.
 
+mod first_seen;
 pub mod task;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 
 use crate::peer_messages::ROLLOUTS_PROTOCOL;
 use crate::request::RequestContext;
+use crate::rollouts::first_seen::FirstSeen;
 use crate::shared::Shared;
 use arbutus_coord::Millis;
 use arbutus_coord::rendezvous;
@@ -54,6 +56,7 @@
     decider_count: u64,
     /// Requests in progress by service and version of the target.
     in_flight: BTreeMap<(String, Version), u64>,
+    first_seen: FirstSeen,
 }
 
 /// The roll-out of one service.
@@ -310,6 +313,20 @@
     rollout
 }
 
+/// Records the versions of all services, also of those that have no requests at this instance.
+fn record_versions(shared: &Shared) {
+    let now = shared.now();
+    let directory = shared.directory.borrow();
+    let services: BTreeSet<&str> = directory
+        .iter()
+        .map(|known| known.entry.service.as_str())
+        .collect();
+    let mut rollouts = shared.rollouts.borrow_mut();
+    for service in services {
+        rollouts.first_seen.update(now, &directory, service);
+    }
+}
+
 /// Removes the candidates to which a request may not be sent because of a roll-out of their service.
 /// A request keeps its choice of a version while it waits; each retry chooses again.
 pub fn retain_allowed(
@@ -319,8 +336,22 @@
     candidates: &mut Vec<&TargetEntry>,
 ) {
     let shared = &context.shared;
-    let rollouts = shared.rollouts.borrow();
-    let Some(rollout) = rollouts.services.get(&context.service) else {
+    if shared.settings.rollout_limits.is_none() {
+        return;
+    }
+    let mut rollouts = shared.rollouts.borrow_mut();
+    let Rollouts {
+        services,
+        first_seen,
+        ..
+    } = &mut *rollouts;
+    let rollout = services.get(&context.service);
+    first_seen.update(shared.now(), directory, &context.service);
+    candidates.retain(|entry| {
+        rollout.is_some_and(|rollout| rollout.side_of(entry).is_some())
+            || !first_seen.is_held(shared.now(), entry)
+    });
+    let Some(rollout) = rollout else {
         return;
     };
     let (now, route) = (shared.now(), context.route.name.as_str());
--- a/crates/serving/src/rollouts/task.rs
+++ b/crates/serving/src/rollouts/task.rs
@@ -66,10 +66,16 @@
         return std::future::pending().await;
     };
     let client = Rc::new(StoreClient::new(Rc::clone(&shared)));
+    let mut target_changes = shared.subscribe_target_changes();
+    target_changes.mark_changed();
     let mut step: u64 = 0;
     loop {
         sleep(STEP_INTERVAL_MS).await;
         step += 1;
+        if target_changes.has_changed().unwrap_or(false) {
+            target_changes.mark_unchanged();
+            rollouts::record_versions(&shared);
+        }
         for service in undecided_services(&shared) {
             let decider = stage_client.rollout_decider(&service);
             select_decider(&shared, &service, &decider, &limits);
