rollouts: check the share of a version under trial with a good one

Cause: without the choice of a version in target_choice, the test with a failing version still passed, since the version was rolled back within the tolerance. Change: the tests with a good version count what it gets in the first 8 s against the bound; requests that the killed instance had sent are told from others by their client, as one run took one of them for a request in progress: the time was taken before the process had ended. Result: with the line '*candidates = selected' taken out, both tests with a good version fail; with the read-back taken out (a read counts as failed), the test of the lost response ends without completed.

--- a/crates/daemon/tests/platform_rollout.rs
+++ b/crates/daemon/tests/platform_rollout.rs
@@ -35,8 +35,12 @@
     rollback_ms: Millis(5_000),
 };
 const ORDER_DURATION: Duration = Duration::from_secs(14);
+/// Time after the order until which the new version is certainly under trial.
+const TRIAL: Duration = Duration::from_secs(8);
 /// Time after the order at which the deciding instance is killed, in tests that kill it.
 const KILL_AFTER: Duration = Duration::from_secs(4);
+/// Time within which a target reads what a killed instance has sent.
+const BUFFERED: Duration = Duration::from_millis(200);
 /// Time after which the platform starts a killed instance again.
 const RESTART_AFTER: Duration = Duration::from_secs(1);
 const CLIENTS_PER_INSTANCE: usize = 3;
@@ -131,8 +135,9 @@
         ordered_at
     }
 
-    /// Kills the instance that decides and starts it again.
-    fn restart_decider(&mut self) {
+    /// Kills the instance that decides and starts it again. Returns its index, and a time at which
+    /// the process had ended.
+    fn restart_decider(&mut self) -> (usize, Instant) {
         let key = format!("rollout/{SERVICE}");
         let names: Vec<String> = self
             .instances
@@ -141,10 +146,13 @@
             .collect();
         let decider = rendezvous::owner(key.as_bytes(), names.iter().map(String::as_str));
         let index = names.iter().position(|name| Some(name.as_str()) == decider);
-        let instance = &mut self.instances[index.expect("an instance decides")];
+        let index = index.expect("an instance decides");
+        let instance = &mut self.instances[index];
         instance.kill().expect("the process ends");
+        let killed_at = Instant::now();
         thread::sleep(RESTART_AFTER);
         instance.restart().expect("the process starts");
+        (index, killed_at)
     }
 
     /// Waits for the final state, and returns all statuses.
@@ -215,6 +223,20 @@
     }
 }
 
+/// Returns the index of the instance to which a client sent a request.
+fn instance_of(request: &ExecutedRequest) -> usize {
+    let client = request.request_id.trim_start_matches('c').split('-').next();
+    let client: usize = client
+        .and_then(|client| client.parse().ok())
+        .expect("the identifier begins with the number of the client");
+    client % INSTANCES
+}
+
+/// Returns how many of the requests of a service a version under trial may get.
+fn exposure_bound(requests: usize) -> usize {
+    (requests as f64 * LIMITS.exposure_share) as usize + LIMITS.exposure_tolerance as usize
+}
+
 fn states(statuses: &[(Instant, RolloutStatus)]) -> Vec<RolloutState> {
     statuses.iter().map(|(_, status)| status.state).collect()
 }
@@ -229,11 +251,10 @@
         cluster.platform.store.lose_next_status_response();
     }
     let ordered_at = cluster.order();
-    let mut killed_at = None;
+    let mut killed = None;
     if kills_decider {
         thread::sleep(KILL_AFTER);
-        killed_at = Some(Instant::now());
-        cluster.restart_decider();
+        killed = Some(cluster.restart_decider());
     }
     let statuses = cluster.wait_for_end(ordered_at);
     let failures = clients.stop();
@@ -241,7 +262,9 @@
     let completed_at = statuses[1].0;
     assert!(completed_at <= ordered_at + ORDER_DURATION);
     for request in cluster.executed(&OLD) {
-        let is_cut_off = killed_at.is_some_and(|killed_at| request.started_at <= killed_at);
+        let is_cut_off = killed.is_some_and(|(index, killed_at)| {
+            instance_of(&request) == index && request.started_at <= killed_at + BUFFERED
+        });
         assert!(
             request.started_at < completed_at,
             "{request:?} after the end"
@@ -249,8 +272,18 @@
         let has_ended = request.completed_at.is_some_and(|end| end < completed_at);
         assert!(has_ended || is_cut_off, "{request:?} was in progress");
     }
-    let before_kill = killed_at.is_none();
-    assert!(!before_kill || failures == 0, "{failures} requests failed");
+    assert!(kills_decider || failures == 0, "{failures} requests failed");
+    // Until the shift, the version could still turn out to be bad.
+    let trial = ordered_at..ordered_at + TRIAL;
+    let count = |ids: &[&str]| {
+        let executed = cluster.executed(ids);
+        let in_trial = executed
+            .iter()
+            .filter(|request| trial.contains(&request.started_at));
+        in_trial.count()
+    };
+    let (new, old) = (count(&NEW), count(&OLD));
+    assert!(new <= exposure_bound(new + old), "{new} of {}", new + old);
 }
 
 fn check_bad_version(kills_decider: bool, damage: fn(&Target)) {
@@ -264,7 +297,7 @@
     let ordered_at = cluster.order();
     if kills_decider {
         thread::sleep(KILL_AFTER);
-        cluster.restart_decider();
+        let _killed = cluster.restart_decider();
     }
     let statuses = cluster.wait_for_end(ordered_at);
     clients.stop();
@@ -274,8 +307,7 @@
     let mut new = cluster.executed(&NEW);
     new.sort_by_key(|request| request.started_at);
     let all = cluster.executed(&OLD).len() + new.len() - before_order;
-    let bound = all as f64 * LIMITS.exposure_share + LIMITS.exposure_tolerance as f64;
-    assert!((new.len() as f64) <= bound, "{} of {all}", new.len());
+    assert!(new.len() <= exposure_bound(all), "{} of {all}", new.len());
     assert!(!new.is_empty(), "the new version was not tried");
     if let (Some(fiftieth), Some(last)) = (new.get(49), new.last()) {
         let rollback = Duration::from_millis(LIMITS.rollback_ms.0);
