--- a/crates/daemon/tests/client_crowds/crowd.rs
+++ b/crates/daemon/tests/client_crowds/crowd.rs
@@ -83,6 +83,7 @@
         let limits = ResourceLimits {
             memory_bytes: MEMORY_BYTES,
             file_descriptors: Some(FILE_DESCRIPTORS),
+            rollout_limits: None,
         };
         let store = platform.store.address;
         let instance = InstanceProcess::start_with_limits(&program, &directory, store, "x", limits)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod readiness;
 pub mod request;
 pub mod response;
+pub mod rollouts;
 pub mod run;
 pub mod shared;
 pub mod stage_client;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -34,6 +34,7 @@
 use crate::peer_messages::CONFIRMED_CRASHES_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
+use crate::rollouts;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
@@ -48,6 +49,7 @@
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceReport;
 use arbutus_policy::serving::batch::SubmissionId;
+use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 
 /// Connect timeout, shorter than the 1 s after which TCP retransmits a dropped SYN.
@@ -116,6 +118,11 @@
         known_revisions: Vec<(ObjectKind, u64)>,
         follow: bool,
     ) {
+        let mut known_revisions = known_revisions;
+        if !rollouts::is_understood_by(&self.shared, peer) {
+            // The peer could not decode the command.
+            known_revisions.retain(|(kind, _)| *kind != ObjectKind::Rollouts);
+        }
         let command = if self.understands_updates(peer) {
             PeerCommand::Updates {
                 known_revisions,
@@ -226,7 +233,10 @@
                     next_ping = Instant::now() + PING_INTERVAL_MS.to_duration();
                     let stage_client = self.stage_client.borrow().upgrade();
                     let awaits_results = stage_client.is_some_and(|stage_client| stage_client.awaits_results_from(peer));
-                    if !awaits_results && !self.store.follows_or_asked(peer) {
+                    let awaits_reply = awaits_results
+                        || self.store.follows_or_asked(peer)
+                        || rollouts::is_decider(&self.shared, peer);
+                    if !awaits_reply {
                         if is_peer_shutting_down {
                             return Ok(());
                         }
@@ -310,6 +320,9 @@
             PeerReply::TargetSummaries(message) => {
                 target_reports::merge_known_targets(&self.shared, &message);
             }
+            PeerReply::RolloutDirective(directive) => {
+                rollouts::apply_directive(&self.shared, directive);
+            }
             PeerReply::Pong | PeerReply::Leaving => {}
         }
     }
@@ -455,6 +468,26 @@
         }
     }
 
+    /// Records the reported crashes, and adds earlier ones of the same prompt parts to the replies.
+    fn merge_prompt_crashes(
+        &self,
+        now: Millis,
+        reported: &[(Millis, PromptCrash)],
+        replies: &mut Vec<PeerReply>,
+    ) {
+        for (age_ms, crash) in reported {
+            let earlier = self
+                .shared
+                .prompt_quarantine
+                .borrow()
+                .earlier_crashes(now, crash);
+            if !earlier.is_empty() {
+                replies.push(PeerReply::PromptCrashes(earlier));
+            }
+            crashes::record_prompt_crash(&self.shared, *age_ms, crash);
+        }
+    }
+
     fn handle_command(
         &self,
         submitter: u64,
@@ -525,17 +558,7 @@
                 let _learnt = crashes::record_peer_responses(&self.shared, &responses);
             }
             PeerCommand::PromptCrashes(reported) => {
-                for (age_ms, crash) in &reported {
-                    let earlier = self
-                        .shared
-                        .prompt_quarantine
-                        .borrow()
-                        .earlier_crashes(now, crash);
-                    if !earlier.is_empty() {
-                        replies.push(PeerReply::PromptCrashes(earlier));
-                    }
-                    crashes::record_prompt_crash(&self.shared, *age_ms, crash);
-                }
+                self.merge_prompt_crashes(now, &reported, replies);
             }
             PeerCommand::QuarantinedPrompts => {
                 let crashes = self.shared.prompt_quarantine.borrow().all_crashes(now);
@@ -555,6 +578,10 @@
                 target_reports::handle_command(&self.shared, command, replies);
             }
             PeerCommand::ClearedParts(parts) => crashes::clear_parts(&self.shared, &parts),
+            PeerCommand::RolloutEvidence(report) => {
+                let directive = rollouts::merge_report(&self.shared, report);
+                replies.extend(directive.map(PeerReply::RolloutDirective));
+            }
         }
     }
 }
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -19,6 +19,8 @@
 use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
+use arbutus_policy::serving::rollout::Directive;
+use arbutus_policy::serving::rollout::EvidenceReport;
 use arbutus_policy::serving::stage_graph::PieceProgress;
 use arbutus_policy::serving::target_limits::LimitReport;
 use arbutus_policy::serving::target_view::exchange::ObservationMessage;
@@ -38,6 +40,8 @@
 pub const LEAVING_TARGETS_PROTOCOL: u32 = 5;
 /// First version that has [`PeerCommand::TargetObservations`].
 pub const TARGET_VIEW_PROTOCOL: u32 = 6;
+/// First version that has [`PeerCommand::RolloutEvidence`] and knows [`ObjectKind::Rollouts`].
+pub const ROLLOUTS_PROTOCOL: u32 = 6;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -131,6 +135,9 @@
     TargetSummaries(SummaryMessage),
     /// Requests all that the peer knows of targets.
     KnownTargets,
+    /// Reports the evidence of a roll-out to its decider, which replies with
+    /// [`PeerReply::RolloutDirective`].
+    RolloutEvidence(EvidenceReport),
 }
 
 /// A message to the instance that opened a connection.
@@ -182,4 +189,6 @@
     LeavingTargets(Vec<LeavingReport>),
     /// All that the sender knows of targets.
     TargetSummaries(SummaryMessage),
+    /// What the decider of a roll-out instructs the sender of a report to do.
+    RolloutDirective(Directive),
 }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -29,6 +29,7 @@
 use crate::peer::PeerServer;
 use crate::peer_messages::PEER_PROTOCOL;
 use crate::readiness;
+use crate::rollouts;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
@@ -40,7 +41,6 @@
 use arbutus_platform::settings;
 use arbutus_platform::settings::SettingsError;
 use arbutus_platform::store::InstanceEntry;
-use arbutus_platform::store::ObjectKind;
 
 /// The port of the metrics endpoint; `deploy/system.toml` contains it too.
 pub const METRICS_PORT: u16 = 9_464;
@@ -196,7 +196,7 @@
         Rc::clone(&listening_announcer).listen()
     });
     supervise("announcer", move || Rc::clone(&announcer).announce());
-    for kind in ObjectKind::ALL {
+    for kind in shared.object_kinds() {
         let store = Rc::clone(&store);
         supervise("store-watch", move || Rc::clone(&store).run_watch(kind));
     }
@@ -263,20 +263,30 @@
     Ok(())
 }
 
-/// Starts the exchange of reports about crashes, limits and loads with the other instances.
+/// Starts the exchange of reports about crashes, limits, loads and roll-outs with the other
+/// instances.
 fn start_report_tasks(
     shared: &Rc<Shared>,
     stage_client: Rc<StageClient>,
     connections: Rc<PeerConnections>,
 ) {
+    let view_stage_client = Rc::clone(&stage_client);
     let (view_shared, view_connections) = (Rc::clone(shared), Rc::clone(&connections));
     supervise("target-reports", move || {
         target_reports::run(
             Rc::clone(&view_shared),
-            Rc::clone(&stage_client),
+            Rc::clone(&view_stage_client),
             Rc::clone(&view_connections),
         )
     });
+    let (rollout_shared, rollout_connections) = (Rc::clone(shared), Rc::clone(&connections));
+    supervise("rollouts", move || {
+        rollouts::task::run(
+            Rc::clone(&rollout_shared),
+            Rc::clone(&stage_client),
+            Rc::clone(&rollout_connections),
+        )
+    });
     let (request_shared, request_connections) = (Rc::clone(shared), Rc::clone(&connections));
     supervise("ask-quarantine", move || {
         background::request_peer_reports(
--- a/crates/serving/tests/client_limits.rs
+++ b/crates/serving/tests/client_limits.rs
@@ -22,6 +22,7 @@
         store_address: address,
         memory_bytes: memory_mb * 1_048_576,
         shares_target_load: false,
+        rollout_limits: None,
         file_descriptors,
         link_mbps: 10,
         shutdown_grace_ms: Millis(5_000),
--- a/crates/standins/src/simulated_platform/instance.rs
+++ b/crates/standins/src/simulated_platform/instance.rs
@@ -25,6 +25,7 @@
 use arbutus_platform::settings;
 use arbutus_platform::settings::InstanceSettings;
 use arbutus_policy::serving::retry_budget::RetryLimits;
+use arbutus_policy::serving::rollout::RolloutLimits;
 
 /// Time after SIGTERM after which the platform kills an instance.
 pub const SHUTDOWN_GRACE_MS: Millis = Millis(5_000);
@@ -50,13 +51,15 @@
     calls.collect()
 }
 
-/// What the settings of an instance allow its process.
+/// Limits in the settings of an instance: on its process, and on roll-outs.
 #[derive(Clone, Copy, Debug)]
 pub struct ResourceLimits {
     /// Memory of the process.
     pub memory_bytes: u64,
     /// Open files and connections; `None` to leave the field out of the settings file.
     pub file_descriptors: Option<u64>,
+    /// Limits for roll-outs; `None` to leave the fields out of the settings file.
+    pub rollout_limits: Option<RolloutLimits>,
 }
 
 impl Default for ResourceLimits {
@@ -64,6 +67,7 @@
         Self {
             memory_bytes: 128 * 1_048_576,
             file_descriptors: None,
+            rollout_limits: None,
         }
     }
 }
@@ -137,6 +141,7 @@
             cold_rate_factor: 1.5,
             extra_cold_rate_per_s: 5.0,
             shares_target_load: false,
+            rollout_limits: limits.rollout_limits,
         };
         let settings_file =
             directory.join(format!("settings-{}-{host_number}.toml", process::id()));
@@ -210,6 +215,12 @@
         self.settings.memory_bytes
     }
 
+    /// Returns the name of the instance.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
     /// Returns the address for requests of clients.
     #[must_use]
     pub fn client_address(&self) -> SocketAddrV4 {
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -92,8 +92,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Whether the complete response was written to the connection.
-    pub is_response_complete: bool,
+    /// When the complete response was written to the connection.
+    pub completed_at: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -129,6 +129,8 @@
     next_result_number: u64,
     /// Address in the store, if instances reach the target through a proxy.
     proxy: Option<SocketAddrV4>,
+    /// Version in the entry of the target.
+    version: Option<String>,
 }
 
 /// A target of a simulated platform.
@@ -163,15 +165,17 @@
     /// a new incarnation.
     #[must_use]
     pub fn entry(&self) -> TargetEntry {
+        let state = self.lock();
         TargetEntry {
             id: self.id.clone(),
             incarnation: Some(1 + *self.crash_count.borrow()),
             service: self.service.clone(),
-            address: self.lock().proxy.unwrap_or(self.address),
+            address: state.proxy.unwrap_or(self.address),
             failure_domain: self.failure_domain.clone(),
             slots: 8,
             accepts_work: true,
             cold_remaining_ms: Millis::ZERO,
+            version: state.version.clone(),
         }
     }
 
@@ -180,6 +184,11 @@
         self.lock().proxy = Some(address);
     }
 
+    /// Sets the version in entries that are written from now on.
+    pub fn set_version(&self, version: &str) {
+        self.lock().version = Some(version.to_owned());
+    }
+
     /// Adds a fault to the queue. Each request except stage calls takes the first fault.
     pub fn add_fault(&self, fault: Fault) {
         self.lock().faults.push_back(fault);
@@ -358,7 +367,7 @@
             path: head.uri.to_string(),
             headers: head.headers.clone(),
             body: body.clone(),
-            is_response_complete: false,
+            completed_at: None,
         });
         let index = state.executed.len() - 1;
         (index, state.response_delay, state.min_body_bytes)
@@ -474,7 +483,7 @@
 impl ResponseCompletion {
     fn record(&self) {
         if let Some(request) = self.target.lock().executed.get_mut(self.index) {
-            request.is_response_complete = true;
+            request.completed_at = Some(Instant::now());
         }
     }
 }
