--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Metric;
 use prometheus_client::registry::Registry;
 
 use arbutus_coord::Millis;
@@ -107,11 +108,19 @@
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
 }
 
-/// Registers a gauge.
-fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
-    let gauge = Gauge::default();
-    registry.register(name, help, gauge.clone());
-    gauge
+/// Registers a metric.
+fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+/// Registers a histogram of durations for each organisation and class.
+fn register_histograms(registry: &mut Registry, name: &str, help: &str) -> Histograms {
+    let constructor: fn() -> Histogram = duration_histogram;
+    let histograms = Histograms::new_with_constructor(constructor);
+    registry.register(name, help, histograms.clone());
+    histograms
 }
 
 impl Metrics {
@@ -119,127 +128,97 @@
     #[must_use]
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("arbutus");
-        let requests = Family::default();
-        registry.register("requests", "Ended requests", requests.clone());
-        let histograms =
-            || Histograms::new_with_constructor(duration_histogram as fn() -> Histogram);
-        let response_seconds = histograms();
-        registry.register(
+        let response_seconds = register_histograms(
+            &mut registry,
             "answer_seconds",
             "Time to the end of an answer",
-            response_seconds.clone(),
         );
-        let first_event_seconds = histograms();
-        registry.register(
+        let first_event_seconds = register_histograms(
+            &mut registry,
             "first_seconds",
             "Time to the head of an answer or the first event",
-            first_event_seconds.clone(),
         );
-        let stage_seconds = histograms();
-        registry.register(
+        let stage_seconds = register_histograms(
+            &mut registry,
             "stage_seconds",
             "Time of the stages before a request",
-            stage_seconds.clone(),
         );
-        let attempts = Family::default();
-        registry.register("sends", "Sends to targets", attempts.clone());
-        let store_calls = Family::default();
-        registry.register("store_calls", "Calls to the store", store_calls.clone());
         let pieces_per_call = Histogram::new(exponential_buckets(1.0, 2.0, 7));
         registry.register(
             "call_pieces",
             "Pieces of a stage call of the own queues",
             pieces_per_call.clone(),
         );
-        let in_progress = gauge(&mut registry, "in_progress", "Requests in progress");
-        let client_connections = gauge(
-            &mut registry,
-            "client_connections",
-            "Open client connections",
-        );
-        let limited_clients = Family::default();
-        registry.register(
-            "limited_clients",
-            "Clients refused or closed because of a limit",
-            limited_clients.clone(),
-        );
-        let request_body_bytes = Gauge::default();
-        registry.register(
-            "request_body_bytes",
-            "Memory that bodies of requests hold",
-            request_body_bytes.clone(),
-        );
-        let accepted_during_shutdown = Counter::default();
-        registry.register(
-            "accepted_during_shutdown",
-            "Requests accepted during the shutdown",
-            accepted_during_shutdown.clone(),
-        );
-        let log_lines_dropped = gauge(
-            &mut registry,
-            "log_lines_dropped",
-            "Lines that the log dropped",
-        );
-        let limited_targets = gauge(
-            &mut registry,
-            "limited_targets",
-            "Targets that name a limit on their requests",
-        );
-        let paused_targets = gauge(
-            &mut registry,
-            "paused_targets",
-            "Targets that asked for a pause that lasts",
-        );
-        let viewed_targets = gauge(
-            &mut registry,
-            "viewed_targets",
-            "Targets whose load the shared view knows",
-        );
-        let view_age_ms = gauge(
-            &mut registry,
-            "view_age_ms",
-            "Mean age of the loads in the shared view",
-        );
-        let aggregator_changes = Counter::default();
-        registry.register(
-            "aggregator_changes",
-            "Changes of the aggregator of the failure domain",
-            aggregator_changes.clone(),
-        );
-        let rollout_sends = Family::default();
-        registry.register(
-            "rollout_sends",
-            "Sends to targets while a roll-out is in progress",
-            rollout_sends.clone(),
-        );
-        let rollout_steps = Family::default();
-        registry.register(
-            "rollout_steps",
-            "Phases and states of roll-outs that began",
-            rollout_steps.clone(),
-        );
         Self {
-            registry,
-            requests,
+            requests: register(&mut registry, "requests", "Ended requests"),
             response_seconds,
             first_event_seconds,
             stage_seconds,
-            attempts,
-            store_calls,
+            attempts: register(&mut registry, "sends", "Sends to targets"),
+            store_calls: register(&mut registry, "store_calls", "Calls to the store"),
             pieces_per_call,
-            in_progress,
-            client_connections,
-            limited_clients,
-            request_body_bytes,
-            accepted_during_shutdown,
-            log_lines_dropped,
-            limited_targets,
-            paused_targets,
-            viewed_targets,
-            view_age_ms,
-            aggregator_changes,
-            rollout_sends,
-            rollout_steps,
+            in_progress: register(&mut registry, "in_progress", "Requests in progress"),
+            client_connections: register(
+                &mut registry,
+                "client_connections",
+                "Open client connections",
+            ),
+            limited_clients: register(
+                &mut registry,
+                "limited_clients",
+                "Clients refused or closed because of a limit",
+            ),
+            request_body_bytes: register(
+                &mut registry,
+                "request_body_bytes",
+                "Memory that bodies of requests hold",
+            ),
+            accepted_during_shutdown: register(
+                &mut registry,
+                "accepted_during_shutdown",
+                "Requests accepted during the shutdown",
+            ),
+            log_lines_dropped: register(
+                &mut registry,
+                "log_lines_dropped",
+                "Lines that the log dropped",
+            ),
+            limited_targets: register(
+                &mut registry,
+                "limited_targets",
+                "Targets that name a limit on their requests",
+            ),
+            paused_targets: register(
+                &mut registry,
+                "paused_targets",
+                "Targets that asked for a pause that lasts",
+            ),
+            viewed_targets: register(
+                &mut registry,
+                "viewed_targets",
+                "Targets whose load the shared view knows",
+            ),
+            view_age_ms: register(
+                &mut registry,
+                "view_age_ms",
+                "Mean age of the loads in the shared view",
+            ),
+            aggregator_changes: register(
+                &mut registry,
+                "aggregator_changes",
+                "Changes of the aggregator of the failure domain",
+            ),
+            rollout_sends: register(
+                &mut registry,
+                "rollout_sends",
+                "Sends to targets while a roll-out is in progress",
+            ),
+            rollout_steps: register(
+                &mut registry,
+                "rollout_steps",
+                "Phases and states of roll-outs that began",
+            ),
+            registry,
         }
     }
 
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -38,6 +38,7 @@
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
+use crate::stage_queues::SubmitterGuard;
 use crate::target_notices;
 use crate::target_reports;
 use crate::update::StateUpdate;
@@ -586,18 +587,6 @@
     }
 }
 
-/// Removes a submitter when dropped.
-struct SubmitterGuard {
-    queues: Rc<StageQueues>,
-    submitter: u64,
-}
-
-impl Drop for SubmitterGuard {
-    fn drop(&mut self) {
-        self.queues.remove_submitter(self.submitter);
-    }
-}
-
 fn piece_reply(report: PieceReport) -> PeerReply {
     PeerReply::Piece {
         number: report.submission.number,
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod example;
+pub mod fault;
 pub mod flooder;
 pub mod instance;
 pub mod link;
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -29,6 +29,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+pub use crate::simulated_platform::fault::Fault;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_platform::stage;
@@ -41,44 +42,8 @@
 const FIRST_EVENT_ID: u64 = 1;
 /// Delay before each event of a stream.
 const EVENT_DELAY: Duration = Duration::from_millis(15);
-/// Body of a response to a request that fails.
-const ERROR_TEXT: &str = "error: out of memory\n\n";
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(150);
 
-/// Fault that a target injects into one request; stage calls are not affected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// The target rejects the request with status 503 and the header for requests that were not
-    /// executed.
-    RejectUnexecuted,
-    /// The connection breaks within the event that follows this number of complete events.
-    AbortAfterEvents(u64),
-    /// The response has the identifier of another request.
-    WrongRequestId,
-    /// The connection breaks before the announced length of the body was sent.
-    TruncateBody,
-    /// The target executes the request and delays the response by this duration.
-    DelayResponse(Duration),
-    /// The target executes the request and closes the connection without a response.
-    CloseWithoutResponse,
-    /// The target executes the request and responds with an error text and status 500.
-    RespondWithError,
-    /// The target executes the request and sends an error text, or another response, as the body of
-    /// a successful one.
-    ErrorInBody(&'static str),
-}
-
-impl Fault {
-    /// Returns the status and the body of the response, if the fault determines them.
-    fn error(self) -> Option<(StatusCode, &'static str)> {
-        match self {
-            Self::RespondWithError => Some((StatusCode::INTERNAL_SERVER_ERROR, ERROR_TEXT)),
-            Self::ErrorInBody(text) => Some((StatusCode::OK, text)),
-            _ => None,
-        }
-    }
-}
-
 /// A request that a target has executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
