--- a/crates/policy/src/serving/rollout/comparison.rs
+++ b/crates/policy/src/serving/rollout/comparison.rs
@@ -19,7 +19,19 @@
 /// Fractions of the old responses that may take longer than a duration that counts as slow. Several
 /// ones are used, because some routes have durations that differ much and others have not.
 const SLOW_FRACTIONS: [f64; 4] = [0.25, 0.1, 0.03, 0.005];
-/// A version is worse only if this fraction more of its responses is bad, and
+/// Number of buckets by which a response of the new version has to be longer than a slow one of the
+/// old version to count as slow, since the targets of one version differ by a factor of up to 1.4.
+/// It does not apply to all periods together with fewer than [`MANY_RESPONSES`] of the new version,
+/// by which chance differences are larger.
+const SLOWER_BUCKETS: usize = 1;
+const MANY_RESPONSES: u64 = 80;
+/// Numbers of the last periods that are compared in addition to all periods, because a version that
+/// becomes bad late has many good responses before.
+const RECENT_PERIODS: [usize; 2] = [3, 10];
+/// By how much the score of a comparison of recent periods is reduced: it is repeated with other
+/// responses during the whole roll-out.
+const RECENT_PENALTY: f64 = 1.5;
+/// A version is worse only if this fraction more of its responses is bad, and of failures also
 /// [`MIN_RATIO`] times as many.
 const MIN_DIFFERENCE_FRACTION: f64 = 0.02;
 const MIN_RATIO: f64 = 2.0;
@@ -28,9 +40,13 @@
 /// Fraction of the new responses below which the responses of a group of targets say nothing.
 const MIN_GROUP_FRACTION: f64 = 0.05;
 
-/// The remaining evidence without the worst of two groups of a bad version is one half, with chance
-/// differences somewhat less.
-const WITHOUT_GROUP_FACTOR: f64 = 2.5;
+/// Log-likelihood ratio with which a group of targets differs from the others, so that its bad
+/// responses are no property of the version.
+const OUTLIER_SCORE: f64 = 4.0;
+/// Number of responses of the old version that are assumed for a route in addition to its own, with
+/// the fraction of failures of the whole service in the same periods. Without them, failures of a
+/// route with 20 requests are no evidence, as the old version has not shown that it would not fail.
+const PRIOR_RESPONSES: f64 = 30.0;
 
 /// Responses of some targets in some period.
 #[derive(Clone, Debug, Default)]
@@ -70,22 +86,10 @@
     pub(super) old_bad_fraction: f64,
 }
 
-/// The result of a comparison.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct Comparison {
-    /// Over all new targets.
-    pub(super) all: Difference,
-    /// Without the group of new targets that has the most bad responses, as one slow target is no
-    /// property of the version; the same as `all` if there is only one group.
-    pub(super) without_worst_group: Difference,
-}
-
-impl Comparison {
-    /// Returns the log-likelihood ratio that the new version is worse, not because of one group of
-    /// targets alone.
-    pub(super) fn score(&self) -> f64 {
-        let without_group = self.without_worst_group.score * WITHOUT_GROUP_FACTOR;
-        self.all.score.min(without_group)
+impl Difference {
+    /// Returns the number of bad responses beyond those that the old version would have had.
+    pub(super) fn excess_bad(&self) -> f64 {
+        self.new_bad - self.new_responses * self.old_bad_fraction
     }
 }
 
@@ -201,12 +205,13 @@
         self.opened_at = now;
         self.closed.push(std::mem::take(&mut self.open));
         if self.closed.len() >= MAX_PERIODS {
+            let recent = self.closed.split_off(MAX_PERIODS / 2);
             let joined = self.closed.chunks(2).map(|pair| {
                 let mut period = pair[0].clone();
                 pair.iter().skip(1).for_each(|other| period.add(other));
                 period
             });
-            self.closed = joined.collect();
+            self.closed = joined.chain(recent).collect();
         }
     }
 
@@ -225,17 +230,28 @@
 
 /// Compares the versions over the responses of some routes together, and returns the kind of bad
 /// response by which the new version differs most.
-pub(super) fn compare<'a>(routes: impl Iterator<Item = &'a RouteHistory>) -> Comparison {
+///
+/// `slow_group` is a group of new targets that is left out. `is_share_constant` tells whether the
+/// share of the new version hardly changes; if it does, the responses that arrive after a time with
+/// a large share are those that take long. `failure_prior` is the fraction of
+/// failures that the old version is assumed to have in addition.
+pub(super) fn compare<'a>(
+    routes: impl Iterator<Item = &'a RouteHistory>,
+    slow_group: Option<u8>,
+    is_share_constant: bool,
+    failure_prior: Option<f64>,
+) -> Difference {
     let routes: Vec<(&Tally, Vec<Period>)> = routes
         .map(|history| (history.old(), history.periods()))
         .collect();
-    compare_periods(&routes)
+    compare_periods(&routes, slow_group, is_share_constant, failure_prior)
 }
 
 /// Compares the responses of the new version since some totals with all responses of the old one.
 pub(super) fn compare_since<'a>(
     routes: impl Iterator<Item = (&'a RouteHistory, Option<&'a BTreeMap<u8, Tally>>)>,
-) -> Comparison {
+    slow_group: Option<u8>,
+) -> Difference {
     let routes: Vec<(&Tally, Vec<Period>)> = routes
         .map(|(history, totals)| {
             let nothing = Tally::default();
@@ -250,13 +266,16 @@
             (history.old(), vec![period])
         })
         .collect();
-    compare_periods(&routes)
+    compare_periods(&routes, slow_group, false, None)
 }
 
-fn compare_periods(routes: &[(&Tally, Vec<Period>)]) -> Comparison {
-    let failures_only = std::iter::once(None);
-    let kinds = failures_only.chain(SLOW_FRACTIONS.map(Some));
-    let comparisons = kinds.map(|slow_fraction| {
+/// Returns the group of new targets that is much worse than the others over some routes, if any.
+pub(super) fn slow_group<'a>(routes: impl Iterator<Item = &'a RouteHistory>) -> Option<u8> {
+    let routes: Vec<(&Tally, Vec<Period>)> = routes
+        .map(|history| (history.old(), history.periods()))
+        .collect();
+    let mut kinds = std::iter::once(None).chain(SLOW_FRACTIONS.map(Some));
+    kinds.find_map(|slow_fraction| {
         let periods: Vec<(usize, &Period)> = routes
             .iter()
             .flat_map(|(old, periods)| {
@@ -264,41 +283,99 @@
                 periods.iter().map(move |period| (first_slow, period))
             })
             .collect();
-        compare_kind(&periods)
-    });
-    comparisons
-        .max_by(|a, b| a.score().total_cmp(&b.score()))
-        .unwrap_or_default()
+        outlier(&periods, slower_buckets(&periods))
+    })
 }
 
-/// Compares the versions by the number of failures and of responses in a bucket from the given one
-/// on.
-fn compare_kind(periods: &[(usize, &Period)]) -> Comparison {
-    let all = difference(periods, None);
-    let mut groups: BTreeMap<u8, (u64, u64)> = BTreeMap::new();
+/// Returns the fraction of failures that the new version would have over some routes if it failed as
+/// often as the old one.
+pub(super) fn expected_failures<'a>(routes: impl Iterator<Item = &'a RouteHistory>) -> f64 {
+    let periods: Vec<Period> = routes.flat_map(RouteHistory::periods).collect();
+    let periods: Vec<(usize, &Period)> = periods.iter().map(|period| (BUCKETS, period)).collect();
+    difference(&periods, 0, None, None).old_bad_fraction
+}
+
+fn compare_periods(
+    routes: &[(&Tally, Vec<Period>)],
+    slow_group: Option<u8>,
+    is_share_constant: bool,
+    failure_prior: Option<f64>,
+) -> Difference {
+    let mut worst = Difference::default();
+    for slow_fraction in std::iter::once(None).chain(SLOW_FRACTIONS.map(Some)) {
+        for recent in std::iter::once(None).chain(RECENT_PERIODS.map(Some)) {
+            if recent.is_some() && slow_fraction.is_some() && !is_share_constant {
+                continue;
+            }
+            let periods: Vec<(usize, &Period)> = routes
+                .iter()
+                .flat_map(|(old, periods)| {
+                    let first_slow =
+                        slow_fraction.map_or(BUCKETS, |fraction| old.first_slow(fraction));
+                    let skipped = recent.map_or(0, |recent| periods.len().saturating_sub(recent));
+                    let periods = periods.iter().skip(skipped);
+                    periods.map(move |period| (first_slow, period))
+                })
+                .collect();
+            let prior = failure_prior.filter(|_| slow_fraction.is_none());
+            let slower = if recent.is_some() {
+                SLOWER_BUCKETS
+            } else {
+                slower_buckets(&periods)
+            };
+            let group = slow_group.or_else(|| outlier(&periods, slower));
+            let mut difference = difference(&periods, slower, group, prior);
+            if recent.is_some() {
+                difference.score -= RECENT_PENALTY;
+            }
+            if difference.score > worst.score {
+                worst = difference;
+            }
+        }
+    }
+    worst
+}
+
+/// Returns the group of new targets that has many more bad responses than the others, if any.
+fn outlier(periods: &[(usize, &Period)], slower: usize) -> Option<u8> {
+    let mut groups: BTreeMap<u8, (f64, f64)> = BTreeMap::new();
     for (first_slow, period) in periods {
         for (&group, tally) in &period.new {
             let (responses, bad) = groups.entry(group).or_default();
-            *responses += tally.responses;
-            *bad += tally.bad(*first_slow);
+            *responses += tally.responses as f64;
+            *bad += tally.bad(*first_slow + slower) as f64;
         }
     }
-    let total: u64 = groups.values().map(|(responses, _)| responses).sum();
-    groups.retain(|_, (responses, _)| *responses as f64 >= MIN_GROUP_FRACTION * total as f64);
-    let worst = groups.iter().max_by_key(|(_, (_, bad))| *bad);
-    let without_worst_group = match worst {
-        Some((&group, _)) if groups.len() > 1 => difference(periods, Some(group)),
-        _ => all,
-    };
-    Comparison {
-        all,
-        without_worst_group,
-    }
+    let sums = groups.values();
+    let (all_responses, all_bad) = sums.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+    let scores = groups.iter().filter_map(|(&group, &(responses, bad))| {
+        let others = all_responses - responses;
+        let other_fraction = (all_bad - bad) / others;
+        let fraction = bad / responses;
+        let is_judged = others >= MIN_GROUP_FRACTION * all_responses
+            && others > 0.0
+            && responses > 0.0
+            && fraction > other_fraction;
+        is_judged.then(|| {
+            let joint = all_bad / all_responses;
+            let score = likelihood_ratio((responses, fraction), (others, other_fraction), joint);
+            (group, score)
+        })
+    });
+    let worst = scores.max_by(|a, b| a.1.total_cmp(&b.1));
+    worst
+        .filter(|(_, score)| *score >= OUTLIER_SCORE)
+        .map(|(group, _)| group)
 }
 
 /// Compares the bad responses of the new version with those that it would have if in each period the
 /// same fraction of its responses were bad as of those of the old version.
-fn difference(periods: &[(usize, &Period)], excluded_group: Option<u8>) -> Difference {
+fn difference(
+    periods: &[(usize, &Period)],
+    slower: usize,
+    excluded_group: Option<u8>,
+    prior: Option<f64>,
+) -> Difference {
     let (mut new_bad, mut new_responses) = (0.0, 0.0);
     let (mut expected_bad, mut spread) = (0.0, 0.0);
     for (first_slow, period) in periods {
@@ -306,7 +383,7 @@
         let (mut period_responses, mut period_bad) = (0, 0);
         for (_, tally) in groups.filter(|(group, _)| Some(**group) != excluded_group) {
             period_responses += tally.responses;
-            period_bad += tally.bad(*first_slow);
+            period_bad += tally.bad(*first_slow + slower);
         }
         if period_responses == 0 || period.old.responses == 0 {
             continue;
@@ -322,17 +399,22 @@
         return Difference::default();
     }
     let new_fraction = new_bad / new_responses;
-    let old_bad_fraction = expected_bad / new_responses;
+    let mut old_bad_fraction = expected_bad / new_responses;
     // The number of old responses that would have the same variance without periods.
-    let old_responses = new_responses * new_responses / spread;
+    let mut old_responses = new_responses * new_responses / spread;
+    if let Some(prior) = prior {
+        let old_bad = old_bad_fraction * old_responses + prior * PRIOR_RESPONSES;
+        old_responses += PRIOR_RESPONSES;
+        old_bad_fraction = old_bad / old_responses;
+    }
+    let has_slow = periods.iter().any(|(first_slow, _)| *first_slow < BUCKETS);
     let is_worse = new_bad >= MIN_BAD_COUNT
         && new_fraction >= old_bad_fraction + MIN_DIFFERENCE_FRACTION
-        && new_fraction >= old_bad_fraction * MIN_RATIO;
-    let joint_fraction =
-        (new_bad + old_responses * old_bad_fraction) / (new_responses + old_responses);
+        && (has_slow || new_fraction >= old_bad_fraction * MIN_RATIO);
+    let joint = (new_bad + old_responses * old_bad_fraction) / (new_responses + old_responses);
     let score = if is_worse {
-        new_responses * divergence(new_fraction, joint_fraction)
-            + old_responses * divergence(old_bad_fraction, joint_fraction)
+        let new = (new_responses, new_fraction);
+        likelihood_ratio(new, (old_responses, old_bad_fraction), joint)
     } else {
         0.0
     };
@@ -344,6 +426,25 @@
     }
 }
 
+/// Returns by how many buckets a response has to be longer than a slow one of the old version.
+fn slower_buckets(periods: &[(usize, &Period)]) -> usize {
+    let responses: u64 = periods
+        .iter()
+        .map(|(_, period)| period.new_responses())
+        .sum();
+    if responses >= MANY_RESPONSES {
+        SLOWER_BUCKETS
+    } else {
+        0
+    }
+}
+
+/// Returns the log-likelihood ratio that two numbers of responses do not have the joint fraction of
+/// bad ones but their own.
+fn likelihood_ratio(one: (f64, f64), other: (f64, f64), joint: f64) -> f64 {
+    one.0 * divergence(one.1, joint) + other.0 * divergence(other.1, joint)
+}
+
 /// Returns the Kullback-Leibler divergence between two probabilities of a bad response.
 fn divergence(observed: f64, expected: f64) -> f64 {
     let part = |observed: f64, expected: f64| {
--- a/crates/policy/src/serving/rollout/decider.rs
+++ b/crates/policy/src/serving/rollout/decider.rs
@@ -26,7 +26,7 @@
 const STATUS_RECENT_MS: Millis = Millis(1_000);
 /// Time that the decider needs in addition to the requests in progress at old targets: the directives
 /// to all instances, two reports of each, and the write.
-const SHIFT_OVERHEAD_MS: Millis = Millis(1_800);
+const SHIFT_OVERHEAD_MS: Millis = Millis(1_200);
 /// Part of the duration that is kept as a reserve for another decider or a slow store, and its bound.
 const RESERVE_PERCENT: u64 = 5;
 const MAX_RESERVE_MS: Millis = Millis(8_000);
@@ -36,6 +36,11 @@
 /// must not stay undecided.
 const LAST_DECISION_MS: Millis = Millis(1_500);
 
+/// Requests to the new version after which a shift that was interrupted may begin again, counted from
+/// some time after the interruption, when all instances have got the directive.
+const MIN_RECOMPARISON_REQUESTS: u64 = 50;
+const MIN_RECOMPARISON_MS: Millis = Millis(1_000);
+
 /// What the caller has to do for the decider.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DeciderOutput {
@@ -112,8 +117,9 @@
     read_at: Option<Millis>,
     has_collected: bool,
     phase: RolloutPhase,
-    /// Whether the shift was interrupted because of bad responses.
-    has_left_shift: bool,
+    /// When the shift was interrupted because of bad responses, and the number of requests to the
+    /// new version that followed from it.
+    left_shift: Option<(Millis, u64)>,
     /// Whether the new version was found to be bad, which is final.
     is_bad: bool,
     sequence: u64,
@@ -149,7 +155,7 @@
             read_at: None,
             has_collected: false,
             phase: RolloutPhase::Canary,
-            has_left_shift: false,
+            left_shift: None,
             is_bad: false,
             sequence: 0,
             reason: String::new(),
@@ -309,7 +315,7 @@
         }
         let remaining_ms = self.remaining_ms(now);
         let is_last_moment = remaining_ms <= LAST_DECISION_MS;
-        let is_suspect = verdict == Verdict::Suspect || self.has_left_shift;
+        let is_suspect = verdict == Verdict::Suspect || self.left_shift.is_some();
         if verdict == Verdict::Bad || (is_suspect && is_last_moment) {
             self.is_bad = true;
             self.set_reason(verdict);
@@ -321,18 +327,33 @@
             && verdict == Verdict::Good
             && remaining_ms > Millis::ZERO
             && self.targets.new > 0
+            && self.may_shift_again(now)
             && self.is_store_reachable(now)
         {
             self.enter(now, RolloutPhase::Shift, verdict);
         }
     }
 
+    /// Returns whether the versions were compared again since an interrupted shift.
+    fn may_shift_again(&mut self, now: Millis) -> bool {
+        let sent_new = self.ledger.totals().sent_new;
+        let Some((left_at, known)) = &mut self.left_shift else {
+            return true;
+        };
+        if now < *left_at + MIN_RECOMPARISON_MS {
+            *known = sent_new;
+        }
+        sent_new >= *known + MIN_RECOMPARISON_REQUESTS
+    }
+
     fn advance_shift(&mut self, now: Millis, verdict: Verdict) {
         if verdict == Verdict::Bad || self.targets.new == 0 {
             // Only the comparison over the same period shows whether the version or the whole
             // service is at fault.
-            self.is_bad |= self.has_left_shift && verdict == Verdict::Bad;
-            self.has_left_shift |= verdict == Verdict::Bad;
+            if verdict == Verdict::Bad {
+                self.is_bad = self.left_shift.is_some();
+                self.left_shift = Some((now, self.ledger.totals().sent_new));
+            }
             self.enter(now, RolloutPhase::Canary, verdict);
         } else if self
             .ledger
@@ -355,7 +376,7 @@
     fn shift_ms(&self) -> Millis {
         let longest_ms = Judgement::longest_old_ms(&self.ledger);
         let reserve_ms = self.order.duration_ms.percent(RESERVE_PERCENT);
-        longest_ms.percent(110) + SHIFT_OVERHEAD_MS + reserve_ms.min(MAX_RESERVE_MS)
+        longest_ms + SHIFT_OVERHEAD_MS + reserve_ms.min(MAX_RESERVE_MS)
     }
 
     fn directive(&mut self, now: Millis) -> Directive {
@@ -363,11 +384,18 @@
             && !self.is_bad
             && self.remaining_ms(now) > Millis::ZERO;
         let share = if may_expose {
+            let remaining_ms = self.remaining_ms(now);
             let reporting = self.ledger.reporting_fraction(now, &self.instances);
-            let share =
-                self.exposure
-                    .share(now, &self.limits, self.targets, &self.ledger, reporting);
-            self.judgement.record_load(now, share.has_equal_load);
+            let share = self.exposure.share(
+                now,
+                &self.limits,
+                self.targets,
+                &self.ledger,
+                reporting,
+                remaining_ms,
+            );
+            self.judgement
+                .record_load(now, share.has_equal_load, share.has_pulses);
             share
         } else {
             CanaryShare::default()
--- a/crates/policy/src/serving/rollout/judgement.rs
+++ b/crates/policy/src/serving/rollout/judgement.rs
@@ -4,21 +4,27 @@
 use std::fmt;
 
 use super::RolloutPhase;
-use super::comparison::Comparison;
+use super::comparison::Difference;
 use super::comparison::RouteHistory;
 use super::comparison::Tally;
 use super::comparison::compare;
 use super::comparison::compare_since;
+use super::comparison::expected_failures;
+use super::comparison::slow_group;
 use super::ledger::Ledger;
 use arbutus_coord::Millis;
 
 /// Log-likelihood ratio with which a version is bad: with equal versions it is exceeded by chance
 /// once in some 10,000 comparisons, and there are some hundred independent ones in a roll-out.
 const BAD_SCORE: f64 = 9.0;
+/// The same for a version with this many more bad responses than expected, because it must get no
+/// requests soon after its 50th bad response.
+const BAD_SCORE_OF_MANY: f64 = 6.0;
+const MANY_EXCESS_BAD: f64 = 20.0;
 /// Log-likelihood ratio with which the shift does not begin.
-const SUSPECT_SCORE: f64 = 4.5;
+const SUSPECT_SCORE: f64 = 4.0;
 /// Log-likelihood ratio with which the shift is interrupted, for a comparison over the same period.
-const SHIFT_BAD_SCORE: f64 = 9.0;
+const SHIFT_BAD_SCORE: f64 = 8.0;
 /// Number of new responses of a route that are enough, and the fraction of its responses that is
 /// required if it has fewer.
 const ENOUGH_ROUTE_RESPONSES: u64 = 20;
@@ -59,6 +65,8 @@
     /// Time for which the new targets had as many requests each as the old ones.
     equal_load_ms: Millis,
     equal_load_since: Option<Millis>,
+    /// Whether the share is raised for short times only.
+    has_pulses: bool,
     /// Responses of the new version before the shift, by route.
     before_shift: BTreeMap<String, BTreeMap<u8, Tally>>,
     judged_at: Option<Millis>,
@@ -71,7 +79,7 @@
 pub(super) struct Finding {
     /// The route, or `None` for all routes together.
     route: Option<String>,
-    comparison: Comparison,
+    difference: Difference,
 }
 
 impl Judgement {
@@ -110,8 +118,10 @@
         }
     }
 
-    /// Records whether the new targets get as many requests each as the old ones from now on.
-    pub(super) fn record_load(&mut self, now: Millis, is_equal: bool) {
+    /// Records whether the new targets get as many requests each as the old ones from now on, and
+    /// whether this holds for short times only.
+    pub(super) fn record_load(&mut self, now: Millis, is_equal: bool, has_pulses: bool) {
+        self.has_pulses |= has_pulses;
         if let Some(since) = self.equal_load_since {
             self.equal_load_ms = self.equal_load_ms + (now - since);
         }
@@ -131,25 +141,32 @@
     }
 
     fn judge_canary(&mut self, now: Millis, ledger: &Ledger) -> Verdict {
-        let mut worst = Finding {
-            route: None,
-            comparison: compare(ledger.routes().values()),
-        };
-        for (route, history) in ledger.routes() {
-            if history.new_responses() < MIN_JUDGED_RESPONSES {
-                continue;
-            }
-            let comparison = compare(std::iter::once(history));
-            if comparison.score() > worst.comparison.score() {
-                worst = Finding {
-                    route: Some(route.clone()),
-                    comparison,
-                };
-            }
-        }
-        let score = worst.comparison.score();
+        let slow_group = slow_group(ledger.routes().values());
+        let is_constant = !self.has_pulses;
+        let prior = expected_failures(ledger.routes().values());
+        let worst = worst_route(
+            compare(ledger.routes().values(), slow_group, is_constant, None),
+            ledger.routes().iter().filter_map(|(route, history)| {
+                let is_judged = history.new_responses() >= MIN_JUDGED_RESPONSES;
+                is_judged.then(|| {
+                    (
+                        route,
+                        compare(
+                            std::iter::once(history),
+                            slow_group,
+                            is_constant,
+                            Some(prior),
+                        ),
+                    )
+                })
+            }),
+        );
+        let score = worst.difference.score;
+        let excess_bad = worst.difference.excess_bad();
         self.finding = worst;
-        if score >= BAD_SCORE {
+        let is_bad =
+            score >= BAD_SCORE || (score >= BAD_SCORE_OF_MANY && excess_bad >= MANY_EXCESS_BAD);
+        if is_bad {
             Verdict::Bad
         } else if score >= SUSPECT_SCORE || has_overdue(now, ledger) {
             Verdict::Suspect
@@ -161,34 +178,63 @@
     }
 
     fn judge_shift(&mut self, ledger: &Ledger) -> Verdict {
-        let routes = ledger.routes().iter();
-        let since_shift = routes.map(|(route, history)| (history, self.before_shift.get(route)));
-        let comparison = compare_since(since_shift);
-        let is_bad = comparison.score() >= SHIFT_BAD_SCORE;
-        if is_bad {
-            self.finding = Finding {
-                route: None,
-                comparison,
-            };
+        let slow_group = slow_group(ledger.routes().values());
+        let routes = || {
+            let routes = ledger.routes().iter();
+            routes.map(|(route, history)| (route, history, self.before_shift.get(route)))
+        };
+        // A route with few requests is judged by all responses since the order.
+        let route_differences = routes().map(|(route, history, totals)| {
+            let since_shift = compare_since(std::iter::once((history, totals)), slow_group);
+            let since_order = compare_since(std::iter::once((history, None)), slow_group);
+            if since_shift.score > since_order.score {
+                (route, since_shift)
+            } else {
+                (route, since_order)
+            }
+        });
+        let all_routes = routes().map(|(_, history, totals)| (history, totals));
+        let worst = worst_route(compare_since(all_routes, slow_group), route_differences);
+        if worst.difference.score < SHIFT_BAD_SCORE {
+            return Verdict::Good;
         }
-        if is_bad { Verdict::Bad } else { Verdict::Good }
+        self.finding = worst;
+        Verdict::Bad
+    }
+}
+
+/// Returns the finding with the highest score.
+fn worst_route<'a>(
+    all_routes: Difference,
+    routes: impl Iterator<Item = (&'a String, Difference)>,
+) -> Finding {
+    let route = routes.max_by(|a, b| a.1.score.total_cmp(&b.1.score));
+    match route {
+        Some((route, difference)) if difference.score > all_routes.score => Finding {
+            route: Some(route.clone()),
+            difference,
+        },
+        _ => Finding {
+            route: None,
+            difference: all_routes,
+        },
     }
 }
 
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let difference = self.comparison.all;
+        let difference = self.difference;
         match &self.route {
             Some(route) => write!(f, "route {route}")?,
             None => f.write_str("all routes")?,
         }
         write!(
             f,
-            ": {} of {} responses bad, {:.1} % of those of the old version, score {:.1}",
+            ": {} of {} responses bad, of the old version {:.1} %, score {:.1}",
             difference.new_bad,
             difference.new_responses,
             difference.old_bad_fraction * 100.0,
-            self.comparison.score()
+            difference.score
         )
     }
 }
--- a/crates/policy/src/serving/rollout/ledger.rs
+++ b/crates/policy/src/serving/rollout/ledger.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use super::DIRECTIVE_VALID_MS;
 use super::EvidenceReport;
 use super::RolloutPhase;
 use super::VersionSide;
@@ -197,22 +198,27 @@
         reporting.count() as f64 / instances.len().max(1) as f64
     }
 
-    /// Returns whether all instances have just reported that they are in a phase or a later one and
-    /// have no request in progress at old targets.
+    /// Returns whether all instances have reported that they are in a phase or a later one and have
+    /// no request in progress at old targets.
+    ///
+    /// An instance leaves [`RolloutPhase::Shift`] when it gets no directive, so such a report has to
+    /// be recent; it does not leave [`RolloutPhase::Completing`] by itself.
     pub(super) fn all_are_clear(
         &self,
         now: Millis,
         instances: &BTreeSet<String>,
         phase: RolloutPhase,
     ) -> bool {
+        let is_clear = |account: &Account| {
+            account.phase >= phase
+                && account.old_in_flight == 0
+                && (phase == RolloutPhase::Completing
+                    || now <= account.received_at + DIRECTIVE_VALID_MS)
+        };
         !instances.is_empty()
-            && instances.iter().all(|instance| {
-                self.accounts.get(instance).is_some_and(|account| {
-                    account.phase >= phase
-                        && account.old_in_flight == 0
-                        && now <= account.received_at + REPORT_EXPECTED_MS
-                })
-            })
+            && instances
+                .iter()
+                .all(|instance| self.accounts.get(instance).is_some_and(is_clear))
     }
 }
 
--- a/crates/policy/src/serving/rollout/member.rs
+++ b/crates/policy/src/serving/rollout/member.rs
@@ -34,6 +34,8 @@
     durations: DurationHistogram,
     /// Grows with each response that no report contains, and with each failure by more.
     unreported_weight: u32,
+    /// Sequence of the last report that contained it.
+    reported_in: u64,
 }
 
 /// What an instance knows about the order that it follows.
@@ -353,15 +355,19 @@
                 evidence.unreported_weight = evidence.unreported_weight.max(1);
             }
         }
-        let mut keys: Vec<(u32, EvidenceKey)> = self
+        let mut changed: Vec<(u64, Reverse<u32>, EvidenceKey)> = self
             .evidence
             .iter()
-            .filter(|(_, evidence)| evidence.unreported_weight > 0)
-            .map(|(key, evidence)| (evidence.unreported_weight, key.clone()))
+            .filter(|(_, it)| it.unreported_weight > 0)
+            .map(|(key, it)| (it.reported_in, Reverse(it.unreported_weight), key.clone()))
             .collect();
-        keys.sort_by_key(|(weight, _)| Reverse(*weight));
-        keys.truncate(MAX_EVIDENCE_PER_REPORT);
-        let mut keys: Vec<EvidenceKey> = keys.into_iter().map(|(_, key)| key).collect();
+        // One half goes to what was reported least recently, because the responses of a rare route
+        // never weigh the most.
+        changed.sort();
+        let oldest = changed.len().min(MAX_EVIDENCE_PER_REPORT / 2);
+        changed[oldest..].sort_by_key(|(_, weight, _)| *weight);
+        changed.truncate(MAX_EVIDENCE_PER_REPORT);
+        let mut keys: Vec<EvidenceKey> = changed.into_iter().map(|(_, _, key)| key).collect();
         if keys.len() < MAX_EVIDENCE_PER_REPORT {
             let start = self.last_repeated.clone();
             let start = start.map_or(Bound::Unbounded, Bound::Excluded);
@@ -373,6 +379,7 @@
         for key in &keys {
             if let Some(evidence) = self.evidence.get_mut(key) {
                 evidence.unreported_weight = 0;
+                evidence.reported_in = self.report_sequence;
                 routes.push(RouteEvidence {
                     route: key.0.clone(),
                     side: key.1,
--- a/crates/policy/src/serving/rollout/targets.rs
+++ b/crates/policy/src/serving/rollout/targets.rs
@@ -1,7 +1,9 @@
 //! Which of the new targets get the small share of requests before the shift.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
+use super::target_group;
 use arbutus_coord::rendezvous;
 
 /// Number of new targets that get the share at least, if there are as many. With one target, a slow
@@ -27,6 +29,8 @@
 
 /// Returns `count` of the new targets that are usable, the same ones at all instances that know the
 /// same targets.
+///
+/// They are of different groups as far as possible, so that the evidence of each is separate.
 pub fn canary_targets<'a>(
     service: &str,
     revision: u64,
@@ -35,7 +39,15 @@
 ) -> Vec<&'a str> {
     let key = format!("{service}/{revision}");
     let mut ranked: Vec<&str> = usable.collect();
-    ranked.sort_by_key(|target| (Reverse(rendezvous::weight(key.as_bytes(), target)), *target));
-    ranked.truncate(count as usize);
-    ranked
+    ranked.sort_by_key(|target| {
+        let weight = rendezvous::weight(key.as_bytes(), target);
+        (Reverse(weight), *target)
+    });
+    let mut groups = BTreeSet::new();
+    let (mut chosen, others): (Vec<&str>, Vec<&str>) = ranked
+        .into_iter()
+        .partition(|target| groups.insert(target_group(target)));
+    chosen.extend(others);
+    chosen.truncate(count as usize);
+    chosen
 }
