--- a/crates/policy/src/serving/rollout/comparison.rs
+++ b/crates/policy/src/serving/rollout/comparison.rs
@@ -274,8 +274,9 @@
     let routes: Vec<(&Tally, Vec<Period>)> = routes
         .map(|history| (history.old(), history.periods()))
         .collect();
-    let mut kinds = std::iter::once(None).chain(SLOW_FRACTIONS.map(Some));
-    kinds.find_map(|slow_fraction| {
+    let kinds = std::iter::once(None).chain(SLOW_FRACTIONS.map(Some));
+    // The first kind may show a chance difference of another group.
+    let outliers = kinds.filter_map(|slow_fraction| {
         let periods: Vec<(usize, &Period)> = routes
             .iter()
             .flat_map(|(old, periods)| {
@@ -284,7 +285,9 @@
             })
             .collect();
         outlier(&periods, slower_buckets(&periods))
-    })
+    });
+    let worst = outliers.max_by(|a, b| a.1.total_cmp(&b.1));
+    worst.map(|(group, _)| group)
 }
 
 /// Returns the fraction of failures that the new version would have over some routes if it failed as
@@ -323,7 +326,7 @@
             } else {
                 slower_buckets(&periods)
             };
-            let group = slow_group.or_else(|| outlier(&periods, slower));
+            let group = slow_group.or_else(|| outlier(&periods, slower).map(|(group, _)| group));
             let mut difference = difference(&periods, slower, group, prior);
             if recent.is_some() {
                 difference.score -= RECENT_PENALTY;
@@ -336,8 +339,9 @@
     worst
 }
 
-/// Returns the group of new targets that has many more bad responses than the others, if any.
-fn outlier(periods: &[(usize, &Period)], slower: usize) -> Option<u8> {
+/// Returns the group of new targets that has many more bad responses than the others, if any, and
+/// the log-likelihood ratio that it differs from them.
+fn outlier(periods: &[(usize, &Period)], slower: usize) -> Option<(u8, f64)> {
     let mut groups: BTreeMap<u8, (f64, f64)> = BTreeMap::new();
     for (first_slow, period) in periods {
         for (&group, tally) in &period.new {
@@ -363,9 +367,7 @@
         })
     });
     let worst = scores.max_by(|a, b| a.1.total_cmp(&b.1));
-    worst
-        .filter(|(_, score)| *score >= OUTLIER_SCORE)
-        .map(|(group, _)| group)
+    worst.filter(|(_, score)| *score >= OUTLIER_SCORE)
 }
 
 /// Compares the bad responses of the new version with those that it would have if in each period the
