--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod stages;
 pub mod store;
 pub mod stream;
+pub mod submitter_guard;
 pub mod target_choice;
 pub mod target_notices;
 pub mod target_reports;
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -38,7 +38,7 @@
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
 use crate::stage_queues::StageQueues;
-use crate::stage_queues::SubmitterGuard;
+use crate::submitter_guard::SubmitterGuard;
 use crate::target_notices;
 use crate::target_reports;
 use crate::update::StateUpdate;
--- a/crates/serving/src/stage_queues.rs
+++ b/crates/serving/src/stage_queues.rs
@@ -188,21 +188,6 @@
     }
 }
 
-/// Removes a submitter when dropped.
-#[derive(Debug)]
-pub struct SubmitterGuard {
-    /// The queues of the submitter.
-    pub queues: Rc<StageQueues>,
-    /// Number of the submitter.
-    pub submitter: u64,
-}
-
-impl Drop for SubmitterGuard {
-    fn drop(&mut self) {
-        self.queues.remove_submitter(self.submitter);
-    }
-}
-
 /// The task that batches the pieces of one queue into calls.
 struct QueueTask {
     queues: Rc<StageQueues>,
