policy: add the types of the pace and the ramp of a target

Cause: the choice of a target by work needs the pace of each target and the share that a started target gets, and builds on their interfaces. Change: PaceTable and TargetRamp with their public types.

--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -27,4 +27,6 @@
 pub mod target_backoff;
 pub mod target_directory;
 pub mod target_limits;
+pub mod target_pace;
+pub mod target_ramp;
 pub mod target_selection;
