--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -20,4 +20,7 @@
 mod target_backoff;
 mod target_directory;
 mod target_limits;
+mod target_model;
+mod target_pace;
+mod target_ramp;
 mod target_selection;
--- a/crates/policy/tests/serving/support.rs
+++ b/crates/policy/tests/serving/support.rs
@@ -82,3 +82,9 @@
         .max()
         .unwrap_or(0)
 }
+
+/// Asserts that two numbers differ by rounding only.
+#[track_caller]
+pub fn assert_close(left: f64, right: f64) {
+    assert!((left - right).abs() < 1e-6, "{left} instead of {right}");
+}
