serving: share the pace and the ramp weight of targets in a failure domain

Two types each existed for pace samples and outcomes.

Change: TargetAdvisor joins the view with PaceTable and TargetRamp. Every instance records the starts that it sees: targets that appear 5 s or more after the list was first known, new runs, and ended evacuations. First events, whole responses, refusals and failed connections become samples of services whose load is shared. The aggregator adds the samples of its domain, writes its advice to the view with each step, logs starts, falls and ends of ramps, and reports the gauge ramping_targets. A new aggregator takes over the weights of its view. Advice other than 1 is sent again after 5 s, because it moves to 1 at the receivers. OutcomeCounts and PaceSample have one type each.

Result: the first responses in time raise the weight of a started target at both instances of a model without network, and without samples all weights and paces are 1. No choice of a target uses the weights yet. The end of a pause starts no ramp, and late first events count when they arrive.

--- a/crates/policy/src/serving/mod.rs
+++ b/crates/policy/src/serving/mod.rs
@@ -24,6 +24,7 @@
 pub mod routes;
 pub mod stage_graph;
 pub mod store_role;
+pub mod target_advisor;
 pub mod target_backoff;
 pub mod target_directory;
 pub mod target_limits;
--- a/crates/policy/src/serving/target_pace.rs
+++ b/crates/policy/src/serving/target_pace.rs
@@ -54,10 +54,25 @@
 }
 
 impl PaceSample {
-    /// Adds another sample.
+    /// Returns the sample of one request, from the moment it is sent to its first event.
+    #[must_use]
+    pub fn new(expected_ms: Millis, observed_ms: Millis) -> Self {
+        let (expected_ms, observed_ms) = (expected_ms.0 as f64, observed_ms.0 as f64);
+        let ratio = (observed_ms + OFFSET_MS) / (expected_ms + OFFSET_MS);
+        let weight = (expected_ms + OFFSET_MS) / (expected_ms + OFFSET_MS + HALF_WEIGHT_MS);
+        let log_ratio = ratio.clamp(MIN_PACE, MAX_PACE).ln();
+        Self {
+            log_ratio_sum: (log_ratio * weight) as f32,
+            weight: weight as f32,
+        }
+    }
+
+    /// Adds another sample; samples that are not finite are ignored.
     pub fn add(&mut self, other: Self) {
-        self.log_ratio_sum += other.log_ratio_sum;
-        self.weight += other.weight;
+        if other.log_ratio_sum.is_finite() && other.weight.is_finite() && other.weight > 0.0 {
+            self.log_ratio_sum += other.log_ratio_sum;
+            self.weight += other.weight;
+        }
     }
 
     /// Returns the mean logarithm, or `None` if the sample has no weight or no valid numbers.
@@ -181,14 +196,7 @@
     /// Both times are from the moment the request is sent to its first event; the expected one is
     /// that of a typical target of the service.
     pub fn record(&mut self, now: Millis, target: &str, expected_ms: Millis, observed_ms: Millis) {
-        let (expected_ms, observed_ms) = (expected_ms.0 as f64, observed_ms.0 as f64);
-        let ratio = (observed_ms + OFFSET_MS) / (expected_ms + OFFSET_MS);
-        let weight = (expected_ms + OFFSET_MS) / (expected_ms + OFFSET_MS + HALF_WEIGHT_MS);
-        let log_ratio = ratio.clamp(MIN_PACE, MAX_PACE).ln();
-        let sample = PaceSample {
-            log_ratio_sum: (log_ratio * weight) as f32,
-            weight: weight as f32,
-        };
+        let sample = PaceSample::new(expected_ms, observed_ms);
         let known = self.targets.entry(target.to_owned()).or_default();
         known.pending.add(sample);
         known.add(now, sample);
@@ -230,19 +238,30 @@
         }
     }
 
+    /// Takes over a pace that another aggregator determined, as little evidence.
+    pub fn adopt_pace(&mut self, now: Millis, target: &str, pace: f64) {
+        if (MIN_PACE..=MAX_PACE).contains(&pace) && (pace - 1.0).abs() > f64::EPSILON {
+            // Twice the logarithm, since `pace` divides by the assumption's weight as well.
+            let estimate = PaceSample {
+                log_ratio_sum: (pace.ln() * 2.0 * PRIOR_WEIGHT) as f32,
+                weight: PRIOR_WEIGHT as f32,
+            };
+            self.adopt(now, target, Millis::ZERO, estimate);
+        }
+    }
+
     /// Returns the pace of a target, from [`MIN_PACE`] to [`MAX_PACE`]; 1 if nothing is known.
     #[must_use]
     pub fn pace(&self, now: Millis, target: &str) -> f64 {
-        let evidence = self
-            .targets
-            .get(target)
-            .and_then(|known| known.evidence(now));
-        let Some(Evidence { mean, weight }) = evidence else {
-            return 1.0;
-        };
-        (mean * weight / (weight + PRIOR_WEIGHT))
-            .exp()
-            .clamp(MIN_PACE, MAX_PACE)
+        self.known_pace(now, target).unwrap_or(1.0)
+    }
+
+    /// Returns the pace of a target, or `None` if nothing is known.
+    #[must_use]
+    pub fn known_pace(&self, now: Millis, target: &str) -> Option<f64> {
+        let Evidence { mean, weight } = self.targets.get(target)?.evidence(now)?;
+        let pace = (mean * weight / (weight + PRIOR_WEIGHT)).exp();
+        Some(pace.clamp(MIN_PACE, MAX_PACE))
     }
 
     /// Removes the pace of a target that is gone or was restarted.
--- a/crates/policy/src/serving/target_ramp.rs
+++ b/crates/policy/src/serving/target_ramp.rs
@@ -73,7 +73,7 @@
 
 /// Requests of one target since the last report. Counts of different senders are added.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RampOutcomes {
+pub struct OutcomeCounts {
     /// Requests that were sent.
     pub sent: u32,
     /// First events within the latency objective.
@@ -89,7 +89,41 @@
     pub failed: u32,
 }
 
-impl RampOutcomes {
+impl OutcomeCounts {
+    /// Returns the counts of one request with a response, or with a first event, after `took_ms`.
+    #[must_use]
+    pub fn of_response(took_ms: Millis, objective_ms: Millis) -> Self {
+        let is_in_time = took_ms <= objective_ms;
+        let is_tight = is_in_time && took_ms.0.saturating_mul(2) > objective_ms.0;
+        Self {
+            sent: 1,
+            in_time: is_in_time.into(),
+            tight: is_tight.into(),
+            late: (!is_in_time).into(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the counts of one request that the target refused.
+    #[must_use]
+    pub fn one_refused() -> Self {
+        Self {
+            sent: 1,
+            refused: 1,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the counts of one request that failed.
+    #[must_use]
+    pub fn one_failed() -> Self {
+        Self {
+            sent: 1,
+            failed: 1,
+            ..Self::default()
+        }
+    }
+
     /// Adds the counts of another sender.
     pub fn add(&mut self, other: Self) {
         self.sent = self.sent.saturating_add(other.sent);
@@ -183,7 +217,7 @@
         }
     }
 
-    fn record(&mut self, now: Millis, outcomes: RampOutcomes) {
+    fn record(&mut self, now: Millis, outcomes: OutcomeCounts) {
         *self = self.at(now);
         self.good += outcomes.good();
         self.tight += f64::from(outcomes.tight);
@@ -279,7 +313,7 @@
     }
 
     /// Records outcomes; `others` are those of the other targets.
-    fn record(&mut self, now: Millis, outcomes: RampOutcomes, others: &RecentOutcomes) {
+    fn record(&mut self, now: Millis, outcomes: OutcomeCounts, others: &RecentOutcomes) {
         let weight = self.weight_at(now);
         if weight > self.weight {
             self.weight = weight;
@@ -345,6 +379,7 @@
     total: RecentOutcomes,
     starts: BTreeMap<String, Starts>,
     changes: Vec<RampChange>,
+    falls: Vec<RampChange>,
 }
 
 impl TargetRamp {
@@ -373,16 +408,21 @@
     }
 
     /// Records how requests at a target ended.
-    pub fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: RampOutcomes) {
+    pub fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: OutcomeCounts) {
         let load = self.targets.entry(target.to_owned()).or_default();
         load.recent.record(now, outcomes);
         self.total.record(now, outcomes);
         let others = self.total.without(load.recent);
         if let Some(ramping) = &mut load.ramping {
+            let previous_weight = ramping.weight_at(now);
             ramping.record(now, outcomes, &others);
-            if ramping.weight >= 1.0 {
+            let (weight, cause) = (ramping.weight, ramping.cause);
+            let has_fallen = weight < previous_weight;
+            if weight >= 1.0 {
                 load.ramping = None;
                 self.record_change(target, 1.0, None);
+            } else if has_fallen {
+                self.record_fall(target, weight, cause);
             }
             return;
         }
@@ -413,6 +453,8 @@
             ramping.weight = ramping.weight_at(now);
             ramping.active_at = now;
             ramping.fall(now, RampCause::Queue);
+            let weight = ramping.weight;
+            self.record_fall(target, weight, RampCause::Queue);
         }
     }
 
@@ -428,6 +470,12 @@
         }
     }
 
+    /// Returns whether outcomes or a start of a target are known.
+    #[must_use]
+    pub fn is_known(&self, target: &str) -> bool {
+        self.targets.contains_key(target)
+    }
+
     /// Returns the weight of a target, from [`MIN_WEIGHT`] to 1.
     #[must_use]
     pub fn weight(&self, now: Millis, target: &str) -> f64 {
@@ -447,7 +495,13 @@
         self.ramping(target).map(|ramping| ramping.cause)
     }
 
-    /// Returns the changes since the last call.
+    /// Returns the falls of ramping targets since the last call, without those that began a ramp.
+    #[must_use]
+    pub fn take_falls(&mut self) -> Vec<RampChange> {
+        std::mem::take(&mut self.falls)
+    }
+
+    /// Returns the starts, losses and regains of a normal share since the last call.
     #[must_use]
     pub fn take_changes(&mut self) -> Vec<RampChange> {
         std::mem::take(&mut self.changes)
@@ -465,6 +519,15 @@
         self.targets.get(target)?.ramping.as_ref()
     }
 
+    fn record_fall(&mut self, target: &str, weight: f64, cause: RampCause) {
+        self.falls.push(RampChange {
+            target: target.to_owned(),
+            state: state_of(weight),
+            weight,
+            cause: Some(cause),
+        });
+    }
+
     fn record_change(&mut self, target: &str, weight: f64, cause: Option<RampCause>) {
         self.changes.push(RampChange {
             target: target.to_owned(),
--- a/crates/policy/src/serving/target_view/exchange.rs
+++ b/crates/policy/src/serving/target_view/exchange.rs
@@ -212,6 +212,12 @@
         self.aggregator.as_deref()
     }
 
+    /// Returns whether this instance is the aggregator, as of the last step.
+    #[must_use]
+    pub fn is_aggregator(&self) -> bool {
+        self.aggregator.as_deref() == Some(self.name.as_str())
+    }
+
     /// Returns the messages that are due.
     ///
     /// `peers` are the other instances that understand the messages and are not known to be shutting
@@ -247,7 +253,7 @@
             });
         }
         let requesters = self.requesters(now, &domain_peers);
-        if aggregator.as_deref() == Some(self.name.as_str()) {
+        if self.is_aggregator() {
             // What this instance observed is in its view already.
             let observations = view.take_observations(now, usize::MAX);
             let samples = observations.iter().filter_map(NewSamples::of);
--- a/crates/policy/src/serving/target_view/messages.rs
+++ b/crates/policy/src/serving/target_view/messages.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::serving::target_pace::PaceSample;
+use crate::serving::target_ramp::OutcomeCounts;
 use arbutus_coord::Millis;
 use arbutus_coord::rendezvous;
 
@@ -26,54 +28,6 @@
 /// Smallest pace, in percent, that is taken from a message.
 const MIN_PACE_PERCENT: u32 = 25;
 
-/// Evidence of how long work takes at a target in relation to its service. Samples are added up.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PaceSample {
-    /// Sum of the logarithms of observed time / expected time, each multiplied by its weight.
-    pub log_ratio_sum: f32,
-    /// Sum of the weights.
-    pub weight: f32,
-}
-
-impl PaceSample {
-    /// Adds another sample; samples that are not finite are ignored.
-    pub fn add(&mut self, other: Self) {
-        if other.log_ratio_sum.is_finite() && other.weight.is_finite() && other.weight > 0.0 {
-            self.log_ratio_sum += other.log_ratio_sum;
-            self.weight += other.weight;
-        }
-    }
-}
-
-/// How many attempts at a target ended in which way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OutcomeCounts {
-    /// Requests that were sent.
-    pub sent: u32,
-    /// Responses within the latency objective.
-    pub in_time: u32,
-    /// Those of `in_time` that took more than half of the latency objective.
-    pub tight: u32,
-    /// Responses after the latency objective.
-    pub late: u32,
-    /// Refusals: the target did not execute the request.
-    pub refused: u32,
-    /// Failures of the target or the connection.
-    pub failed: u32,
-}
-
-impl OutcomeCounts {
-    /// Adds other counts.
-    pub fn add(&mut self, other: Self) {
-        self.sent = self.sent.saturating_add(other.sent);
-        self.in_time = self.in_time.saturating_add(other.in_time);
-        self.tight = self.tight.saturating_add(other.tight);
-        self.late = self.late.saturating_add(other.late);
-        self.refused = self.refused.saturating_add(other.refused);
-        self.failed = self.failed.saturating_add(other.failed);
-    }
-}
-
 /// What one instance learnt from responses of a target.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TargetObservation {
--- a/crates/policy/src/serving/target_view/mod.rs
+++ b/crates/policy/src/serving/target_view/mod.rs
@@ -16,9 +16,9 @@
 mod usual_level;
 mod viewed_target;
 
+use crate::serving::target_pace::PaceSample;
+use crate::serving::target_ramp::OutcomeCounts;
 use crate::serving::target_view::messages::MessageStamp;
-use crate::serving::target_view::messages::OutcomeCounts;
-use crate::serving::target_view::messages::PaceSample;
 use crate::serving::target_view::messages::TargetObservation;
 use crate::serving::target_view::messages::TargetSummary;
 use crate::serving::target_view::sender::SenderState;
@@ -138,14 +138,7 @@
         pace: PaceSample,
         outcomes: OutcomeCounts,
     ) {
-        self.make_room(target);
-        let viewed = self.targets.entry(target.to_owned()).or_default();
-        if viewed.incarnation != incarnation {
-            *viewed = ViewedTarget {
-                incarnation,
-                ..ViewedTarget::default()
-            };
-        }
+        let viewed = self.entry_of(target, incarnation);
         let unsent = viewed.unsent.get_or_insert_default();
         unsent.pace.add(pace);
         unsent.outcomes.add(outcomes);
@@ -322,17 +315,34 @@
         &mut self,
         now: Millis,
         target: &str,
+        incarnation: Option<u64>,
         pace: Option<f64>,
         ramp_weight: Option<f64>,
     ) {
-        if let Some(viewed) = self.targets.get_mut(target) {
-            viewed.advice = Some(Advice {
-                pace,
-                ramp_weight,
-                learnt_at: now,
-                is_local: true,
-            });
-        }
+        let viewed = self.entry_of(target, incarnation);
+        viewed.advice = Some(Advice {
+            pace,
+            ramp_weight,
+            learnt_at: now,
+            is_local: true,
+        });
+    }
+
+    /// Sets the ramp weight of a target that has started, until an aggregator gives one.
+    pub fn set_start_weight(
+        &mut self,
+        now: Millis,
+        target: &str,
+        incarnation: Option<u64>,
+        ramp_weight: f64,
+    ) {
+        let viewed = self.entry_of(target, incarnation);
+        viewed.advice = Some(Advice {
+            pace: None,
+            ramp_weight: Some(ramp_weight),
+            learnt_at: now,
+            is_local: false,
+        });
     }
 
     /// Returns the load of an incarnation of a target, or `None` if there is no report of the last
@@ -394,6 +404,19 @@
         (viewed.incarnation == incarnation).then_some(viewed)
     }
 
+    /// Returns the entry of an incarnation; replaces that of another one.
+    fn entry_of(&mut self, target: &str, incarnation: Option<u64>) -> &mut ViewedTarget {
+        self.make_room(target);
+        let viewed = self.targets.entry(target.to_owned()).or_default();
+        if viewed.incarnation != incarnation {
+            *viewed = ViewedTarget {
+                incarnation,
+                ..ViewedTarget::default()
+            };
+        }
+        viewed
+    }
+
     /// Returns when a message was sent, on the clock of this instance, or `None` if it was received
     /// before.
     fn accept(&mut self, now: Millis, stamp: MessageStamp) -> Option<Millis> {
--- a/crates/policy/src/serving/target_view/viewed_target.rs
+++ b/crates/policy/src/serving/target_view/viewed_target.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use crate::serving::target_pace::PaceSample;
+use crate::serving::target_ramp::OutcomeCounts;
 use crate::serving::target_view::PACE_VALID_MS;
 use crate::serving::target_view::Receivers;
 use crate::serving::target_view::VIEW_VALID_MS;
-use crate::serving::target_view::messages::OutcomeCounts;
-use crate::serving::target_view::messages::PaceSample;
 use crate::serving::target_view::messages::TargetObservation;
 use crate::serving::target_view::messages::TargetSummary;
 use crate::serving::target_view::usual_level::UsualLevel;
@@ -19,6 +19,10 @@
 /// changes of the load from the budget.
 const MIN_ADVICE_CHANGE: f64 = 0.05;
 
+/// Advice other than 1 is sent again after this time, because it moves to 1 at the receivers, and a
+/// message that has it may have been lost.
+const ADVICE_REFRESH_MS: Millis = Millis(5_000);
+
 /// The figures of a load report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Figures {
@@ -159,7 +163,10 @@
         };
         let is_newer = has_load && self.observed_at > sent.observed_at;
         let advice_change = difference(pace, sent.pace) + difference(ramp_weight, sent.ramp_weight);
-        if !is_newer && advice_change < MIN_ADVICE_CHANGE {
+        let is_refresh_due = difference(pace, None) + difference(ramp_weight, None)
+            >= MIN_ADVICE_CHANGE
+            && sent.sent_at + ADVICE_REFRESH_MS <= now;
+        if !is_newer && advice_change < MIN_ADVICE_CHANGE && !is_refresh_due {
             return None;
         }
         let slots = f64::from(self.figures.slots.unwrap_or(1).max(1));
--- a/crates/policy/tests/serving/main.rs
+++ b/crates/policy/tests/serving/main.rs
@@ -17,6 +17,7 @@
 mod stage_graph;
 mod store_role;
 mod support;
+mod target_advisor;
 mod target_backoff;
 mod target_directory;
 mod target_herding;
--- a/crates/policy/tests/serving/target_model.rs
+++ b/crates/policy/tests/serving/target_model.rs
@@ -10,7 +10,7 @@
 
 use arbutus_coord::Millis;
 use arbutus_policy::serving::target_pace::PaceTable;
-use arbutus_policy::serving::target_ramp::RampOutcomes;
+use arbutus_policy::serving::target_ramp::OutcomeCounts;
 use arbutus_policy::serving::target_ramp::TargetRamp;
 use arbutus_policy::serving::target_ramp::is_candidate;
 
@@ -56,7 +56,7 @@
 
 /// A change that the aggregator hears of when its report arrives.
 enum Report {
-    Outcomes(RampOutcomes),
+    Outcomes(OutcomeCounts),
     Pace {
         expected_ms: f64,
         waiting_ms: f64,
@@ -67,7 +67,7 @@
 /// A rule that gives targets their weights; the tests compare several.
 pub trait WeightRule: Default {
     fn record_start(&mut self, now: Millis, target: &str);
-    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: RampOutcomes);
+    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: OutcomeCounts);
     fn weight(&self, now: Millis, target: &str) -> f64;
 
     /// Records the time from sending a request to its first event.
@@ -79,7 +79,7 @@
         self.record_start(now, target);
     }
 
-    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: RampOutcomes) {
+    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: OutcomeCounts) {
         self.record_outcomes(now, target, outcomes);
     }
 
@@ -293,7 +293,7 @@
         let noise = if is_disturbed { NOISE_SLOWNESS } else { 1.0 };
         let waiting_ms = (target.busy_until_ms - now_ms).max(0.0);
         let observed_ms = waiting_ms + work_ms * target.slowness * noise;
-        let mut outcome = RampOutcomes::default();
+        let mut outcome = OutcomeCounts::default();
         let ended_ms = match target.mode {
             Mode::Refuses => {
                 outcome.refused = 1;
@@ -309,9 +309,9 @@
                 OBJECTIVE_MS as f64
             }
         };
-        let sent = RampOutcomes {
+        let sent = OutcomeCounts {
             sent: 1,
-            ..RampOutcomes::default()
+            ..OutcomeCounts::default()
         };
         if target.mode == Mode::Serves {
             target.busy_until_ms = now_ms + observed_ms;
--- a/crates/policy/tests/serving/target_ramp.rs
+++ b/crates/policy/tests/serving/target_ramp.rs
@@ -11,9 +11,9 @@
 use arbutus_coord::Millis;
 use arbutus_policy::serving::target_ramp::MAX_IDLE_WEIGHT;
 use arbutus_policy::serving::target_ramp::MIN_WEIGHT;
+use arbutus_policy::serving::target_ramp::OutcomeCounts;
 use arbutus_policy::serving::target_ramp::RampCause;
 use arbutus_policy::serving::target_ramp::RampChange;
-use arbutus_policy::serving::target_ramp::RampOutcomes;
 use arbutus_policy::serving::target_ramp::RampState;
 use arbutus_policy::serving::target_ramp::TargetRamp;
 use arbutus_policy::serving::target_ramp::is_candidate;
@@ -333,12 +333,12 @@
     }
 }
 
-fn outcomes(in_time: u32, late: u32) -> RampOutcomes {
-    RampOutcomes {
+fn outcomes(in_time: u32, late: u32) -> OutcomeCounts {
+    OutcomeCounts {
         sent: in_time + late,
         in_time,
         late,
-        ..RampOutcomes::default()
+        ..OutcomeCounts::default()
     }
 }
 
@@ -422,16 +422,16 @@
 fn the_start_the_loss_and_the_regain_of_a_normal_share_are_reported_once() {
     let mut ramp = TargetRamp::default();
     ramp.record_start(Millis(0), "t");
-    let serve = |ramp: &mut TargetRamp, from: u64, outcomes: RampOutcomes| {
+    let serve = |ramp: &mut TargetRamp, from: u64, outcomes: OutcomeCounts| {
         for now in (from..from + 8_000).step_by(500).map(Millis) {
             ramp.record_outcomes(now, "t", outcomes);
         }
     };
     serve(&mut ramp, 500, outcomes(2, 0));
-    let refused = RampOutcomes {
+    let refused = OutcomeCounts {
         sent: 2,
         refused: 2,
-        ..RampOutcomes::default()
+        ..OutcomeCounts::default()
     };
     serve(&mut ramp, 10_000, refused);
     serve(&mut ramp, 20_000, outcomes(2, 0));
--- a/crates/policy/tests/serving/target_ramp_rules.rs
+++ b/crates/policy/tests/serving/target_ramp_rules.rs
@@ -8,7 +8,7 @@
 use crate::target_model::WeightRule;
 use arbutus_coord::Millis;
 use arbutus_policy::serving::target_ramp::MIN_WEIGHT;
-use arbutus_policy::serving::target_ramp::RampOutcomes;
+use arbutus_policy::serving::target_ramp::OutcomeCounts;
 use arbutus_policy::serving::target_ramp::TargetRamp;
 
 const TARGETS: usize = 30;
@@ -20,7 +20,7 @@
 /// Time after a fall in which no rule falls again.
 const FALL_INTERVAL_MS: Millis = Millis(800);
 
-fn bad_count(outcomes: RampOutcomes) -> u32 {
+fn bad_count(outcomes: OutcomeCounts) -> u32 {
     outcomes.late + outcomes.refused + outcomes.failed
 }
 
@@ -31,7 +31,7 @@
 impl WeightRule for NoRamp {
     fn record_start(&mut self, _: Millis, _: &str) {}
 
-    fn record_outcomes(&mut self, _: Millis, _: &str, _: RampOutcomes) {}
+    fn record_outcomes(&mut self, _: Millis, _: &str, _: OutcomeCounts) {}
 
     fn weight(&self, _: Millis, _: &str) -> f64 {
         1.0
@@ -50,7 +50,7 @@
         self.targets.insert(target.to_owned(), start);
     }
 
-    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: RampOutcomes) {
+    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: OutcomeCounts) {
         let known = self.targets.entry(target.to_owned());
         let (weight, fell_at) = known.or_insert((1.0, Millis::ZERO));
         if bad_count(outcomes) == 0 {
@@ -104,7 +104,7 @@
         self.targets.insert(target.to_owned(), start);
     }
 
-    fn record_outcomes(&mut self, _: Millis, target: &str, outcomes: RampOutcomes) {
+    fn record_outcomes(&mut self, _: Millis, target: &str, outcomes: OutcomeCounts) {
         for _ in 0..bad_count(outcomes) {
             self.record(target, 10.0);
         }
@@ -158,7 +158,7 @@
         self.targets.insert(target.to_owned(), start);
     }
 
-    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: RampOutcomes) {
+    fn record_outcomes(&mut self, now: Millis, target: &str, outcomes: OutcomeCounts) {
         let known = self.targets.entry(target.to_owned());
         let known = known.or_insert(Self::start(1.0));
         let ended = f64::from(outcomes.in_time + bad_count(outcomes));
--- a/crates/policy/tests/serving/target_view_fleet.rs
+++ b/crates/policy/tests/serving/target_view_fleet.rs
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use arbutus_coord::Millis;
+use arbutus_policy::serving::target_ramp::OutcomeCounts;
 use arbutus_policy::serving::target_view::NewSamples;
 use arbutus_policy::serving::target_view::TargetView;
 use arbutus_policy::serving::target_view::exchange::MESSAGE_BYTES;
@@ -21,7 +22,6 @@
 use arbutus_policy::serving::target_view::exchange::ViewExchange;
 use arbutus_policy::serving::target_view::exchange::ViewMember;
 use arbutus_policy::serving::target_view::messages::ObservationRecord;
-use arbutus_policy::serving::target_view::messages::OutcomeCounts;
 use arbutus_policy::serving::target_view::messages::SummaryRecord;
 use arbutus_policy::serving::target_view::messages::TargetNames;
 use arbutus_policy::serving::target_view::messages::TargetObservation;
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -81,6 +81,7 @@
 struct AttemptRecord {
     shared: Rc<Shared>,
     entry: TargetEntry,
+    sent_at: Millis,
     outcome: TargetOutcome,
 }
 
@@ -89,6 +90,7 @@
         let now = self.shared.now();
         let mut target_states = self.shared.target_states.borrow_mut();
         target_states.record_outcome(now, &self.entry.id, self.outcome);
+        target_reports::record_outcome(&self.shared, &self.entry, self.outcome);
         let event = self.outcome.into();
         self.shared
             .metrics
@@ -109,6 +111,7 @@
         let record = AttemptRecord {
             shared: Rc::clone(shared),
             entry,
+            sent_at: shared.now(),
             outcome: TargetOutcome::Abandoned,
         };
         Self { record, connection }
@@ -120,6 +123,12 @@
         &self.record.entry
     }
 
+    /// Returns when the attempt began to send its request.
+    #[must_use]
+    pub fn sent_at(&self) -> Millis {
+        self.record.sent_at
+    }
+
     /// Ends the attempt and closes its connection.
     pub fn close(mut self, outcome: TargetOutcome) {
         self.record.outcome = outcome;
@@ -384,6 +393,7 @@
     } else {
         TargetOutcome::Failed
     };
+    target_reports::record_response(context, &target_response.attempt, head.status);
     target_response.attempt.release(outcome, &head.headers);
     // A client takes this status to mean that the request was not executed. The target executed it,
     // so the response cannot be forwarded.
@@ -414,6 +424,7 @@
             let mut target_states = shared.target_states.borrow_mut();
             target_states.record_send(&entry.id);
             target_states.record_outcome(shared.now(), &entry.id, TargetOutcome::Broken);
+            target_reports::record_outcome(shared, entry, TargetOutcome::Broken);
             return AttemptOutcome::Unsent(error.to_string());
         }
         None => return AttemptOutcome::Unsent("no connection before the deadline".to_owned()),
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -77,6 +77,8 @@
     pub viewed_targets: Gauge,
     /// Mean age of these loads.
     pub view_age_ms: Gauge,
+    /// Targets that this instance, as the aggregator, gives less than a normal share.
+    pub ramping_targets: Gauge,
     /// Changes of the aggregator of this failure domain.
     pub aggregator_changes: Counter,
 }
@@ -93,6 +95,12 @@
 }
 
 /// Registers a gauge.
+fn counter(registry: &mut Registry, name: &str, help: &str) -> Counter {
+    let counter = Counter::default();
+    registry.register(name, help, counter.clone());
+    counter
+}
+
 fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
     let gauge = Gauge::default();
     registry.register(name, help, gauge.clone());
@@ -173,11 +181,15 @@
             "view_age_ms",
             "Mean age of the loads in the shared view",
         );
-        let aggregator_changes = Counter::default();
-        registry.register(
+        let ramping_targets = gauge(
+            &mut registry,
+            "ramping_targets",
+            "Targets that the aggregator gives less than a normal share",
+        );
+        let aggregator_changes = counter(
+            &mut registry,
             "aggregator_changes",
             "Changes of the aggregator of the failure domain",
-            aggregator_changes.clone(),
         );
         Self {
             registry,
@@ -196,6 +208,7 @@
             paused_targets,
             viewed_targets,
             view_age_ms,
+            ramping_targets,
             aggregator_changes,
         }
     }
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::metrics::Metrics;
 use crate::net::sleep;
 use crate::pool::Pool;
+use crate::target_reports;
 use crate::target_reports::TargetReports;
 use arbutus_coord::Clock;
 use arbutus_coord::Millis;
@@ -236,12 +237,16 @@
                 }
                 TargetChange::Draining(id) => id,
             };
+            if matches!(change, TargetChange::Appeared(_)) {
+                target_reports::record_appeared(self, id);
+            }
             if matches!(change, TargetChange::Gone(_)) {
                 self.cold_target_pacer.borrow_mut().remove(id);
             }
             info!(target_id = id.as_str(), change:?; "target list changed");
         }
         if !self.targets_known.replace(true) {
+            target_reports::record_list(self);
             self.update_phase();
         }
         self.target_changes.send_modify(|count| *count += 1);
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::response::ClientBody;
 use crate::response::build_response;
 use crate::stages::RequestStages;
+use crate::target_reports;
 use arbutus_coord::Millis;
 use arbutus_platform::response::headers_for_client;
 use arbutus_policy::serving::event_splitter::EventSplitter;
@@ -190,6 +191,7 @@
                 if !has_begun {
                     has_begun = true;
                     crashes::record_response(&self.context);
+                    target_reports::record_first_event(&self.context, &attempt);
                 }
                 self.record_events();
                 if self.sender.send(Ok(events)).await.is_err() {
--- a/crates/serving/src/target_reports.rs
+++ b/crates/serving/src/target_reports.rs
@@ -3,21 +3,33 @@
 //! Active for services whose targets report how long work takes, and for services with a configured
 //! memory for tokens if the settings ask for it. Otherwise no message is sent.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use http::StatusCode;
 use log::info;
 
+use crate::dispatch::TargetAttempt;
 use crate::net::sleep;
 use crate::peer::PeerConnections;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
 use crate::peer_messages::TARGET_VIEW_PROTOCOL;
+use crate::request::RequestContext;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
+use arbutus_coord::Millis;
 use arbutus_platform::response::ReportedLoad;
 use arbutus_policy::serving::model::TargetEntry;
+use arbutus_policy::serving::target_advisor::AdvisedTarget;
+use arbutus_policy::serving::target_advisor::TargetAdvisor;
+use arbutus_policy::serving::target_pace::PaceSample;
+use arbutus_policy::serving::target_ramp::OutcomeCounts;
+use arbutus_policy::serving::target_ramp::RampChange;
+use arbutus_policy::serving::target_selection::TargetOutcome;
 use arbutus_policy::serving::target_view::TargetView;
 use arbutus_policy::serving::target_view::exchange::AggregatorChange;
 use arbutus_policy::serving::target_view::exchange::ObservationMessage;
@@ -29,6 +41,11 @@
 use arbutus_policy::serving::target_view::messages::TargetNames;
 use arbutus_policy::serving::target_view::messages::TargetObservation;
 
+/// Time after the first list of targets in which targets that appear may have been running before.
+const LIST_SETTLED_MS: Millis = Millis(5_000);
+/// Minimum time between two log lines about the ramp of a target.
+const RAMP_LOG_INTERVAL_MS: Millis = Millis(1_000);
+
 /// The view of the targets, and the exchange that keeps it up to date.
 #[derive(Debug)]
 pub struct TargetReports {
@@ -37,6 +54,12 @@
     exchange: RefCell<ViewExchange>,
     /// Services whose targets report how long work takes.
     reporting_services: RefCell<BTreeSet<String>>,
+    /// Determines pace and ramp weights while this instance is the aggregator.
+    advisor: RefCell<TargetAdvisor>,
+    /// When the list of targets was first known.
+    listed_at: Cell<Option<Millis>>,
+    /// When a log line about the ramp of a target was written last.
+    ramp_logged_at: RefCell<BTreeMap<String, Millis>>,
 }
 
 impl TargetReports {
@@ -48,6 +71,9 @@
             view: RefCell::new(TargetView::new()),
             exchange: RefCell::new(exchange),
             reporting_services: RefCell::new(BTreeSet::new()),
+            advisor: RefCell::new(TargetAdvisor::default()),
+            listed_at: Cell::new(None),
+            ramp_logged_at: RefCell::new(BTreeMap::new()),
         }
     }
 
@@ -97,6 +123,115 @@
     view.observe(shared.now(), &observation);
 }
 
+/// Records that the list of targets is known, from which on [`record_appeared`] starts ramps.
+pub fn record_list(shared: &Shared) {
+    shared.target_reports.listed_at.set(Some(shared.now()));
+}
+
+/// Starts the ramp of a target that has appeared or was restarted, unless this instance has just
+/// read the list of targets for the first time.
+pub fn record_appeared(shared: &Shared, id: &str) {
+    let listed_at = shared.target_reports.listed_at.get();
+    let is_settled = listed_at.is_some_and(|at| at + LIST_SETTLED_MS <= shared.now());
+    if !is_settled {
+        return;
+    }
+    let known = shared.directory.borrow().get(id).cloned();
+    if let Some(known) = known {
+        start_ramp(shared, &known.entry);
+    }
+}
+
+/// Starts the ramps of the targets of failure domains whose evacuation has ended.
+pub fn record_evacuations_ended(shared: &Shared, domains: &[String]) {
+    let directory = shared.directory.borrow();
+    let returned = directory
+        .iter()
+        .filter(|known| domains.contains(&known.entry.failure_domain));
+    for known in returned {
+        start_ramp(shared, &known.entry);
+    }
+}
+
+fn start_ramp(shared: &Shared, entry: &TargetEntry) {
+    if !is_shared(shared, &entry.service) {
+        return;
+    }
+    let now = shared.now();
+    let reports = &shared.target_reports;
+    let mut advisor = reports.advisor.borrow_mut();
+    advisor.record_start(now, &entry.id, advised_target(entry));
+    let weight = advisor.weight(now, &entry.id);
+    let mut view = reports.view.borrow_mut();
+    view.set_start_weight(now, &entry.id, entry.incarnation, weight);
+}
+
+fn advised_target(entry: &TargetEntry) -> AdvisedTarget {
+    AdvisedTarget {
+        service: entry.service.clone(),
+        incarnation: entry.incarnation,
+    }
+}
+
+/// Records the first event of a stream of an attempt. Called before the forecast learns from it.
+pub fn record_first_event(context: &RequestContext, attempt: &TargetAttempt) {
+    let shared = &context.shared;
+    let entry = attempt.target();
+    if !is_shared(shared, &entry.service) {
+        return;
+    }
+    let observed_ms = shared.now() - attempt.sent_at();
+    let expected_ms = {
+        let forecast = shared.first_event_forecast.borrow();
+        forecast.expected_ms(&entry.service, context.prompt_tokens())
+    };
+    let pace = PaceSample::new(expected_ms, observed_ms);
+    let outcomes = OutcomeCounts::of_response(observed_ms, context.route.objective_ms);
+    add_samples(shared, entry, pace, outcomes);
+}
+
+/// Records a complete response that is not a stream. A client can cause an error of status 4xx, which
+/// therefore says nothing against the target.
+pub fn record_response(context: &RequestContext, attempt: &TargetAttempt, status: StatusCode) {
+    let shared = &context.shared;
+    let entry = attempt.target();
+    if !is_shared(shared, &entry.service) {
+        return;
+    }
+    let outcomes = if status.is_server_error() {
+        OutcomeCounts::one_failed()
+    } else {
+        let observed_ms = shared.now() - attempt.sent_at();
+        OutcomeCounts::of_response(observed_ms, context.route.objective_ms)
+    };
+    add_samples(shared, entry, PaceSample::default(), outcomes);
+}
+
+/// Records a refusal or a failed connection. Other outcomes are recorded by [`record_first_event`]
+/// and [`record_response`].
+pub fn record_outcome(shared: &Shared, entry: &TargetEntry, outcome: TargetOutcome) {
+    let outcomes = match outcome {
+        TargetOutcome::Full => OutcomeCounts::one_refused(),
+        TargetOutcome::Broken => OutcomeCounts::one_failed(),
+        TargetOutcome::Responded | TargetOutcome::Failed | TargetOutcome::Abandoned => return,
+    };
+    if is_shared(shared, &entry.service) {
+        add_samples(shared, entry, PaceSample::default(), outcomes);
+    }
+}
+
+fn add_samples(shared: &Shared, entry: &TargetEntry, pace: PaceSample, outcomes: OutcomeCounts) {
+    let directory = shared.directory.borrow();
+    // An attempt may end after its target was restarted or removed.
+    let is_present = directory
+        .get(&entry.id)
+        .is_some_and(|known| known.entry.incarnation == entry.incarnation);
+    if is_present {
+        let mut view = shared.target_reports.view.borrow_mut();
+        view.add_samples(&entry.id, entry.incarnation, pace, outcomes);
+    }
+}
+
 /// Handles a command of a peer about the load of targets; ignores other commands.
 pub fn handle_command(shared: &Shared, command: PeerCommand, replies: &mut Vec<PeerReply>) {
     match command {
@@ -114,8 +249,9 @@
     let reports = &shared.target_reports;
     let mut view = reports.view.borrow_mut();
     let mut exchange = reports.exchange.borrow_mut();
-    // Observations have no samples of pace and outcomes yet.
-    let _samples = exchange.receive_observations(shared.now(), &mut view, message);
+    let samples = exchange.receive_observations(shared.now(), &mut view, message);
+    let mut advisor = reports.advisor.borrow_mut();
+    advisor.add_samples(shared.now(), &samples);
 }
 
 /// Merges what an aggregator knows.
@@ -186,8 +322,11 @@
             let is_shutting_down = shared.phase().is_shutting_down();
             let mut view = reports.view.borrow_mut();
             let mut exchange = reports.exchange.borrow_mut();
-            exchange.step(shared.now(), &mut view, &members, is_shutting_down)
+            let mut advisor = reports.advisor.borrow_mut();
+            let now = shared.now();
+            advisor.step(now, &mut view, &mut exchange, &members, is_shutting_down)
         };
+        log_ramp_changes(&shared);
         if let Some(change) = step.aggregator_change {
             record_aggregator_change(&shared, &change);
         }
@@ -220,6 +359,11 @@
         .map(|known| (known.entry.id.as_str(), known.entry.incarnation));
     let mut exchange = shared.target_reports.exchange.borrow_mut();
     exchange.set_targets(TargetNames::new(targets));
+    let advised = directory
+        .iter()
+        .map(|known| (known.entry.id.clone(), advised_target(&known.entry)));
+    let mut advisor = shared.target_reports.advisor.borrow_mut();
+    advisor.set_targets(advised.collect());
 }
 
 /// Adds the services of targets that report how long work takes to a peer.
@@ -258,6 +402,34 @@
     info!(previous, current; "aggregator of target reports changed");
 }
 
+/// Writes a line for each ramp that began, fell or ended, at most one a second for each target.
+fn log_ramp_changes(shared: &Shared) {
+    let reports = &shared.target_reports;
+    let now = shared.now();
+    let mut logged_at = reports.ramp_logged_at.borrow_mut();
+    logged_at.retain(|_, at| now < *at + RAMP_LOG_INTERVAL_MS);
+    for change in reports.advisor.borrow_mut().take_changes() {
+        if logged_at.contains_key(&change.target) {
+            continue;
+        }
+        log_ramp_change(&change);
+        logged_at.insert(change.target, now);
+    }
+}
+
+fn log_ramp_change(change: &RampChange) {
+    let target_id = change.target.as_str();
+    let state: &'static str = change.state.into();
+    let weight = change.weight;
+    match change.cause {
+        Some(cause) => {
+            let cause: &'static str = cause.into();
+            info!(target_id, state, weight, cause; "weight of a target reduced");
+        }
+        None => info!(target_id, state, weight; "target has a normal share"),
+    }
+}
+
 fn update_metrics(shared: &Shared) {
     let view = shared.target_reports.view.borrow();
     let (count, mean_age_ms) = view.coverage(shared.now());
@@ -266,4 +438,9 @@
     metrics.viewed_targets.set(count);
     let mean_age_ms = i64::try_from(mean_age_ms.0).unwrap_or(i64::MAX);
     metrics.view_age_ms.set(mean_age_ms);
+    let ramping = shared.target_reports.advisor.borrow();
+    let ramping = ramping.ramping_count(shared.now());
+    metrics
+        .ramping_targets
+        .set(i64::try_from(ramping).unwrap_or(i64::MAX));
 }
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -27,6 +27,7 @@
 use crate::store::SHORT_CALL_TIMEOUT_MS;
 use crate::store::StoreClient;
 use crate::store::StoreError;
+use crate::target_reports;
 use crate::update::ObjectCache;
 use crate::update::StateUpdate;
 use crate::update::UpdateContent;
@@ -473,6 +474,7 @@
                     .set_evacuated(now, domains);
                 if !evacuated.is_empty() || !ended.is_empty() {
                     info!(evacuated:?, returned:? = ended; "evacuated failure domains changed");
+                    target_reports::record_evacuations_ended(&self.shared, &ended);
                     self.shared.apply_target_changes(&[]);
                 }
             }
