--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -84,6 +84,7 @@
     shared: Rc<Shared>,
     entry: TargetEntry,
     evidence: Option<RequestEvidence>,
+    sent_at: Millis,
     outcome: TargetOutcome,
 }
 
@@ -92,6 +93,7 @@
         let now = self.shared.now();
         let mut target_states = self.shared.target_states.borrow_mut();
         target_states.record_outcome(now, &self.entry.id, self.outcome);
+        target_reports::record_outcome(&self.shared, &self.entry, self.outcome);
         let event = self.outcome.into();
         self.shared
             .metrics
@@ -117,6 +119,7 @@
             shared: Rc::clone(shared),
             evidence: rollouts::record_send(shared, &context.route.name, &entry),
             entry,
+            sent_at: shared.now(),
             outcome: TargetOutcome::Abandoned,
         };
         Self { record, connection }
@@ -128,6 +131,12 @@
         &self.record.entry
     }
 
+    /// Returns when the attempt began to send its request.
+    #[must_use]
+    pub fn sent_at(&self) -> Millis {
+        self.record.sent_at
+    }
+
     /// Ends the attempt and closes its connection.
     pub fn close(mut self, outcome: TargetOutcome) {
         self.record.outcome = outcome;
@@ -392,6 +401,7 @@
     } else {
         TargetOutcome::Failed
     };
+    target_reports::record_response(context, &target_response.attempt, head.status);
     target_response.attempt.release(outcome, &head.headers);
     // A client takes this status to mean that the request was not executed. The target executed it,
     // so the response cannot be forwarded.
@@ -422,6 +432,7 @@
             let mut target_states = shared.target_states.borrow_mut();
             target_states.record_send(&entry.id);
             target_states.record_outcome(shared.now(), &entry.id, TargetOutcome::Broken);
+            target_reports::record_outcome(shared, entry, TargetOutcome::Broken);
             return AttemptOutcome::Unsent(error.to_string());
         }
         None => return AttemptOutcome::Unsent("no connection before the deadline".to_owned()),
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -89,6 +89,8 @@
     pub viewed_targets: Gauge,
     /// Mean age of these loads.
     pub view_age_ms: Gauge,
+    /// Targets that this instance, as the aggregator, gives less than a normal share.
+    pub ramping_targets: Gauge,
     /// Changes of the aggregator of this failure domain.
     pub aggregator_changes: Counter,
     /// Requests sent while an order is in force, by service and version side.
@@ -203,6 +205,11 @@
                 "view_age_ms",
                 "Mean age of the loads in the shared view",
             ),
+            ramping_targets: register(
+                &mut registry,
+                "ramping_targets",
+                "Targets that the aggregator gives less than a normal share",
+            ),
             aggregator_changes: register(
                 &mut registry,
                 "aggregator_changes",
