policy: test that samples of an earlier run of a target are ignored

Cause: the test passed without the check of the incarnation, because the view had dropped the samples before they reached the advisor.

Change: the test gives the advisor samples of both runs directly.

Result: without the check the test fails; with it, only the present run lowers the weight.

--- a/crates/policy/tests/serving/target_advisor.rs
+++ b/crates/policy/tests/serving/target_advisor.rs
@@ -12,6 +12,7 @@
 use arbutus_policy::serving::target_ramp::RampCause;
 use arbutus_policy::serving::target_ramp::RampChange;
 use arbutus_policy::serving::target_ramp::RampState;
+use arbutus_policy::serving::target_view::NewSamples;
 use arbutus_policy::serving::target_view::TargetView;
 use arbutus_policy::serving::target_view::exchange::Outgoing;
 use arbutus_policy::serving::target_view::exchange::STEP_INTERVAL_MS;
@@ -311,13 +312,17 @@
     pair.nodes[aggregator]
         .advisor
         .record_start(pair.now, "t0", target_of(Some(2)));
-    let weight = pair.nodes[aggregator].advisor.weight(pair.now, "t0");
-    pair.run(Millis(600), |pair| {
-        let failed = OutcomeCounts::one_failed();
-        pair.nodes[aggregator]
-            .view
-            .add_samples("t0", INCARNATION, PaceSample::default(), failed);
-    });
-    let later = pair.nodes[aggregator].advisor.weight(pair.now, "t0");
-    assert!((weight - later).abs() < f64::EPSILON);
+    let advisor = &mut pair.nodes[aggregator].advisor;
+    let weight = advisor.weight(pair.now, "t0");
+    for (incarnation, counts) in [(INCARNATION, false), (Some(2), true)] {
+        let sample = NewSamples {
+            target: "t0".to_owned(),
+            incarnation,
+            pace: PaceSample::default(),
+            outcomes: OutcomeCounts::one_failed(),
+        };
+        advisor.add_samples(pair.now, &[sample]);
+        let has_fallen = advisor.weight(pair.now, "t0") < weight;
+        assert_eq!(has_fallen, counts, "incarnation {incarnation:?}");
+    }
 }
