serving: count the pace of a target only without a work percentage

The observed pace of a target contains what its work percentage says, so a target that works at 120 % counted as 144 %. Targets that report none are served as before.

--- a/crates/serving/src/target_choice.rs
+++ b/crates/serving/src/target_choice.rs
@@ -211,9 +211,8 @@
         .iter()
         .map(|entry| {
             let viewed = view.load(now, &entry.id, entry.incarnation);
-            let usual_work_percent = view
-                .usual_work_percent(&entry.id, entry.incarnation)
-                .unwrap_or(NOMINAL_WORK_PERCENT);
+            let reported_usual_percent = view.usual_work_percent(&entry.id, entry.incarnation);
+            let usual_work_percent = reported_usual_percent.unwrap_or(NOMINAL_WORK_PERCENT);
             let reported_work_percent = viewed
                 .filter(|load| load.age_ms <= WORK_PERCENT_VALID_MS)
                 .and_then(|load| load.work_percent);
@@ -223,7 +222,11 @@
                 running: viewed_running.max(target_states.running(now, entry)),
                 work_percent: reported_work_percent.unwrap_or(usual_work_percent),
                 usual_work_percent,
-                pace: view.pace(now, &entry.id),
+                // The observed pace of a target contains what its work percentage says.
+                pace: match reported_usual_percent {
+                    Some(_) => 1.0,
+                    None => view.pace(now, &entry.id),
+                },
                 is_paused: target_states.is_paused(now, &entry.id),
                 ramp_weight: view.ramp_weight(now, &entry.id),
             }
