review: make case 9 independent of the scheduler

The requests now arrive while the instances stand still for the rest of a tenth of a second, as a core whose allowance is used up does. The check and its bound are unchanged.

--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -175,6 +175,15 @@
         unsafe { kill(self.child.id() as i32, SIGTERM) == 0 }
     }
 
+    /// Stops the process, or lets it go on.
+    pub fn pause(&self, is_paused: bool) -> bool {
+        const SIGCONT: i32 = 18;
+        const SIGSTOP: i32 = 19;
+        let signal = if is_paused { SIGSTOP } else { SIGCONT };
+        // SAFETY: the process is a child that was not waited for yet.
+        unsafe { kill(self.child.id() as i32, signal) == 0 }
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
