--- a/crates/daemon/tests/platform_quarantine.rs
+++ b/crates/daemon/tests/platform_quarantine.rs
@@ -20,6 +20,7 @@
 use arbutus_standins::simulated_platform::example::configuration;
 use arbutus_standins::simulated_platform::example::staged_stream_request;
 use arbutus_standins::simulated_platform::example::stream_request;
+use arbutus_standins::simulated_platform::target::DeadlyRequest;
 use arbutus_standins::simulated_platform::target::Fault;
 
 const INSTANCES: usize = 3;
@@ -331,3 +332,114 @@
         assert_eq!(status(instance, "/safe/unknown", &id), 503, "{instance}");
     }
 }
+
+/// A client that sends the same requests again and again at all instances in turn: one that crashes
+/// each target after its first events, and one that is in progress at the same targets.
+struct Resender<'a> {
+    cluster: &'a TestCluster,
+    started_at: Instant,
+}
+
+impl Resender<'_> {
+    const DEADLY_BODY: &'static str = "deadly";
+    const INTERVAL: Duration = Duration::from_millis(300);
+    const DEADLY_COUNT: u32 = 36;
+    const POPULAR_COUNT: u32 = 36;
+
+    /// Sends `count` requests for a stream, one after each interval, and returns for each one when it
+    /// was sent and whether its response was complete.
+    fn resend(&self, path: &str, body: &str, count: u32) -> Vec<(Duration, bool)> {
+        let calls = (0..count).map(|number| {
+            let due_at = self.started_at + Self::INTERVAL * number;
+            thread::sleep(due_at.saturating_duration_since(Instant::now()));
+            let id = format!("{body}-{number}");
+            let request = stream_request(path, &id)
+                .with_header(names::PROMPT_PARTS.as_str(), &parts(body, &["shared"]))
+                .with_body(body);
+            let sent_at = self.started_at.elapsed();
+            let response = self.cluster.call(number as usize, &request);
+            (sent_at, response.body == complete_stream_body())
+        });
+        calls.collect()
+    }
+}
+
+/// Guards against a response that clears a request when it begins: a request that crashes its target
+/// after the first events reached targets as often as it came, and each of them crashed. A popular
+/// request whose streams break at the same targets has to be served.
+#[test]
+fn a_request_that_crashes_targets_within_its_response_is_quarantined() {
+    /// The users' bound, after the third crash, and the crashes that are allowed later.
+    const CRASHES_BEFORE_BOUND: usize = 3;
+
+    for (path, events_before_crash) in [("/resumable/1", 1), ("/stream/1", 3)] {
+        let cluster = TestCluster::start_with_deadly_part();
+        for target in &cluster.platform.targets {
+            target.set_deadly_request(DeadlyRequest {
+                body: Resender::DEADLY_BODY,
+                events_before_crash,
+            });
+        }
+        let resender = Resender {
+            cluster: &cluster,
+            started_at: Instant::now(),
+        };
+        let popular = thread::scope(|scope| {
+            let popular = scope.spawn(|| resender.resend(path, "popular", Resender::POPULAR_COUNT));
+            resender.resend(path, Resender::DEADLY_BODY, Resender::DEADLY_COUNT);
+            popular.join().expect("the client thread ends")
+        });
+        let crashes = cluster.crashes();
+        let third = crashes.get(CRASHES_BEFORE_BOUND - 1);
+        let bound = third.expect("three targets crash").0 + QUARANTINE_BOUND;
+        let late_count = crashes.iter().filter(|(at, _)| *at > bound).count();
+        assert!(
+            late_count <= MAX_LATE_REQUESTS,
+            "{path}: {late_count} of {} crashes too late",
+            crashes.len()
+        );
+        // Targets that crashed before the bound are in service again.
+        let last = Resender::INTERVAL * (Resender::POPULAR_COUNT - 10);
+        let unserved = popular.iter().filter(|(at, served)| *at > last && !served);
+        assert_eq!(unserved.count(), 0, "{path}: {popular:?}");
+    }
+}
+
+/// Guards against a popular request that is refused for a minute because its streams were in progress
+/// wherever another request crashed a target.
+#[test]
+fn a_popular_request_whose_streams_broke_at_every_target_is_served_soon() {
+    /// No stream is complete before the other request crashes its target.
+    const EVENT_DELAY: Duration = Duration::from_millis(120);
+
+    let cluster = start_cluster(INSTANCES);
+    for target in &cluster.platform.targets {
+        target.set_event_delay(EVENT_DELAY);
+        target.set_deadly_request(DeadlyRequest {
+            body: Resender::DEADLY_BODY,
+            events_before_crash: 1,
+        });
+    }
+    thread::sleep(DISCOVERY_TIME);
+    let resender = Resender {
+        cluster: &cluster,
+        started_at: Instant::now(),
+    };
+    let popular = thread::scope(|scope| {
+        for number in 0..2 {
+            let resender = &resender;
+            scope.spawn(move || {
+                thread::sleep(Resender::INTERVAL / 2 * number);
+                resender.resend(
+                    "/resumable/1",
+                    Resender::DEADLY_BODY,
+                    Resender::DEADLY_COUNT,
+                )
+            });
+        }
+        resender.resend("/resumable/1", "popular", Resender::POPULAR_COUNT)
+    });
+    let last = Resender::INTERVAL * (Resender::POPULAR_COUNT - 10);
+    let unserved = popular.iter().filter(|(at, served)| *at > last && !served);
+    assert_eq!(unserved.count(), 0, "{popular:?}");
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,10 +1,11 @@
 //! Quarantine of requests that make targets fail.
 //!
 //! A request is identified by its fingerprint, a hash of its content. It is quarantined for a
-//! bounded time after targets failed during two distinct attempts with the same fingerprint.
-//! Instances exchange entries by gossip, because a client retry usually reaches another instance.
+//! bounded time after targets failed during a number of distinct attempts with the same fingerprint,
+//! two unless set otherwise. Instances exchange entries by gossip, because a client retry usually
+//! reaches another instance.
 //!
-//! Merging an entry takes the union of the failed attempts until there are two of them. The order
+//! Merging an entry takes the union of the failed attempts up to that number. The order
 //! and the repetition of entries therefore do not change whether a request is quarantined. An entry
 //! carries its remaining duration instead of an expiry time, since instances have no common clock.
 //! Each hop shortens this duration, so an entry expires even if instances keep sending it to each
@@ -18,8 +19,8 @@
 
 use arbutus_coord::Millis;
 
-/// The number of failed attempts that quarantines a request.
-const FAILURE_THRESHOLD: usize = 2;
+/// The number of failed attempts that quarantines a request, unless set otherwise.
+const DEFAULT_FAILURE_THRESHOLD: usize = 2;
 /// By how much each hop shortens the remaining duration of an entry; longer than the usual delay of
 /// a datagram.
 const HOP_DECAY_MS: Millis = Millis(1_000);
@@ -57,7 +58,7 @@
 pub struct QuarantineEntry {
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// The attempts during which a target failed, at most two.
+    /// The attempts during which a target failed, at most as many as quarantine the request.
     pub failures: BTreeSet<AttemptHash>,
     /// How long the entry is valid at the receiver.
     pub remaining_ms: Millis,
@@ -73,6 +74,7 @@
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
+    failure_threshold: usize,
     records: BTreeMap<Fingerprint, Record>,
 }
 
@@ -82,15 +84,24 @@
     pub fn new(settings: QuarantineSettings) -> Self {
         Self {
             settings,
+            failure_threshold: DEFAULT_FAILURE_THRESHOLD,
             records: BTreeMap::new(),
         }
     }
 
+    /// Sets the number of failed attempts that quarantines a request.
+    #[must_use]
+    pub const fn with_failure_threshold(mut self, failure_threshold: usize) -> Self {
+        self.failure_threshold = failure_threshold;
+        self
+    }
+
     /// Returns how long a request remains quarantined, or `None` if it is not.
     #[must_use]
     pub fn remaining(&self, now: Millis, fingerprint: Fingerprint) -> Option<Millis> {
         let record = self.records.get(&fingerprint)?;
-        let quarantined = record.failures.len() >= FAILURE_THRESHOLD && record.expires_at > now;
+        let quarantined =
+            record.failures.len() >= self.failure_threshold && record.expires_at > now;
         quarantined.then(|| record.expires_at - now)
     }
 
@@ -110,12 +121,8 @@
     /// Records that a request succeeded, which removes a single recorded failure. It does not end a
     /// quarantine.
     pub fn record_success(&mut self, fingerprint: Fingerprint) {
-        let is_below_threshold = |record: &Record| record.failures.len() < FAILURE_THRESHOLD;
-        if self
-            .records
-            .get(&fingerprint)
-            .is_some_and(is_below_threshold)
-        {
+        let record = self.records.get(&fingerprint);
+        if record.is_some_and(|record| record.failures.len() < self.failure_threshold) {
             self.records.remove(&fingerprint);
         }
     }
@@ -134,6 +141,19 @@
         self.add_failures(now, entry.fingerprint, &entry.failures, expires_at)
     }
 
+    /// Returns the entry of a request to send to other instances, or `None` if no failure is recorded
+    /// or the entry would have expired when it arrives there.
+    #[must_use]
+    pub fn entry(&self, now: Millis, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
+        let record = self.records.get(&fingerprint)?;
+        let remaining_ms = record.expires_at - now - HOP_DECAY_MS;
+        (remaining_ms > Millis::ZERO).then(|| QuarantineEntry {
+            fingerprint,
+            failures: record.failures.clone(),
+            remaining_ms,
+        })
+    }
+
     /// Returns at most `limit` entries to send to other instances, those that expire last first.
     #[must_use]
     pub fn entries(&self, now: Millis, limit: usize) -> Vec<QuarantineEntry> {
@@ -159,16 +179,6 @@
         self.records.is_empty()
     }
 
-    fn entry(&self, now: Millis, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
-        let record = self.records.get(&fingerprint)?;
-        let remaining_ms = record.expires_at - now - HOP_DECAY_MS;
-        (remaining_ms > Millis::ZERO).then(|| QuarantineEntry {
-            fingerprint,
-            failures: record.failures.clone(),
-            remaining_ms,
-        })
-    }
-
     fn add_failures(
         &mut self,
         now: Millis,
@@ -184,11 +194,11 @@
         let new_failures: Vec<AttemptHash> =
             failures.difference(&record.failures).copied().collect();
         // Only a new failure extends the duration; a repeated entry must not.
-        if new_failures.is_empty() || record.failures.len() >= FAILURE_THRESHOLD {
+        if new_failures.is_empty() || record.failures.len() >= self.failure_threshold {
             return false;
         }
         record.failures.extend(new_failures);
-        while record.failures.len() > FAILURE_THRESHOLD {
+        while record.failures.len() > self.failure_threshold {
             record.failures.pop_last();
         }
         record.expires_at = record.expires_at.max(expires_at);
--- a/crates/policy/tests/serving/limits.rs
+++ b/crates/policy/tests/serving/limits.rs
@@ -7,7 +7,9 @@
 use arbutus_policy::serving::cold_targets;
 use arbutus_policy::serving::cold_targets::ColdTargetPacer;
 use arbutus_policy::serving::crash_quarantine;
+use arbutus_policy::serving::crash_quarantine::CrashPhase;
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
+use arbutus_policy::serving::prompt_quarantine::TargetHash;
 use arbutus_policy::serving::retry_budget::RetryLimits;
 use arbutus_policy::serving::retry_budget::WindowedRetryBudget;
 
@@ -87,16 +89,20 @@
     }
 }
 
+fn run_of(target: &str) -> TargetHash {
+    TargetHash::new(target, Some(1))
+}
+
 #[test]
 fn a_request_that_crashed_two_targets_is_quarantined_at_every_instance() {
     let fingerprint = crash_quarantine::fingerprint("/x", "bakers", b"body");
     let mut first = CrashQuarantine::new();
     let mut second = CrashQuarantine::new();
     let now = Millis(1_000);
-    first.record_crash(now, fingerprint, "a");
+    first.record_crash(now, fingerprint, run_of("a"), CrashPhase::BeforeResponse);
     assert_eq!(first.remaining(now, fingerprint), None);
     let entry = first
-        .record_crash(now, fingerprint, "b")
+        .record_crash(now, fingerprint, run_of("b"), CrashPhase::BeforeResponse)
         .expect("the request is quarantined");
     second.merge(now, &entry);
     assert!(first.remaining(now, fingerprint).is_some());
@@ -116,7 +122,7 @@
     let mut quarantine = CrashQuarantine::new();
     let now = Millis(1_000);
     for _ in 0..5 {
-        quarantine.record_crash(now, fingerprint, "a");
+        quarantine.record_crash(now, fingerprint, run_of("a"), CrashPhase::BeforeResponse);
     }
     assert_eq!(quarantine.remaining(now, fingerprint), None);
 }
@@ -133,7 +139,12 @@
     assert_eq!(peer.recent_response_age(Millis(50_000), fingerprint), None);
     let mut quarantine = CrashQuarantine::new();
     for target in ["a", "b"] {
-        quarantine.record_crash(Millis(44_000), fingerprint, target);
+        quarantine.record_crash(
+            Millis(44_000),
+            fingerprint,
+            run_of(target),
+            CrashPhase::BeforeResponse,
+        );
     }
     assert!(quarantine.remaining(Millis(45_000), fingerprint).is_some());
     assert!(!quarantine.record_peer_response(Millis(45_000), fingerprint, Millis(30_000)));
@@ -153,18 +164,38 @@
     let mut with_response = CrashQuarantine::new();
     with_response.record_response(Millis(1_000), fingerprint);
     assert_eq!(
-        with_response.record_crash(Millis(2_000), fingerprint, "a"),
+        with_response.record_crash(
+            Millis(2_000),
+            fingerprint,
+            run_of("a"),
+            CrashPhase::BeforeResponse
+        ),
         None
     );
     assert_eq!(
-        with_response.record_crash(Millis(2_000), fingerprint, "b"),
+        with_response.record_crash(
+            Millis(2_000),
+            fingerprint,
+            run_of("b"),
+            CrashPhase::BeforeResponse
+        ),
         None
     );
     assert_eq!(with_response.remaining(Millis(2_000), fingerprint), None);
     // An entry from another instance does not count either until the last response is 30 s old.
     let mut other = CrashQuarantine::new();
-    other.record_crash(Millis(2_000), fingerprint, "a");
-    let entry = other.record_crash(Millis(2_000), fingerprint, "b");
+    other.record_crash(
+        Millis(2_000),
+        fingerprint,
+        run_of("a"),
+        CrashPhase::BeforeResponse,
+    );
+    let entry = other.record_crash(
+        Millis(2_000),
+        fingerprint,
+        run_of("b"),
+        CrashPhase::BeforeResponse,
+    );
     with_response.merge(Millis(2_000), &entry.expect("the request is quarantined"));
     assert_eq!(with_response.remaining(Millis(2_000), fingerprint), None);
     assert!(other.remaining(Millis(2_000), fingerprint).is_some());
@@ -174,3 +205,130 @@
             .is_some()
     );
 }
+
+/// Guards against a response that clears its request when it begins, and against a request that is
+/// quarantined after two targets ended for other reasons while they responded.
+#[test]
+fn a_request_that_crashed_three_targets_within_its_response_is_quarantined() {
+    let fingerprint = crash_quarantine::fingerprint("/x", "bakers", b"body");
+    let mut first = CrashQuarantine::new();
+    let mut second = CrashQuarantine::new();
+    let now = Millis(1_000);
+    let crash = |quarantine: &mut CrashQuarantine, target: TargetHash| {
+        let report = quarantine.record_crash(now, fingerprint, target, CrashPhase::WithinResponse);
+        report.expect("the request got no response")
+    };
+    // Two runs of a target that starts again under its identifier count as two.
+    second.merge(now, &crash(&mut first, TargetHash::new("a", Some(1))));
+    second.merge(now, &crash(&mut first, TargetHash::new("a", Some(2))));
+    assert_eq!(second.remaining(now, fingerprint), None);
+    first.merge(now, &crash(&mut second, run_of("b")));
+    assert!(first.remaining(now, fingerprint).is_some());
+    assert!(second.remaining(now, fingerprint).is_some());
+}
+
+/// Guards against a request that harms no target and is refused for a minute, because it was in
+/// progress wherever another one crashed a target, and against trials by each instance.
+#[test]
+fn one_instance_tries_a_quarantined_request_once() {
+    const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+    let due = |quarantines: &[CrashQuarantine], now: Millis, fingerprint| {
+        let due = (0..NAMES.len()).filter(|&index| {
+            let peers = NAMES.into_iter().filter(|name| *name != NAMES[index]);
+            quarantines[index].is_trial_due(now, fingerprint)
+                && crash_quarantine::is_tester(NAMES[index], peers)
+        });
+        due.collect::<Vec<usize>>()
+    };
+    for body in [b"one", b"two"] {
+        let fingerprint = crash_quarantine::fingerprint("/x", "bakers", body);
+        let mut quarantines: Vec<CrashQuarantine> =
+            NAMES.iter().map(|_| CrashQuarantine::new()).collect();
+        for target in ["a", "b"] {
+            let report = quarantines[0].record_crash(
+                Millis(1_000),
+                fingerprint,
+                run_of(target),
+                CrashPhase::BeforeResponse,
+            );
+            let report = report.expect("the request got no response");
+            for quarantine in &mut quarantines[1..] {
+                quarantine.merge(Millis(1_100), &report);
+            }
+        }
+        assert_eq!(due(&quarantines, Millis(2_900), fingerprint), []);
+        let allowed = due(&quarantines, Millis(3_200), fingerprint);
+        let [tester] = allowed[..] else {
+            panic!("{allowed:?} may try the request");
+        };
+        quarantines[tester].begin_trial(fingerprint);
+        assert_eq!(due(&quarantines, Millis(3_200), fingerprint), []);
+        let report = quarantines[tester].record_crash(
+            Millis(3_300),
+            fingerprint,
+            run_of("c"),
+            CrashPhase::WithinResponse,
+        );
+        quarantines[tester].end_trial(Millis(3_300), fingerprint, true);
+        let report = report.expect("the trial failed");
+        // An instance that starts now learns the same from any other one.
+        let mut restarted = CrashQuarantine::new();
+        for known in quarantines[tester].reports(Millis(3_300), 8) {
+            restarted.merge(Millis(3_300), &known);
+        }
+        let remaining = restarted.remaining(Millis(3_300), fingerprint);
+        assert!(remaining.is_some());
+        for quarantine in &mut quarantines {
+            quarantine.merge(Millis(3_400), &report);
+        }
+        quarantines[(tester + 1) % NAMES.len()] = restarted;
+        assert_eq!(due(&quarantines, Millis(20_000), fingerprint), []);
+    }
+}
+
+/// Guards against a quarantine that outlasts a complete response to the trial.
+#[test]
+fn a_complete_response_ends_a_quarantine() {
+    let fingerprint = crash_quarantine::fingerprint("/popular", "bakers", b"");
+    let mut quarantine = CrashQuarantine::new();
+    for target in ["a", "b", "c"] {
+        quarantine.record_crash(
+            Millis(1_000),
+            fingerprint,
+            run_of(target),
+            CrashPhase::BeforeResponse,
+        );
+    }
+    assert!(quarantine.is_trial_due(Millis(3_000), fingerprint));
+    quarantine.begin_trial(fingerprint);
+    assert!(quarantine.record_response(Millis(3_100), fingerprint));
+    assert_eq!(quarantine.remaining(Millis(40_000), fingerprint), None);
+    // There is nothing to tell other instances any more.
+    assert!(!quarantine.record_response(Millis(3_200), fingerprint));
+}
+
+/// Guards against two requests that are tried together: both are blamed for the crash that one of
+/// them causes.
+#[test]
+fn requests_are_tried_one_after_the_other() {
+    let [first, second] = [b"one", b"two"].map(|body| crash_quarantine::fingerprint("/", "", body));
+    let mut quarantine = CrashQuarantine::new();
+    for target in ["a", "b"] {
+        for fingerprint in [first, second] {
+            let phase = CrashPhase::BeforeResponse;
+            quarantine.record_crash(Millis(1_000), fingerprint, run_of(target), phase);
+        }
+    }
+    assert!(quarantine.is_trial_due(Millis(3_000), first));
+    quarantine.begin_trial(first);
+    assert!(!quarantine.is_trial_due(Millis(3_000), second));
+    // No target accepted the request.
+    quarantine.end_trial(Millis(3_100), first, false);
+    assert!(quarantine.is_trial_due(Millis(3_100), first));
+    quarantine.begin_trial(first);
+    // The client left before the response.
+    quarantine.end_trial(Millis(3_500), first, true);
+    assert!(quarantine.is_trial_due(Millis(3_500), second));
+    assert!(!quarantine.is_trial_due(Millis(20_000), first));
+    assert!(quarantine.is_trial_due(Millis(24_000), first));
+}
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -16,6 +16,7 @@
 use crate::shared::Shared;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
+use arbutus_policy::quarantine::Fingerprint;
 use arbutus_policy::serving::target_limits::LimitReport;
 
 /// How often an instance that starts checks whether its peers are known.
@@ -58,6 +59,11 @@
             })
             .collect();
         let leaving = reports.leaving;
+        let responses = reports.responses.into_iter();
+        let responses: Vec<(Fingerprint, Millis)> = responses
+            .map(|(fingerprint, responded_at)| (fingerprint, now - responded_at))
+            .collect();
+        connections.report_responses(&responses);
         if commands.is_empty()
             && limits.is_empty()
             && leaving.is_empty()
@@ -67,7 +73,7 @@
         }
         for peer in shared.peers() {
             if !reports.crashes.is_empty() {
-                connections.report_crashes(&peer, reports.crashes.clone());
+                connections.report_crashes(&peer, &reports.crashes);
             }
             for command in &commands {
                 connections.send(&peer.name, command.clone());
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -1,7 +1,9 @@
 //! Evidence about requests that crash targets: records what attempts show and what peers report, and
 //! refuses requests that are quarantined.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use log::info;
 use log::warn;
@@ -10,32 +12,36 @@
 use crate::shared::Shared;
 use arbutus_coord::Millis;
 use arbutus_policy::quarantine::Fingerprint;
-use arbutus_policy::quarantine::QuarantineEntry;
+use arbutus_policy::serving::crash_quarantine::CrashPhase;
+use arbutus_policy::serving::crash_quarantine::CrashReport;
 use arbutus_policy::serving::model::TargetEntry;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::prompt_quarantine::TargetHash;
 
-/// Whether a part of the prompt may have caused a broken connection.
+/// When a connection to a target broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PromptSuspicion {
-    /// The target may have crashed when it began to respond.
-    Possible,
-    /// The target did not have the time to execute the request.
-    Unlikely,
+pub enum ConnectionEnd {
+    /// Before the target had the time to execute the request, so the prompt is not the cause.
+    BeforeExecution,
+    /// Before the target began to respond.
+    BeforeResponse,
+    /// Before the end of the response.
+    WithinResponse,
 }
 
-/// Returns why a request is refused, or `None` if it is not quarantined.
+/// Returns why a request is refused, or `None` if it is not quarantined or may be tried.
 #[must_use]
 pub fn quarantine_reason(context: &RequestContext) -> Option<String> {
-    let shared = &context.shared;
-    let now = shared.now();
-    let crash_quarantine = shared.crash_quarantine.borrow();
-    if let Some(remaining_ms) = crash_quarantine.remaining(now, context.fingerprint) {
+    if let Some(remaining_ms) = quarantine_remaining(context)
+        && !is_trial_due(context)
+    {
         return Some(format!(
             "the request crashes targets; quarantined for {remaining_ms}"
         ));
     }
+    let shared = &context.shared;
+    let now = shared.now();
     let prompt_quarantine = shared.prompt_quarantine.borrow();
     let (part, remaining_ms) = prompt_quarantine.refusal(now, &context.prompt_parts)?;
     Some(format!(
@@ -44,13 +50,93 @@
     ))
 }
 
-/// Records that a target has begun to respond with success, so the request does not crash targets.
-pub fn record_response(context: &RequestContext) {
+/// The same as [`quarantine_reason`] just before the request is sent, which may be its trial.
+#[must_use]
+pub fn begin_attempt(context: &mut RequestContext) -> Option<String> {
+    if let Some(trial) = &context.trial
+        && !trial.may_have_executed.get()
+    {
+        return None;
+    }
+    let reason = quarantine_reason(context);
+    if reason.is_none() && quarantine_remaining(context).is_some() {
+        info!(request = context.client.id.as_str(), fingerprint:? = context.fingerprint; "trying a quarantined request");
+        context.trial = Some(TrialGuard::new(&context.shared, context.fingerprint));
+    }
+    reason
+}
+
+/// The trial of a quarantined request, which ends when this is dropped.
+#[derive(Debug)]
+pub struct TrialGuard {
+    shared: Rc<Shared>,
+    fingerprint: Fingerprint,
+    may_have_executed: Cell<bool>,
+}
+
+impl TrialGuard {
+    fn new(shared: &Rc<Shared>, fingerprint: Fingerprint) -> Self {
+        shared
+            .crash_quarantine
+            .borrow_mut()
+            .begin_trial(fingerprint);
+        Self {
+            shared: Rc::clone(shared),
+            fingerprint,
+            may_have_executed: Cell::new(false),
+        }
+    }
+
+    /// Records whether a target may have executed the request.
+    pub fn set_may_have_executed(&self, may_have_executed: bool) {
+        self.may_have_executed.set(may_have_executed);
+    }
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        let may_have_executed = self.may_have_executed.get();
+        let mut crash_quarantine = self.shared.crash_quarantine.borrow_mut();
+        crash_quarantine.end_trial(self.shared.now(), self.fingerprint, may_have_executed);
+    }
+}
+
+fn quarantine_remaining(context: &RequestContext) -> Option<Millis> {
+    let shared = &context.shared;
+    let crash_quarantine = shared.crash_quarantine.borrow();
+    crash_quarantine.remaining(shared.now(), context.fingerprint)
+}
+
+fn is_trial_due(context: &RequestContext) -> bool {
     let shared = &context.shared;
-    shared
+    let crash_quarantine = shared.crash_quarantine.borrow();
+    crash_quarantine.is_trial_due(shared.now(), context.fingerprint) && shared.is_crash_tester()
+}
+
+/// Records that a target has responded with success and to the end, so the request does not crash
+/// targets.
+pub fn record_complete_response(context: &RequestContext) {
+    let shared = &context.shared;
+    let now = shared.now();
+    let ends_quarantine = shared
         .crash_quarantine
         .borrow_mut()
-        .record_response(shared.now(), context.fingerprint);
+        .record_response(now, context.fingerprint);
+    if ends_quarantine {
+        info!(
+            request = context.client.id.as_str(), fingerprint:? = context.fingerprint;
+            "quarantine ended by a complete response"
+        );
+        let mut reports = shared.pending_reports.borrow_mut();
+        reports.responses.push((context.fingerprint, now));
+    }
+    clear_prompt(context);
+}
+
+/// Records that a target has begun to respond with success, so the prompt does not crash targets
+/// that read it.
+pub fn clear_prompt(context: &RequestContext) {
+    let shared = &context.shared;
     let cleared = shared
         .prompt_quarantine
         .borrow_mut()
@@ -65,47 +151,62 @@
     }
 }
 
-/// Records that a connection to a target broke before the target had begun to respond, and reports
-/// the suspects to all instances.
+/// Records that a connection to a target broke before the end of the response, and reports the
+/// suspects to all instances.
 pub fn record_crash(
     context: &RequestContext,
     entry: &TargetEntry,
     cause: &str,
-    prompt_suspicion: PromptSuspicion,
+    connection_end: ConnectionEnd,
 ) {
     let shared = &context.shared;
+    let (phase, message) = match connection_end {
+        ConnectionEnd::BeforeExecution | ConnectionEnd::BeforeResponse => (
+            CrashPhase::BeforeResponse,
+            "target closed the connection before it began to respond",
+        ),
+        ConnectionEnd::WithinResponse => (
+            CrashPhase::WithinResponse,
+            "target closed the connection before the end of its response",
+        ),
+    };
     info!(
         request = context.client.id.as_str(), target_id = entry.id.as_str(), error = cause,
         fingerprint:? = context.fingerprint, parts = context.shared_part_ids(),
         part_hashes = format_parts(&context.prompt_parts);
-        "target closed the connection before it began to respond"
+        "{message}"
     );
+    let target = TargetHash::new(&entry.id, entry.incarnation);
     let report = shared.crash_quarantine.borrow_mut().record_crash(
         shared.now(),
         context.fingerprint,
-        &entry.id,
+        target,
+        phase,
     );
     if let Some(report) = report {
         shared.pending_reports.borrow_mut().crashes.push(report);
     }
-    if context.prompt_parts.is_empty() || prompt_suspicion == PromptSuspicion::Unlikely {
+    if context.prompt_parts.is_empty() || connection_end != ConnectionEnd::BeforeResponse {
         return;
     }
     let crash = PromptCrash {
         parts: context.prompt_parts.clone(),
-        target: TargetHash::new(&entry.id, entry.incarnation),
+        target,
     };
     record_prompt_crash(shared, Millis::ZERO, &crash);
     let mut reports = shared.pending_reports.borrow_mut();
     reports.prompt_crashes.push((shared.now(), crash));
 }
 
-/// Records a crash after the response head. The content of a request without a prompt does not
-/// cause it, since its target has executed the request.
-pub fn record_crash_after_head(context: &RequestContext, entry: &TargetEntry, reason: &str) {
-    if !context.prompt_parts.is_empty() {
-        record_crash(context, entry, reason, PromptSuspicion::Possible);
-    }
+/// Records that a connection to a target broke within a response body that is read as a whole. A
+/// target may begin it before it reads the prompt.
+pub fn record_crash_within_body(context: &RequestContext, entry: &TargetEntry, reason: &str) {
+    let connection_end = if context.prompt_parts.is_empty() {
+        ConnectionEnd::WithinResponse
+    } else {
+        ConnectionEnd::BeforeResponse
+    };
+    record_crash(context, entry, reason, connection_end);
 }
 
 /// Records a crash that this instance or a peer observed `age_ms` ago.
@@ -120,17 +221,20 @@
 
 /// Records crashes that a peer reports, and returns the requests among them that this instance got
 /// a response to, with the time since then.
-pub fn merge_crashes(shared: &Shared, entries: &[QuarantineEntry]) -> Vec<(Fingerprint, Millis)> {
+pub fn merge_crashes(shared: &Shared, reports: &[CrashReport]) -> Vec<(Fingerprint, Millis)> {
     let now = shared.now();
     let mut quarantine = shared.crash_quarantine.borrow_mut();
-    for entry in entries {
-        if quarantine.merge(now, entry) {
-            warn!(fingerprint:? = entry.fingerprint, failures = entry.failures.len(); "a peer reported a request that crashes targets");
+    for report in reports {
+        if quarantine.merge(now, report) {
+            let failures = report.at_any_time.as_ref();
+            let failures = failures.map_or(0, |entry| entry.failures.len());
+            warn!(fingerprint:? = report.fingerprint(), failures; "a peer reported a request that crashes targets");
         }
     }
-    let answered = entries.iter().filter_map(|entry| {
-        let age_ms = quarantine.recent_response_age(now, entry.fingerprint)?;
-        Some((entry.fingerprint, age_ms))
+    let fingerprints = reports.iter().filter_map(CrashReport::fingerprint);
+    let answered = fingerprints.filter_map(|fingerprint| {
+        let age_ms = quarantine.recent_response_age(now, fingerprint)?;
+        Some((fingerprint, age_ms))
     });
     answered.collect()
 }
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -7,7 +7,6 @@
 //! retry takes from the retry budget of the service.
 
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
 use http::HeaderMap;
 use http::Response;
@@ -21,13 +20,11 @@
 use crate::body::CompleteBody;
 use crate::connection;
 use crate::crashes;
-use crate::crashes::PromptSuspicion;
-use crate::pool::PooledConnection;
+use crate::crashes::ConnectionEnd;
 use crate::request::RequestContext;
 use crate::rollouts;
-use crate::rollouts::RequestEvidence;
-use crate::shared::Shared;
 use crate::stages::RequestStages;
+use crate::target_attempt::TargetAttempt;
 use crate::target_choice;
 use crate::target_notices;
 use crate::target_reports;
@@ -78,82 +75,6 @@
     },
 }
 
-/// Records the outcome of an attempt when dropped.
-#[derive(Debug)]
-struct AttemptRecord {
-    shared: Rc<Shared>,
-    entry: TargetEntry,
-    evidence: Option<RequestEvidence>,
-    sent_at: Millis,
-    outcome: TargetOutcome,
-}
-
-impl Drop for AttemptRecord {
-    fn drop(&mut self) {
-        let now = self.shared.now();
-        let mut target_states = self.shared.target_states.borrow_mut();
-        target_states.record_outcome(now, &self.entry.id, self.outcome);
-        target_reports::record_outcome(&self.shared, &self.entry, self.outcome);
-        let event = self.outcome.into();
-        self.shared
-            .metrics
-            .count_attempt(&self.entry.service, event);
-        if let Some(evidence) = &self.evidence {
-            rollouts::record_end(&self.shared, &self.entry, evidence, self.outcome);
-        }
-    }
-}
-
-/// An attempt in progress.
-#[derive(Debug)]
-pub struct TargetAttempt {
-    record: AttemptRecord,
-    connection: PooledConnection,
-}
-
-impl TargetAttempt {
-    fn new(context: &RequestContext, entry: TargetEntry, connection: PooledConnection) -> Self {
-        let shared = &context.shared;
-        shared.target_states.borrow_mut().record_send(&entry.id);
-        let record = AttemptRecord {
-            shared: Rc::clone(shared),
-            evidence: rollouts::record_send(shared, &context.route.name, &entry),
-            entry,
-            sent_at: shared.now(),
-            outcome: TargetOutcome::Abandoned,
-        };
-        Self { record, connection }
-    }
-
-    /// Returns the target of the attempt.
-    #[must_use]
-    pub fn target(&self) -> &TargetEntry {
-        &self.record.entry
-    }
-
-    /// Returns when the attempt began to send its request.
-    #[must_use]
-    pub fn sent_at(&self) -> Millis {
-        self.record.sent_at
-    }
-
-    /// Ends the attempt and closes its connection.
-    pub fn close(mut self, outcome: TargetOutcome) {
-        self.record.outcome = outcome;
-    }
-
-    /// Ends the attempt and returns its connection to the pool. The response body must have been
-    /// read completely.
-    pub fn release(mut self, outcome: TargetOutcome, headers: &HeaderMap) {
-        self.record.outcome = outcome;
-        if !response::closes_connection(headers) {
-            let now = self.record.shared.now();
-            self.connection
-                .release(now, response::keep_alive_timeout_ms(headers));
-        }
-    }
-}
-
 /// The response of a target that executed the request; its body is not read yet.
 #[derive(Debug)]
 pub struct TargetResponse {
@@ -252,7 +173,7 @@
             }
         };
         // The quarantine may have begun while the request waited for its stages or for a target.
-        if let Some(reason) = crashes::quarantine_reason(context) {
+        if let Some(reason) = crashes::begin_attempt(context) {
             return Err(if context.possible_executions == 0 {
                 DispatchError::Quarantined { reason }
             } else {
@@ -282,8 +203,12 @@
                 target_response.attempt.close(TargetOutcome::Failed);
                 continue;
             }
-            AttemptOutcome::Unsent(reason) => reason,
+            AttemptOutcome::Unsent(reason) => {
+                context.set_may_have_executed(false);
+                reason
+            }
             AttemptOutcome::NotExecuted { input_lost } => {
+                context.set_may_have_executed(false);
                 if input_lost {
                     stages.discard_results()?;
                     stages.compute_missing(context).await?;
@@ -372,7 +297,7 @@
         Some(Ok(body)) => body,
         Some(Err(error)) => {
             if let BodyError::Interrupted(error) = &error {
-                crashes::record_crash_after_head(
+                crashes::record_crash_within_body(
                     context,
                     target_response.attempt.target(),
                     &error.to_string(),
@@ -388,14 +313,14 @@
     };
     if ends_with_connection && body.is_empty() {
         let reason = "the connection ended before the response body";
-        crashes::record_crash_after_head(context, target_response.attempt.target(), reason);
+        crashes::record_crash_within_body(context, target_response.attempt.target(), reason);
         target_response.attempt.close(TargetOutcome::Broken);
         return Err(reason.to_owned());
     }
     let outcome = if target_response.is_success {
         // A crash can end a body without a length anywhere, so that proves no success.
         if !ends_with_connection {
-            crashes::record_response(context);
+            crashes::record_complete_response(context);
         }
         TargetOutcome::Responded
     } else {
@@ -470,9 +395,10 @@
         .record_send(shared.now(), &entry.id);
     let sent_at = shared.now();
     let mut attempt = TargetAttempt::new(context, entry.clone(), connection);
+    context.set_may_have_executed(true);
     let attempt_timeout_ms = attempt_timeout_ms(context);
     let response_future = async {
-        match attempt.connection.get() {
+        match attempt.connection() {
             Ok(connection) => connection.send(request).await,
             Err(error) => Err(error),
         }
@@ -487,12 +413,12 @@
         Some(Ok(Err(error))) => {
             attempt.close(TargetOutcome::Broken);
             let reason = error.to_string();
-            let prompt_suspicion = if shared.now() - sent_at < MIN_EXECUTION_MS {
-                PromptSuspicion::Unlikely
+            let connection_end = if shared.now() - sent_at < MIN_EXECUTION_MS {
+                ConnectionEnd::BeforeExecution
             } else {
-                PromptSuspicion::Possible
+                ConnectionEnd::BeforeResponse
             };
-            crashes::record_crash(context, entry, &reason, prompt_suspicion);
+            crashes::record_crash(context, entry, &reason, connection_end);
             return AttemptOutcome::MaybeExecuted(reason);
         }
         Some(Err(_)) | None => {
@@ -518,7 +444,7 @@
         http_response.status(),
         headers,
         &context.client.id,
-        attempt.connection.is_reused(),
+        attempt.is_connection_reused(),
     );
     let is_from_target = !matches!(
         response_class,
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -16,6 +16,7 @@
 use arbutus_policy::quarantine::QuarantineEntry;
 use arbutus_policy::serving::batch::PieceSource;
 use arbutus_policy::serving::batch::QueueName;
+use arbutus_policy::serving::crash_quarantine::CrashReport;
 use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::prompt_quarantine::PartHash;
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
@@ -29,7 +30,7 @@
 /// Version of the messages in this module. An instance writes it to its entry in the store. It sends
 /// a peer only commands of versions that the entry of the peer names, and uses later replies only for
 /// such commands.
-pub const PEER_PROTOCOL: u32 = 6;
+pub const PEER_PROTOCOL: u32 = 7;
 /// First version that has [`PeerCommand::Updates`].
 pub const COMPRESSED_UPDATES_PROTOCOL: u32 = 2;
 /// First version that has [`PeerCommand::TargetLimits`].
@@ -42,6 +43,8 @@
 pub const TARGET_VIEW_PROTOCOL: u32 = 6;
 /// First version that has [`PeerCommand::RolloutEvidence`] and knows [`ObjectKind::Rollouts`].
 pub const ROLLOUTS_PROTOCOL: u32 = 6;
+/// First version that has [`PeerCommand::CrashReports`].
+pub const CRASH_REPORTS_PROTOCOL: u32 = 7;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -138,6 +141,8 @@
     /// Reports the evidence of a roll-out to its decider, which replies with
     /// [`PeerReply::RolloutDirective`].
     RolloutEvidence(EvidenceReport),
+    /// The same as [`PeerCommand::CrashesToConfirm`], with crashes at any time.
+    CrashReports(Vec<CrashReport>),
 }
 
 /// A message to the instance that opened a connection.
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -16,6 +16,7 @@
 use crate::client_limits::LimitReason;
 use crate::client_memory::ChargedBody;
 use crate::crashes;
+use crate::crashes::TrialGuard;
 use crate::dispatch;
 use crate::dispatch::DispatchError;
 use crate::dispatch::SendKind;
@@ -88,6 +89,8 @@
     pub possible_executions: u32,
     /// Hash of the request's content, which identifies requests that crash targets.
     pub fingerprint: Fingerprint,
+    /// Set while the request is tried although it is quarantined.
+    pub trial: Option<TrialGuard>,
     /// Hashes of the prompt parts that other requests may share.
     pub prompt_parts: BTreeSet<PartHash>,
     /// Labels of the request's metrics.
@@ -103,6 +106,13 @@
         self.deadline - self.shared.now()
     }
 
+    /// Records whether a target may have executed the request in its trial, if it has one.
+    pub fn set_may_have_executed(&self, may_have_executed: bool) {
+        if let Some(trial) = &self.trial {
+            trial.set_may_have_executed(may_have_executed);
+        }
+    }
+
     /// Waits for a future. Returns `None` if the deadline passes first or the instance has to
     /// finish its requests because of a shutdown.
     pub async fn before_deadline<T>(&self, future: impl Future<Output = T>) -> Option<T> {
@@ -336,10 +346,7 @@
         .and_then(|organisation| organisation.priority)
         .unwrap_or(route.priority);
     let organisation = organisation.map(|organisation| organisation.name);
-    let labels = RequestLabels {
-        organisation: organisation.clone().unwrap_or_else(|| "-".to_owned()),
-        class: format!("{}-{}", route.kind, route.priority),
-    };
+    let labels = request_labels(organisation.as_deref(), &route);
     if !is_accepted_during_shutdown(shared, &route, deadline) {
         return reject(LocalReply::Refused, Some(SHUTDOWN_RETRY_AFTER_MS), guard);
     }
@@ -373,6 +380,7 @@
         deadline,
         possible_executions: 0,
         fingerprint,
+        trial: None,
         prompt_parts,
         labels,
         record,
@@ -380,6 +388,13 @@
     process(context, stage_client, guard).await
 }
 
+fn request_labels(organisation: Option<&str>, route: &Route) -> RequestLabels {
+    RequestLabels {
+        organisation: organisation.unwrap_or("-").to_owned(),
+        class: format!("{}-{}", route.kind, route.priority),
+    }
+}
+
 /// Receives the body of a request, or returns the reply to the client and its retry delay if that is
 /// not possible.
 async fn receive_body(
--- a/crates/serving/src/shared.rs
+++ b/crates/serving/src/shared.rs
@@ -26,11 +26,13 @@
 use arbutus_platform::settings::InstanceSettings;
 use arbutus_platform::store::InstanceEntry;
 use arbutus_platform::store::ObjectKind;
-use arbutus_policy::quarantine::QuarantineEntry;
+use arbutus_policy::quarantine::Fingerprint;
 use arbutus_policy::serving::batch::QueueName;
 use arbutus_policy::serving::cold_targets;
 use arbutus_policy::serving::cold_targets::ColdTargetPacer;
+use arbutus_policy::serving::crash_quarantine;
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
+use arbutus_policy::serving::crash_quarantine::CrashReport;
 use arbutus_policy::serving::first_event::FirstEventForecast;
 use arbutus_policy::serving::leaving_targets::LeavingReport;
 use arbutus_policy::serving::model::ClientLimits;
@@ -83,7 +85,9 @@
 #[derive(Debug, Default)]
 pub struct PendingReports {
     /// Requests that crash targets.
-    pub crashes: Vec<QuarantineEntry>,
+    pub crashes: Vec<CrashReport>,
+    /// Requests whose quarantine a response ended, and when.
+    pub responses: Vec<(Fingerprint, Millis)>,
     /// Crashes of which the parts of a prompt are suspected, and when they occurred.
     pub prompt_crashes: Vec<(Millis, PromptCrash)>,
     /// Suspected prompt parts of requests that got a response.
@@ -322,6 +326,14 @@
             .collect()
     }
 
+    /// Returns whether this instance is the one that tries quarantined requests.
+    #[must_use]
+    pub fn is_crash_tester(&self) -> bool {
+        let instances = self.instances.borrow();
+        let names = instances.keys().map(String::as_str);
+        crash_quarantine::is_tester(&self.settings.name, names)
+    }
+
     /// Returns another instance by its name, or `None` if it is not known.
     #[must_use]
     pub fn peer(&self, name: &str) -> Option<InstanceEntry> {
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -18,16 +18,16 @@
 use crate::connection;
 use crate::connection::AbortOnDrop;
 use crate::crashes;
-use crate::crashes::PromptSuspicion;
+use crate::crashes::ConnectionEnd;
 use crate::dispatch;
 use crate::dispatch::SendKind;
-use crate::dispatch::TargetAttempt;
 use crate::dispatch::TargetResponse;
 use crate::frontend::InProgressGuard;
 use crate::request::RequestContext;
 use crate::response::ClientBody;
 use crate::response::build_response;
 use crate::stages::RequestStages;
+use crate::target_attempt::TargetAttempt;
 use crate::target_reports;
 use arbutus_coord::Millis;
 use arbutus_platform::response::headers_for_client;
@@ -170,6 +170,10 @@
                     if self.splitter.is_at_event_boundary()
                         && (has_begun || !ends_with_connection) =>
                 {
+                    // A crash can end a stream without a length anywhere, so that proves no success.
+                    if !ends_with_connection {
+                        crashes::record_complete_response(&self.context);
+                    }
                     attempt.release(TargetOutcome::Responded, &head.headers);
                     return RelayOutcome::Complete;
                 }
@@ -190,7 +194,7 @@
             while let Ok(Some(events)) = pushed {
                 if !has_begun {
                     has_begun = true;
-                    crashes::record_response(&self.context);
+                    crashes::clear_prompt(&self.context);
                     target_reports::record_first_event(&self.context, &attempt);
                 }
                 self.record_events();
@@ -210,10 +214,12 @@
 
     /// Ends an attempt whose stream is incomplete. `has_begun` tells whether it had an event.
     fn interrupt(&self, attempt: TargetAttempt, reason: String, has_begun: bool) -> RelayOutcome {
-        if !has_begun {
-            let target = attempt.target();
-            crashes::record_crash(&self.context, target, &reason, PromptSuspicion::Possible);
-        }
+        let connection_end = if has_begun {
+            ConnectionEnd::WithinResponse
+        } else {
+            ConnectionEnd::BeforeResponse
+        };
+        crashes::record_crash(&self.context, attempt.target(), &reason, connection_end);
         attempt.close(TargetOutcome::Broken);
         RelayOutcome::Interrupted(reason)
     }
--- a/crates/serving/src/target_reports.rs
+++ b/crates/serving/src/target_reports.rs
@@ -12,7 +12,6 @@
 use http::StatusCode;
 use log::info;
 
-use crate::dispatch::TargetAttempt;
 use crate::net::sleep;
 use crate::peer::PeerConnections;
 use crate::peer_messages::PeerCommand;
@@ -21,6 +20,7 @@
 use crate::request::RequestContext;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
+use crate::target_attempt::TargetAttempt;
 use arbutus_coord::Millis;
 use arbutus_platform::response::ReportedLoad;
 use arbutus_policy::serving::model::TargetEntry;
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -14,6 +14,7 @@
 pub mod slow_client;
 pub mod store;
 pub mod target;
+mod target_body;
 
 use std::io;
 use std::net::Ipv4Addr;
--- a/crates/standins/src/simulated_platform/target.rs
+++ b/crates/standins/src/simulated_platform/target.rs
@@ -4,14 +4,10 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddrV4;
-use std::ops::Range;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,13 +19,14 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::Body;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 pub use crate::simulated_platform::fault::Fault;
+use crate::simulated_platform::target_body::EVENT_DELAY;
+use crate::simulated_platform::target_body::ResponseCompletion;
+use crate::simulated_platform::target_body::TargetBody;
 use arbutus_coord::Millis;
 use arbutus_platform::names;
 use arbutus_platform::stage;
@@ -40,8 +37,6 @@
 pub const EVENT_COUNT: u64 = 6;
 /// Identifier of the first event of a stream; the protocol prescribes none.
 const FIRST_EVENT_ID: u64 = 1;
-/// Delay before each event of a stream.
-const EVENT_DELAY: Duration = Duration::from_millis(15);
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(150);
 
 /// A request that a target has executed.
@@ -61,6 +56,15 @@
     pub completed_at: Option<Instant>,
 }
 
+/// Requests that crash each target that executes them.
+#[derive(Clone, Debug)]
+pub struct DeadlyRequest {
+    /// The body of the requests.
+    pub body: &'static str,
+    /// Number of events of a stream before the crash. Other responses do not begin.
+    pub events_before_crash: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     executed: Vec<ExecutedRequest>,
@@ -85,6 +89,8 @@
     arrivals: Vec<Instant>,
     /// Prompt part that crashes the target when it begins to respond.
     deadly_part: Option<String>,
+    /// Requests that crash the target.
+    deadly_request: Option<DeadlyRequest>,
     /// Sources of the pieces of each stage call that has results.
     stage_calls: Vec<Vec<PieceSource>>,
     /// Whether the next stage call computes no piece.
@@ -222,16 +228,37 @@
         self.lock().deadly_part = part.map(str::to_owned);
     }
 
+    /// Crashes the target when it executes a request with a body: all connections to it break.
+    pub fn set_deadly_request(&self, deadly_request: DeadlyRequest) {
+        self.lock().deadly_request = Some(deadly_request);
+    }
+
     /// Returns a receiver of the number of crashes.
     pub(super) fn crashes(&self) -> watch::Receiver<u64> {
         self.crash_count.subscribe()
     }
 
-    fn crash(&self) {
+    /// Records that the complete response to the executed request with this index was written.
+    pub(super) fn record_completion(&self, index: usize) {
+        if let Some(request) = self.lock().executed.get_mut(index) {
+            request.completed_at = Some(Instant::now());
+        }
+    }
+
+    pub(super) fn crash(&self) {
         self.crash_count.send_modify(|count| *count += 1);
     }
 
-    fn is_deadly(&self, prompt_parts: &str) -> bool {
+    /// Returns after how many events of a stream a request crashes the target.
+    fn events_before_crash(&self, prompt_parts: &str, body: &[u8]) -> Option<u64> {
+        let deadly_request = self.lock().deadly_request.clone();
+        let deadly_request =
+            deadly_request.filter(|deadly_request| deadly_request.body.as_bytes() == body);
+        let by_request = deadly_request.map(|deadly_request| deadly_request.events_before_crash);
+        by_request.or_else(|| self.has_deadly_part(prompt_parts).then_some(0))
+    }
+
+    fn has_deadly_part(&self, prompt_parts: &str) -> bool {
         let Some((shared_parts, _last)) = prompt_parts.rsplit_once(',') else {
             return false;
         };
@@ -345,6 +372,14 @@
         Some(Fault::CloseWithoutResponse) => return Err(io::ErrorKind::ConnectionReset.into()),
         _ => {}
     }
+    let prompt_parts = header_text(&names::PROMPT_PARTS);
+    let events_before_crash = target.events_before_crash(&prompt_parts, &body);
+    let is_stream = head.headers.contains_key(names::TOKEN_COUNTS);
+    if events_before_crash.is_some() && !is_stream {
+        target.crash();
+        // The connection breaks with all others of the target.
+        return std::future::pending().await;
+    }
     let echoed = if fault == Some(Fault::WrongRequestId) {
         "another".to_owned()
     } else {
@@ -361,24 +396,10 @@
     if let Some((status, text)) = fault.and_then(Fault::error) {
         return respond(status, &headers, TargetBody::with_content(text.as_bytes()));
     }
-    if head.headers.contains_key(names::TOKEN_COUNTS) {
-        let first_id = target.lock().first_event_id.unwrap_or(FIRST_EVENT_ID);
+    if is_stream {
         let last_event: Option<u64> = header_text(&names::LAST_EVENT_ID).parse().ok();
-        let next_event = last_event.map_or(first_id, |id| id + 1);
-        let aborted_event = match fault {
-            Some(Fault::AbortAfterEvents(events)) => Some(next_event + events),
-            _ => None,
-        };
         headers.push((http::header::CONTENT_TYPE, "text/event-stream".to_owned()));
-        let end = first_id + EVENT_COUNT;
-        let mut body = TargetBody::events(next_event..end, aborted_event, completion);
-        let (event_delay, drips) = {
-            let state = target.lock();
-            (state.event_delay, state.drips)
-        };
-        body.event_delay = event_delay.unwrap_or(EVENT_DELAY);
-        body.drips = drips;
-        body.is_deadly = target.is_deadly(&header_text(&names::PROMPT_PARTS));
+        let body = stream_body(completion, last_event, fault, events_before_crash);
         return respond(StatusCode::OK, &headers, body);
     }
     let mut content = format!("answer of {}", target.id).into_bytes();
@@ -395,6 +416,29 @@
     respond(StatusCode::OK, &headers, body)
 }
 
+/// Returns the body of a stream that begins after `last_event`.
+fn stream_body(
+    completion: ResponseCompletion,
+    last_event: Option<u64>,
+    fault: Option<Fault>,
+    events_before_crash: Option<u64>,
+) -> TargetBody {
+    let target = Arc::clone(&completion.target);
+    let state = target.lock();
+    let first_id = state.first_event_id.unwrap_or(FIRST_EVENT_ID);
+    let next_event = last_event.map_or(first_id, |id| id + 1);
+    let aborted_event = match fault {
+        Some(Fault::AbortAfterEvents(events)) => Some(next_event + events),
+        _ => None,
+    };
+    let end = first_id + EVENT_COUNT;
+    let mut body = TargetBody::events(next_event..end, aborted_event, completion);
+    body.event_delay = state.event_delay.unwrap_or(EVENT_DELAY);
+    body.drips = state.drips;
+    body.crash_event = events_before_crash.map(|events| next_event + events);
+    body
+}
+
 async fn respond_to_stage_call(target: &Target, body: &[u8]) -> io::Result<Response<TargetBody>> {
     let pieces = stage::decode_call_request(body)?;
     if std::mem::take(&mut target.lock().fails_next_stage_call) {
@@ -436,136 +480,3 @@
     }
     builder.body(body).map_err(io::Error::other)
 }
-
-/// Records that the response to an executed request was written completely.
-#[derive(Debug)]
-struct ResponseCompletion {
-    target: Arc<Target>,
-    /// Index in the executed requests of the target.
-    index: usize,
-}
-
-impl ResponseCompletion {
-    fn record(&self) {
-        if let Some(request) = self.target.lock().executed.get_mut(self.index) {
-            request.completed_at = Some(Instant::now());
-        }
-    }
-}
-
-/// Body of a response: fixed content or a sequence of events.
-#[derive(Debug)]
-pub(super) struct TargetBody {
-    content: Option<Bytes>,
-    /// Whether the connection breaks after the content.
-    is_truncated: bool,
-    /// Identifiers of the events to send; `None` if the body is not a sequence of events.
-    events: Option<Range<u64>>,
-    /// The event of which half is sent before the connection breaks.
-    aborted_event: Option<u64>,
-    /// Whether the target crashes instead of the first event.
-    is_deadly: bool,
-    event_delay: Duration,
-    /// Whether the body consists of single bytes of an event that does not end.
-    drips: bool,
-    delay: Option<Pin<Box<tokio::time::Sleep>>>,
-    completion: Option<ResponseCompletion>,
-}
-
-impl TargetBody {
-    fn empty() -> Self {
-        Self {
-            content: None,
-            is_truncated: false,
-            events: None,
-            aborted_event: None,
-            is_deadly: false,
-            event_delay: EVENT_DELAY,
-            drips: false,
-            delay: None,
-            completion: None,
-        }
-    }
-
-    fn with_content(content: &[u8]) -> Self {
-        Self {
-            content: Some(Bytes::copy_from_slice(content)),
-            ..Self::empty()
-        }
-    }
-
-    fn events(
-        events: Range<u64>,
-        aborted_event: Option<u64>,
-        completion: ResponseCompletion,
-    ) -> Self {
-        Self {
-            events: Some(events),
-            aborted_event,
-            completion: Some(completion),
-            ..Self::empty()
-        }
-    }
-
-    fn record_completion(&self) {
-        if let Some(completion) = &self.completion {
-            completion.record();
-        }
-    }
-}
-
-impl Body for TargetBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if let Some(content) = self.content.take() {
-            return Poll::Ready(Some(Ok(Frame::data(content))));
-        }
-        if self.is_truncated {
-            return Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())));
-        }
-        let Some(events) = self.events.clone().filter(|events| !events.is_empty()) else {
-            self.record_completion();
-            return Poll::Ready(None);
-        };
-        let event = events.start;
-        let event_delay = self.event_delay;
-        let delay = self
-            .delay
-            .get_or_insert_with(|| Box::pin(sleep(event_delay)));
-        if delay.as_mut().poll(cx).is_pending() {
-            return Poll::Pending;
-        }
-        self.delay = None;
-        if self.drips {
-            return Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"x")))));
-        }
-        // The response head was written during the delay.
-        if self.is_deadly {
-            if let Some(completion) = &self.completion {
-                completion.target.crash();
-            }
-            // The connection breaks with all others of the target.
-            return Poll::Pending;
-        }
-        // Half of the aborted event has been sent.
-        if self.aborted_event.is_some_and(|aborted| event > aborted) {
-            return Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())));
-        }
-        self.events = Some(event + 1..events.end);
-        let content = format!("id: {event}\ndata: token {event}\n\n");
-        let is_aborted = self.aborted_event == Some(event);
-        let end = if is_aborted {
-            content.len() / 2
-        } else {
-            content.len()
-        };
-        Poll::Ready(Some(Ok(Frame::data(Bytes::copy_from_slice(
-            &content.as_bytes()[..end],
-        )))))
-    }
-}
