--- a/crates/daemon/tests/platform_quarantine.rs
+++ b/crates/daemon/tests/platform_quarantine.rs
@@ -443,3 +443,53 @@
     let unserved = popular.iter().filter(|(at, served)| *at > last && !served);
     assert_eq!(unserved.count(), 0, "{popular:?}");
 }
+
+/// Guards against a quarantine that is told once and forgotten by each instance that restarts: a
+/// booking that crashes targets reached two more after each restart.
+#[test]
+fn an_instance_that_restarts_knows_the_quarantined_requests() {
+    /// Crashes that quarantine the booking, and the one of its trial.
+    const MAX_CRASHES: usize = 3;
+    /// A target that crashed is in service again after this time.
+    const CALL_INTERVAL: Duration = Duration::from_millis(1_300);
+
+    let mut cluster = start_cluster(INSTANCES);
+    for target in &cluster.platform.targets {
+        target.set_deadly_request(DeadlyRequest {
+            body: Resender::DEADLY_BODY,
+            events_before_crash: 0,
+        });
+    }
+    thread::sleep(DISCOVERY_TIME);
+    let send = |cluster: &TestCluster, instance: usize, id: &str, body: &str| {
+        let request = ClientRequest::new("POST", "/unsafe/1", id).with_body(body);
+        let status = cluster.call(instance, &request).status;
+        thread::sleep(CALL_INTERVAL);
+        status
+    };
+    for number in 0..2 {
+        send(
+            &cluster,
+            0,
+            &format!("deadly-{number}"),
+            Resender::DEADLY_BODY,
+        );
+    }
+    for instance in 0..INSTANCES {
+        let process = &mut cluster.instances[instance];
+        process.terminate().expect("the process runs");
+        assert!(process.wait().expect("the process ends"));
+        process.restart().expect("the instance starts");
+        process.wait_until_ready().expect("the instance is ready");
+        thread::sleep(CALL_INTERVAL);
+        for call in 0..2 {
+            let id = format!("deadly-after-{instance}-{call}");
+            send(&cluster, instance, &id, Resender::DEADLY_BODY);
+        }
+        // Shows that targets are in service.
+        let id = format!("sound-{instance}");
+        assert_eq!(send(&cluster, instance, &id, "sound"), 200, "{id}");
+    }
+    let crashes = cluster.crashes();
+    assert!(crashes.len() <= MAX_CRASHES, "{crashes:?}");
+}
--- a/crates/policy/src/serving/crash_quarantine.rs
+++ b/crates/policy/src/serving/crash_quarantine.rs
@@ -47,6 +47,11 @@
 const INCONCLUSIVE_TRIAL_DELAY_MS: Millis = Millis(20_000);
 /// How long after a failed trial there is no other one.
 const FAILED_TRIAL_RETENTION_MS: Millis = Millis(600_000);
+/// Minimum time between two reminders of quarantined requests.
+const MIN_REMINDER_INTERVAL_MS: Millis = Millis(5_000);
+/// Minimum time between two reminders for each instance that receives them, which bounds the messages
+/// of the tester to 50 per second.
+const REMINDER_INTERVAL_PER_PEER_MS: Millis = Millis(20);
 /// Maximum number of requests with recorded crashes, of those with a recorded response, and of those
 /// with a recorded trial.
 const MAX_FINGERPRINTS: usize = 1_024;
@@ -94,6 +99,7 @@
     at_any_time: Quarantine,
     trials: BTreeMap<Fingerprint, Trial>,
     last_response_at: BTreeMap<Fingerprint, Millis>,
+    last_reminder_at: Option<Millis>,
 }
 
 impl CrashQuarantine {
@@ -111,6 +117,7 @@
             at_any_time: quarantine.with_failure_threshold(ANY_TIME_THRESHOLD),
             trials: BTreeMap::new(),
             last_response_at: BTreeMap::new(),
+            last_reminder_at: None,
         }
     }
 
@@ -225,6 +232,30 @@
             .collect()
     }
 
+    /// Returns reports on at most `limit` quarantined requests if a reminder of `peer_count` instances
+    /// is due.
+    pub fn take_reminders(
+        &mut self,
+        now: Millis,
+        peer_count: usize,
+        limit: usize,
+    ) -> Vec<CrashReport> {
+        let interval_ms = REMINDER_INTERVAL_PER_PEER_MS.times(peer_count as u64);
+        let interval_ms = interval_ms.max(MIN_REMINDER_INTERVAL_MS);
+        let last_reminder_at = self.last_reminder_at;
+        if last_reminder_at.is_some_and(|last_reminder_at| now < last_reminder_at + interval_ms) {
+            return Vec::new();
+        }
+        self.last_reminder_at = Some(now);
+        let mut reports = self.reports(now, usize::MAX);
+        reports.retain(|report| {
+            let fingerprint = report.fingerprint();
+            fingerprint.is_some_and(|fingerprint| self.remaining(now, fingerprint).is_some())
+        });
+        reports.truncate(limit);
+        reports
+    }
+
     /// Returns the time since the last response to a request if that was recent.
     #[must_use]
     pub fn recent_response_age(&self, now: Millis, fingerprint: Fingerprint) -> Option<Millis> {
--- a/crates/policy/tests/serving/limits.rs
+++ b/crates/policy/tests/serving/limits.rs
@@ -9,6 +9,7 @@
 use arbutus_policy::serving::crash_quarantine;
 use arbutus_policy::serving::crash_quarantine::CrashPhase;
 use arbutus_policy::serving::crash_quarantine::CrashQuarantine;
+use arbutus_policy::serving::crash_quarantine::CrashReport;
 use arbutus_policy::serving::prompt_quarantine::TargetHash;
 use arbutus_policy::serving::retry_budget::RetryLimits;
 use arbutus_policy::serving::retry_budget::WindowedRetryBudget;
@@ -332,3 +333,32 @@
     assert!(!quarantine.is_trial_due(Millis(20_000), first));
     assert!(quarantine.is_trial_due(Millis(24_000), first));
 }
+
+/// Guards against an instance that never hears of a quarantine, because it was unreachable when the
+/// crashes were reported, and against reminders that grow with the number of instances.
+#[test]
+fn instances_are_reminded_of_quarantined_requests() {
+    let quarantined = crash_quarantine::fingerprint("/quarantined", "bakers", b"");
+    let popular = crash_quarantine::fingerprint("/popular", "bakers", b"");
+    let mut quarantine = CrashQuarantine::new();
+    quarantine.record_response(Millis(1_000), popular);
+    for target in ["a", "b"] {
+        for fingerprint in [quarantined, popular] {
+            let phase = CrashPhase::BeforeResponse;
+            quarantine.record_crash(Millis(1_000), fingerprint, run_of(target), phase);
+        }
+    }
+    let mut reminded = |now: u64, peers: usize| {
+        let reports = quarantine.take_reminders(Millis(now), peers, 64);
+        reports
+            .iter()
+            .filter_map(CrashReport::fingerprint)
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(reminded(1_000, 16), [quarantined]);
+    assert_eq!(reminded(5_900, 16), []);
+    assert_eq!(reminded(6_000, 16), [quarantined]);
+    assert_eq!(reminded(39_900, 1_700), []);
+    assert_eq!(reminded(40_000, 1_700), [quarantined]);
+    assert_eq!(reminded(61_000, 16), []);
+}
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -7,9 +7,11 @@
 use log::warn;
 use rand::seq::IndexedRandom;
 
+use crate::crashes;
 use crate::logging::DroppedLineCount;
 use crate::net::sleep;
 use crate::peer::PeerConnections;
+use crate::peer_messages::CRASH_REPORTS_PROTOCOL;
 use crate::peer_messages::LEAVING_TARGETS_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::TARGET_LIMITS_PROTOCOL;
@@ -40,8 +42,11 @@
 ) -> Result<(), String> {
     loop {
         sleep(HOUSEKEEPING_INTERVAL_MS).await;
-        let reports = shared.pending_reports.take();
+        let mut reports = shared.pending_reports.take();
         let now = shared.now();
+        let peer_count = shared.peers().len();
+        let reminders = crashes::take_reminders(&shared, peer_count);
+        reports.crashes.extend(reminders);
         let mut commands = Vec::new();
         if !reports.prompt_crashes.is_empty() {
             let crashes = reports.prompt_crashes.into_iter();
@@ -90,9 +95,9 @@
     }
 }
 
-/// Asks some peers for the quarantined prompt parts, and the limits and shutdowns of targets, once the
-/// instances are known. Without them, an instance that starts would have to observe a crash of its
-/// own, and would send to limited or leaving targets until they respond.
+/// Asks some peers for the quarantined requests and prompt parts, and the limits and shutdowns of
+/// targets, once the instances are known. Without them, an instance that starts would have to observe
+/// crashes of its own, and would send to limited or leaving targets until they respond.
 ///
 /// # Errors
 ///
@@ -107,6 +112,8 @@
     let peers = shared.peers();
     for peer in peers.sample(&mut rand::rng(), REPORT_SOURCES) {
         connections.send(&peer.name, PeerCommand::QuarantinedPrompts);
+        let crashes = PeerCommand::KnownCrashes;
+        connections.send_if_understood(peer, CRASH_REPORTS_PROTOCOL, crashes);
         let limits = PeerCommand::KnownTargetLimits;
         connections.send_if_understood(peer, TARGET_LIMITS_PROTOCOL, limits);
         let leaving = PeerCommand::KnownLeavingTargets;
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -19,6 +19,11 @@
 use arbutus_policy::serving::prompt_quarantine::PromptCrash;
 use arbutus_policy::serving::prompt_quarantine::TargetHash;
 
+/// Maximum number of requests that an instance which starts is told of.
+const MAX_KNOWN_CRASHES: usize = 256;
+/// Maximum number of requests in a reminder.
+const MAX_REMINDERS: usize = 64;
+
 /// When a connection to a target broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -239,6 +244,24 @@
     answered.collect()
 }
 
+/// Returns reports on the requests that crashed targets lately, for an instance that starts.
+#[must_use]
+pub fn known_crashes(shared: &Shared) -> Vec<CrashReport> {
+    let crash_quarantine = shared.crash_quarantine.borrow();
+    crash_quarantine.reports(shared.now(), MAX_KNOWN_CRASHES)
+}
+
+/// Returns reports on quarantined requests of which the tester reminds its peers at times, since a
+/// peer may have been unreachable when a crash was reported.
+#[must_use]
+pub fn take_reminders(shared: &Shared, peer_count: usize) -> Vec<CrashReport> {
+    if !shared.is_crash_tester() {
+        return Vec::new();
+    }
+    let mut crash_quarantine = shared.crash_quarantine.borrow_mut();
+    crash_quarantine.take_reminders(shared.now(), peer_count, MAX_REMINDERS)
+}
+
 /// Records responses to reported requests that peers got, and returns those that this instance knew
 /// no response to.
 pub fn record_peer_responses(
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -305,6 +305,10 @@
             PeerReply::PromptCrashes(earlier) => {
                 crashes::merge_earlier_crashes(&self.shared, &earlier);
             }
+            PeerReply::KnownCrashes(reports) => {
+                let answered = crashes::merge_crashes(&self.shared, &reports);
+                self.report_responses(&answered);
+            }
             PeerReply::RecentResponses(responses) => {
                 let learnt = crashes::record_peer_responses(&self.shared, &responses);
                 self.report_responses(&learnt);
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -43,7 +43,7 @@
 pub const TARGET_VIEW_PROTOCOL: u32 = 6;
 /// First version that has [`PeerCommand::RolloutEvidence`] and knows [`ObjectKind::Rollouts`].
 pub const ROLLOUTS_PROTOCOL: u32 = 6;
-/// First version that has [`PeerCommand::CrashReports`].
+/// First version that has [`PeerCommand::CrashReports`] and [`PeerCommand::KnownCrashes`].
 pub const CRASH_REPORTS_PROTOCOL: u32 = 7;
 
 /// Pieces of one stage of a request, sent to the owner of their queue.
@@ -143,6 +143,8 @@
     RolloutEvidence(EvidenceReport),
     /// The same as [`PeerCommand::CrashesToConfirm`], with crashes at any time.
     CrashReports(Vec<CrashReport>),
+    /// Requests the crashes of all requests that crashed targets lately.
+    KnownCrashes,
 }
 
 /// A message to the instance that opened a connection.
@@ -196,4 +198,6 @@
     TargetSummaries(SummaryMessage),
     /// What the decider of a roll-out instructs the sender of a report to do.
     RolloutDirective(Directive),
+    /// The requests that crashed targets lately and got no response since.
+    KnownCrashes(Vec<CrashReport>),
 }
--- a/crates/serving/src/peer_server.rs
+++ b/crates/serving/src/peer_server.rs
@@ -259,6 +259,12 @@
                 self.merge_crashes(&reports, replies);
             }
             PeerCommand::CrashReports(reports) => self.merge_crashes(&reports, replies),
+            PeerCommand::KnownCrashes => {
+                let reports = crashes::known_crashes(&self.shared);
+                if !reports.is_empty() {
+                    replies.push(PeerReply::KnownCrashes(reports));
+                }
+            }
             PeerCommand::RecentResponses(responses) => {
                 // The peer has told all others.
                 let _learnt = crashes::record_peer_responses(&self.shared, &responses);
