--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -1,6 +1,5 @@
 //! A single HTTP connection to a target or to the store.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -23,16 +22,16 @@
 use tokio::task::spawn_local;
 
 use crate::body::BodyError;
+use crate::exchange::Exchange;
 use crate::net;
 use crate::observed_stream::ObservedStream;
-use crate::observed_stream::StreamObserver;
 use arbutus_coord::Millis;
 
 /// Maximum size of a response head, and of the bytes of a body that were received and not read yet.
 /// Heads have a few hundred bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
-/// Value of [`HeadLimit::allowed_bytes`] while a body is received.
-const UNLIMITED: usize = usize::MAX;
+/// Maximum number of bytes that the kernel holds for a peer that does not read.
+const MAX_UNSENT_BYTES: usize = 64 * 1024;
 
 /// Why a call over a connection failed.
 #[derive(Debug, Display)]
@@ -83,55 +82,10 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    head_limit: HeadLimit,
+    exchange: Rc<Exchange>,
     _driver: AbortOnDrop,
 }
 
-/// Fails a connection when too many bytes arrive before a response head.
-///
-/// The HTTP library skips interim responses, however many there are, and does nothing else as long
-/// as they arrive.
-#[derive(Clone, Debug)]
-struct HeadLimit {
-    /// Number of bytes that may still arrive before the next response head is complete.
-    allowed_bytes: Rc<Cell<usize>>,
-}
-
-impl HeadLimit {
-    fn new() -> Self {
-        Self {
-            allowed_bytes: Rc::new(Cell::new(MAX_BUFFER_BYTES)),
-        }
-    }
-
-    /// Limits the bytes of the next response head.
-    fn begin_head(&self) {
-        self.allowed_bytes.set(MAX_BUFFER_BYTES);
-    }
-
-    /// Ends the limit: the head is complete, and a body may follow.
-    fn end_head(&self) {
-        self.allowed_bytes.set(UNLIMITED);
-    }
-}
-
-impl StreamObserver for HeadLimit {
-    fn check_read(&self) -> io::Result<()> {
-        if self.allowed_bytes.get() > 0 {
-            return Ok(());
-        }
-        let error = "the response has no head within the size limit";
-        Err(io::Error::new(io::ErrorKind::InvalidData, error))
-    }
-
-    fn record_read(&self, bytes: usize) {
-        let allowed_bytes = self.allowed_bytes.get();
-        if allowed_bytes != UNLIMITED {
-            self.allowed_bytes.set(allowed_bytes.saturating_sub(bytes));
-        }
-    }
-}
-
 impl Connection {
     /// Connects to an address.
     ///
@@ -142,8 +96,9 @@
         let stream = net::connect(address, timeout_ms)
             .await
             .map_err(CallError::Connect)?;
-        let head_limit = HeadLimit::new();
-        let stream = ObservedStream::new(stream, head_limit.clone());
+        net::limit_unsent_bytes(&stream, MAX_UNSENT_BYTES).map_err(CallError::Connect)?;
+        let exchange = Exchange::new(MAX_BUFFER_BYTES);
+        let stream = ObservedStream::new(stream, Rc::clone(&exchange));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -156,7 +111,7 @@
         });
         Ok(Self {
             sender,
-            head_limit,
+            exchange,
             _driver: AbortOnDrop::new(driver),
         })
     }
@@ -185,9 +140,10 @@
         if self.sender.ready().await.is_err() {
             return Err(CallError::Unsent);
         }
-        self.head_limit.begin_head();
+        let body_bytes = request.body().size_hint().lower();
+        self.exchange.begin(body_bytes);
         let response = self.sender.try_send_request(request).await;
-        self.head_limit.end_head();
+        self.exchange.end_head();
         response.map_err(|mut error| match error.take_message() {
             Some(_) => CallError::Unsent,
             None => CallError::Interrupted(error.into_error()),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod connection;
 pub mod crashes;
 pub mod dispatch;
+pub mod exchange;
 pub mod follow_state;
 pub mod frontend;
 pub mod logging;
--- a/crates/serving/src/net.rs
+++ b/crates/serving/src/net.rs
@@ -62,6 +62,16 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Limits the bytes that the kernel holds until the peer has received them. The sender then knows
+/// whether the peer has received most of what was written.
+///
+/// # Errors
+///
+/// Returns an error when the socket option cannot be set.
+pub fn limit_unsent_bytes(stream: &TcpStream, max_bytes: usize) -> io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(max_bytes)
+}
+
 /// Listens on an address.
 ///
 /// # Errors
--- a/crates/serving/src/observed_stream.rs
+++ b/crates/serving/src/observed_stream.rs
@@ -27,6 +27,19 @@
     /// Called with the number of bytes that were written, if there are any.
     fn record_write(&self, _bytes: usize) {}
 
+    /// Called when all bytes that were to be written have been written.
+    fn record_flush(&self) {}
+
+    /// Called when the peer has ended its side of the connection, before a read returns that.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error to fail the read, if the end does not show that the peer has sent all it
+    /// wanted to send.
+    fn poll_end(&self, _cx: &mut Context<'_>, _stream: &TcpStream) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
     /// Called when bytes cannot be written because the peer has not read earlier ones.
     fn record_blocked_write(&self) {}
 }
@@ -67,6 +80,10 @@
         if bytes > 0 {
             self.observer.record_read(bytes);
         }
+        let has_ended = matches!(polled, Poll::Ready(Ok(()))) && bytes == 0 && buf.remaining() > 0;
+        if has_ended {
+            return self.observer.poll_end(cx, &self.stream);
+        }
         polled
     }
 }
@@ -83,6 +100,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.observer.record_flush();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/standins/src/simulated_platform/mod.rs
+++ b/crates/standins/src/simulated_platform/mod.rs
@@ -10,6 +10,7 @@
 pub mod flooder;
 pub mod instance;
 pub mod link;
+pub mod mangler;
 pub mod repeater;
 pub mod slow_client;
 pub mod store;
