--- a/crates/policy/src/serving/target_directory.rs
+++ b/crates/policy/src/serving/target_directory.rs
@@ -5,7 +5,8 @@
 //! register again after the outage. Targets of a failure domain whose evacuation has ended are
 //! treated as cold for a time, whatever their entries say. Callers check a target again right
 //! before they send to it, since its state may have changed after its selection. A target that has
-//! said that it shuts down gets no requests, however the list shows it.
+//! said that it shuts down gets no requests, however the list shows it. The list of a store that has
+//! come back from an older copy is no news; see [`TargetDirectory::replace_by_copy`].
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -21,6 +22,15 @@
 /// than that.
 const EXPIRY_GRACE_MS: Millis = Millis(1_700);
 
+/// How long an entry that appears in a store which has come back from an older copy is not used, unless
+/// its target writes it again. Running targets do so within this time.
+const COPIED_ENTRY_DELAY_MS: Millis = Millis(2_000);
+/// How long it is remembered that a target was removed or drained. A copy of the store is some seconds
+/// old.
+const REMOVED_RETENTION_MS: Millis = Millis(60_000);
+/// Maximum number of removed targets that are remembered.
+const MAX_REMOVED_TARGETS: usize = 4_096;
+
 /// A change of the list of targets; each variant holds the identifier of the target. Log lines
 /// contain the names of the variants.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +51,8 @@
     cold_until: Millis,
     /// When the entry was found missing after a store outage.
     missing_since: Option<Millis>,
+    /// Until when the entry is not used, because it comes from an older copy of the store.
+    withheld_until: Option<Millis>,
 }
 
 /// All targets and the evacuated failure domains.
@@ -48,6 +60,8 @@
 pub struct TargetDirectory {
     targets: BTreeMap<String, KnownTarget>,
     leaving: LeavingTargets,
+    /// When each target was removed, with its incarnation.
+    removed: BTreeMap<String, (Option<u64>, Millis)>,
     evacuated: BTreeSet<String>,
     /// When the last evacuation of each failure domain ended.
     evacuation_ended_at: BTreeMap<String, Millis>,
@@ -75,7 +89,13 @@
             changes.extend(self.remove(now, &id, after_outage));
         }
         for entry in entries {
-            changes.extend(self.upsert(now, entry));
+            let known = self.targets.get(&entry.id);
+            // A list shows only that the target has not written the entry again.
+            let is_withheld =
+                known.is_some_and(|known| known.withheld_until.is_some() && known.entry == entry);
+            if !is_withheld {
+                changes.extend(self.upsert(now, entry));
+            }
         }
         changes
     }
@@ -91,7 +111,9 @@
                 entry,
                 cold_until,
                 missing_since: None,
+                withheld_until: None,
             };
+            self.removed.remove(&id);
             self.targets.insert(id, known);
             return Some(change);
         };
@@ -105,7 +127,8 @@
         }
         known.entry = entry;
         known.missing_since = None;
-        if is_new_incarnation {
+        let was_withheld = known.withheld_until.take().is_some();
+        if is_new_incarnation || was_withheld {
             return Some(TargetChange::Appeared(id));
         }
         stopped_accepting.then_some(TargetChange::Draining(id))
@@ -121,13 +144,72 @@
             known.missing_since.get_or_insert(now);
             return None;
         }
-        self.targets
-            .remove(id)
-            .map(|_| TargetChange::Gone(id.to_owned()))
+        let known = self.targets.remove(id)?;
+        self.remember_removed(now, id, known.entry.incarnation);
+        Some(TargetChange::Gone(id.to_owned()))
+    }
+
+    fn remember_removed(&mut self, now: Millis, id: &str, incarnation: Option<u64>) {
+        self.removed
+            .retain(|_, (_, removed_at)| *removed_at + REMOVED_RETENTION_MS > now);
+        if self.removed.len() < MAX_REMOVED_TARGETS {
+            self.removed.insert(id.to_owned(), (incarnation, now));
+        }
+    }
+
+    /// Replaces the whole list by that of a store that has come back from an older copy, and returns
+    /// the resulting changes.
+    ///
+    /// What is known from before is newer: entries that are missing in the copy stay in use for a
+    /// time, as after an outage, and earlier states of known targets are ignored. Other entries are
+    /// not used until their target writes them again, which [`Self::upsert`] records, or until they
+    /// are in the list for some time without having been removed before.
+    pub fn replace_by_copy(&mut self, now: Millis, entries: Vec<TargetEntry>) -> Vec<TargetChange> {
+        let present: BTreeSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for (id, known) in &mut self.targets {
+            if !present.contains(id) {
+                known.missing_since.get_or_insert(now);
+            }
+        }
+        let mut changes = Vec::new();
+        for entry in entries {
+            if let Some(known) = self.targets.get_mut(&entry.id) {
+                let is_newer = entry.incarnation > known.entry.incarnation;
+                let is_same = entry.incarnation == known.entry.incarnation;
+                if is_newer || (is_same && !entry.accepts_work) {
+                    changes.extend(self.upsert(now, entry));
+                } else if is_same {
+                    known.missing_since = None;
+                    if !known.entry.accepts_work {
+                        // The target was drained after the copy. Later lists show the same entry.
+                        known.entry = entry;
+                        known.withheld_until = Some(now + REMOVED_RETENTION_MS);
+                    }
+                }
+                continue;
+            }
+            let removed = self.removed.get(&entry.id);
+            let was_removed = removed.is_some_and(|(incarnation, removed_at)| {
+                *incarnation >= entry.incarnation && *removed_at + REMOVED_RETENTION_MS > now
+            });
+            let delay_ms = if was_removed {
+                REMOVED_RETENTION_MS
+            } else {
+                COPIED_ENTRY_DELAY_MS
+            };
+            let known = KnownTarget {
+                cold_until: now + entry.cold_remaining_ms,
+                missing_since: None,
+                withheld_until: Some(now + delay_ms),
+                entry,
+            };
+            self.targets.insert(known.entry.id.clone(), known);
+        }
+        changes
     }
 
     /// Removes the entries that expired during a store outage and did not return in the grace
-    /// period.
+    /// period, and accepts those that were withheld long enough.
     pub fn expire(&mut self, now: Millis) -> Vec<TargetChange> {
         let expired: Vec<String> = self
             .targets
@@ -140,7 +222,19 @@
             .map(|(id, _)| id.clone())
             .collect();
         let gone = expired.iter().filter_map(|id| self.remove(now, id, false));
-        gone.collect()
+        let mut changes: Vec<TargetChange> = gone.collect();
+        for (id, known) in &mut self.targets {
+            if known.withheld_until.is_some_and(|until| until <= now) {
+                known.withheld_until = None;
+                changes.push(TargetChange::Appeared(id.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuated(&self) -> impl Iterator<Item = &String> {
+        self.evacuated.iter()
     }
 
     /// Replaces the set of evacuated failure domains.
@@ -244,6 +338,7 @@
     fn may_get_requests(&self, known: &KnownTarget) -> bool {
         let entry = &known.entry;
         entry.accepts_work
+            && known.withheld_until.is_none()
             && !self.evacuated.contains(&entry.failure_domain)
             && !self.leaving.contains(&entry.id, entry.incarnation)
     }
--- a/crates/policy/tests/serving/target_directory.rs
+++ b/crates/policy/tests/serving/target_directory.rs
@@ -94,3 +94,33 @@
         Some(TargetChange::Gone("a".to_owned()))
     );
 }
+
+/// Guards against the old state in a copy of the store, which names targets that have left since, and
+/// lacks targets that have appeared since.
+#[test]
+fn a_copy_of_the_store_neither_restores_nor_removes_targets() {
+    let mut directory = TargetDirectory::default();
+    let entries = ["stays", "drains", "leaves", "starts"].map(|id| target(id, "s", "x"));
+    directory.replace(Millis(0), entries.to_vec(), false);
+    let mut draining = target("drains", "s", "x");
+    draining.accepts_work = false;
+    directory.upsert(Millis(1_000), draining);
+    directory.remove(Millis(1_000), "leaves", false);
+    let copy = ["stays", "drains", "leaves", "unknown"].map(|id| target(id, "s", "x"));
+    directory.replace_by_copy(Millis(2_000), copy.to_vec());
+    assert_eq!(usable(&directory, "s"), ["starts", "stays"]);
+    // Another list shows nothing new; the targets write their entries again all the time.
+    directory.replace_by_copy(Millis(2_500), copy.to_vec());
+    assert_eq!(usable(&directory, "s"), ["starts", "stays"]);
+    directory.upsert(Millis(3_000), target("starts", "s", "x"));
+    directory.upsert(Millis(3_000), target("stays", "s", "x"));
+    assert_eq!(
+        directory.expire(Millis(4_000)),
+        [TargetChange::Appeared("unknown".to_owned())]
+    );
+    directory.replace(Millis(4_500), copy.to_vec(), false);
+    assert_eq!(usable(&directory, "s"), ["stays", "unknown"]);
+    // The target that had left starts again under its identifier.
+    directory.upsert(Millis(5_000), target("leaves", "s", "x"));
+    assert_eq!(usable(&directory, "s"), ["leaves", "stays", "unknown"]);
+}
--- a/crates/serving/src/background.rs
+++ b/crates/serving/src/background.rs
@@ -19,6 +19,7 @@
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
 use arbutus_policy::quarantine::Fingerprint;
+use arbutus_policy::serving::target_directory::TargetChange;
 use arbutus_policy::serving::target_limits::LimitReport;
 
 /// How often an instance that starts checks whether its peers are known.
@@ -142,7 +143,7 @@
         let Some(peer) = peers.choose(&mut rand::rng()) else {
             continue;
         };
-        connections.request_updates(&peer.name, store.revisions(), false);
+        connections.request_updates(&peer.name, store.versions(), false);
     }
 }
 
@@ -160,10 +161,13 @@
         sleep(HOUSEKEEPING_INTERVAL_MS).await;
         let now = shared.now();
         shared.pool.close_expired(now);
-        let expired = shared.directory.borrow_mut().expire(now);
-        if !expired.is_empty() {
-            info!(targets = expired.len(); "removing targets that did not re-register after the store outage");
-            shared.apply_target_changes(&expired);
+        let changes = shared.directory.borrow_mut().expire(now);
+        if !changes.is_empty() {
+            let is_removed = |change: &&TargetChange| matches!(change, TargetChange::Gone(_));
+            let removed = changes.iter().filter(is_removed).count();
+            let accepted = changes.len() - removed;
+            info!(removed, accepted; "settled target entries after an outage or a return of the store");
+            shared.apply_target_changes(&changes);
         }
         let limited = shared.target_limits.borrow().reports(now).len();
         let limited = i64::try_from(limited).unwrap_or(i64::MAX);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod stage_queues;
 pub mod stages;
 pub mod store;
+pub mod store_version;
 pub mod stream;
 pub mod submitter_guard;
 pub mod target_attempt;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -83,6 +83,8 @@
     pub log_lines_dropped: Gauge,
     /// Targets that name a limit on their requests.
     pub limited_targets: Gauge,
+    /// The era of the store; 0 if it names none.
+    pub store_era: Gauge,
     /// Targets that have asked this instance for a pause that lasts.
     pub paused_targets: Gauge,
     /// Targets whose load the shared view knows.
@@ -125,6 +127,13 @@
     histograms
 }
 
+fn register_pieces_per_call(registry: &mut Registry) -> Histogram {
+    let histogram = Histogram::new(exponential_buckets(1.0, 2.0, 7));
+    let help = "Pieces of a stage call of the own queues";
+    registry.register("call_pieces", help, histogram.clone());
+    histogram
+}
+
 impl Metrics {
     /// Creates and registers all metrics.
     #[must_use]
@@ -145,12 +154,7 @@
             "stage_seconds",
             "Time of the stages before a request",
         );
-        let pieces_per_call = Histogram::new(exponential_buckets(1.0, 2.0, 7));
-        registry.register(
-            "call_pieces",
-            "Pieces of a stage call of the own queues",
-            pieces_per_call.clone(),
-        );
+        let pieces_per_call = register_pieces_per_call(&mut registry);
         Self {
             requests: register(&mut registry, "requests", "Ended requests"),
             response_seconds,
@@ -185,6 +189,11 @@
                 "log_lines_dropped",
                 "Lines that the log dropped",
             ),
+            store_era: register(
+                &mut registry,
+                "store_era",
+                "Era of the store, which rises when it comes back from an older copy",
+            ),
             limited_targets: register(
                 &mut registry,
                 "limited_targets",
--- a/crates/serving/src/peer.rs
+++ b/crates/serving/src/peer.rs
@@ -31,9 +31,11 @@
 use crate::peer_messages::CRASH_REPORTS_PROTOCOL;
 use crate::peer_messages::PeerCommand;
 use crate::peer_messages::PeerReply;
+use crate::peer_messages::STORE_ERAS_PROTOCOL;
 use crate::rollouts;
 use crate::shared::Shared;
 use crate::stage_client::StageClient;
+use crate::store_version::StoreVersion;
 use crate::target_notices;
 use crate::target_reports;
 use crate::update::StateUpdate;
@@ -98,36 +100,50 @@
         }
     }
 
-    /// Asks a peer for all store objects newer than the known revisions and, if `follow` is set,
+    /// Asks a peer for all store objects newer than the known versions and, if `follow` is set,
     /// for each change from now on.
     pub fn request_updates(
         self: &Rc<Self>,
         peer: &str,
-        known_revisions: Vec<(ObjectKind, u64)>,
+        known_versions: Vec<(ObjectKind, StoreVersion)>,
         follow: bool,
     ) {
-        let mut known_revisions = known_revisions;
-        if !rollouts::is_understood_by(&self.shared, peer) {
-            // The peer could not decode the command.
-            known_revisions.retain(|(kind, _)| *kind != ObjectKind::Rollouts);
+        if self.understands(peer, STORE_ERAS_PROTOCOL) {
+            let command = PeerCommand::UpdatesInEras {
+                known_versions,
+                follow,
+            };
+            return self.send(peer, command);
         }
-        let command = if self.understands_updates(peer) {
+        let understands_rollouts = rollouts::is_understood_by(&self.shared, peer);
+        let known_versions = known_versions
+            .into_iter()
+            // The peer could not decode the command.
+            .filter(|(kind, _)| understands_rollouts || *kind != ObjectKind::Rollouts)
+            .map(|(kind, version)| (kind, version.without_era()))
+            .collect();
+        let command = if self.understands(peer, COMPRESSED_UPDATES_PROTOCOL) {
             PeerCommand::Updates {
-                known_revisions,
+                known_versions,
                 follow,
             }
         } else if follow {
-            PeerCommand::Follow(known_revisions)
+            PeerCommand::Follow(known_versions)
         } else {
-            PeerCommand::Objects(known_revisions)
+            PeerCommand::Objects(known_versions)
         };
         self.send(peer, command);
     }
 
-    /// Returns whether a peer understands [`PeerCommand::Updates`].
-    fn understands_updates(&self, peer: &str) -> bool {
+    /// Returns whether a peer cannot be followed because the store has eras and the peer knows none.
+    pub fn lacks_eras(&self, peer: &str) -> bool {
+        self.store.era() > 0 && !self.understands(peer, STORE_ERAS_PROTOCOL)
+    }
+
+    /// Returns whether a peer understands the commands of a version of the messages.
+    fn understands(&self, peer: &str, protocol: u32) -> bool {
         let entry = self.shared.peer(peer);
-        entry.is_some_and(|entry| entry.peer_protocol >= COMPRESSED_UPDATES_PROTOCOL)
+        entry.is_some_and(|entry| entry.peer_protocol >= protocol)
     }
 
     /// Sends a command to a peer if the peer understands messages of a version.
@@ -213,7 +229,7 @@
                         PeerReply::Objects(..) | PeerReply::CompressedObjects(..)
                     );
                     self.handle_reply(peer, reply);
-                    if is_update && self.understands_updates(peer) {
+                    if is_update && self.understands(peer, COMPRESSED_UPDATES_PROTOCOL) {
                         write_commands(&mut writer, PeerCommand::UpdateReceived, commands).await?;
                     }
                 }
--- a/crates/serving/src/peer_messages.rs
+++ b/crates/serving/src/peer_messages.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_version::StoreVersion;
 use crate::update::StateUpdate;
 use arbutus_coord::Millis;
 use arbutus_platform::store::ObjectKind;
@@ -43,6 +44,8 @@
 pub const TARGET_VIEW_PROTOCOL: u32 = 6;
 /// First version that has [`PeerCommand::RolloutEvidence`] and knows [`ObjectKind::Rollouts`].
 pub const ROLLOUTS_PROTOCOL: u32 = 6;
+/// First version that has [`PeerCommand::UpdatesInEras`].
+pub const STORE_ERAS_PROTOCOL: u32 = 7;
 /// First version that has [`PeerCommand::CrashReports`] and [`PeerCommand::KnownCrashes`].
 pub const CRASH_REPORTS_PROTOCOL: u32 = 7;
 
@@ -95,10 +98,10 @@
     },
     /// Requests a [`PeerReply::Pong`].
     Ping,
-    /// Requests all store objects newer than these revisions.
-    Objects(Vec<(ObjectKind, u64)>),
-    /// Requests all store objects newer than these revisions, and each change from now on.
-    Follow(Vec<(ObjectKind, u64)>),
+    /// Requests all store objects newer than these versions.
+    Objects(Vec<(ObjectKind, StoreVersion)>),
+    /// Requests all store objects newer than these versions, and each change from now on.
+    Follow(Vec<(ObjectKind, StoreVersion)>),
     /// Reports requests that crash targets.
     Crashes(Vec<QuarantineEntry>),
     /// Reports crashes of which prompt parts are suspected, and how long ago they occurred.
@@ -110,10 +113,10 @@
     /// The same as [`PeerCommand::Objects`], or [`PeerCommand::Follow`] if `follow` is set, of a
     /// peer that understands [`PeerReply::CompressedObjects`].
     Updates {
-        /// The known revisions.
-        known_revisions: Vec<(ObjectKind, u64)>,
+        /// The known versions, without eras.
+        known_versions: Vec<(ObjectKind, StoreVersion)>,
         /// Whether each change from now on is requested, too. A peer that follows already asks for
-        /// a confirmation; its known revisions count only if it has received all updates that were
+        /// a confirmation; its known versions count only if it has received all updates that were
         /// sent to it.
         follow: bool,
     },
@@ -145,6 +148,13 @@
     CrashReports(Vec<CrashReport>),
     /// Requests the crashes of all requests that crashed targets lately.
     KnownCrashes,
+    /// The same as [`PeerCommand::Updates`], of a peer that knows eras of the store.
+    UpdatesInEras {
+        /// The known versions.
+        known_versions: Vec<(ObjectKind, StoreVersion)>,
+        /// Whether each change from now on is requested, too.
+        follow: bool,
+    },
 }
 
 /// A message to the instance that opened a connection.
--- a/crates/serving/src/peer_server.rs
+++ b/crates/serving/src/peer_server.rs
@@ -22,11 +22,13 @@
 use crate::rollouts;
 use crate::shared::Shared;
 use crate::stage_queues::StageQueues;
+use crate::store_version::StoreVersion;
 use crate::submitter_guard::SubmitterGuard;
 use crate::target_notices;
 use crate::target_reports;
 use crate::watch::StoreState;
 use arbutus_coord::Millis;
+use arbutus_platform::store::ObjectKind;
 use arbutus_policy::serving::batch::PieceReport;
 use arbutus_policy::serving::batch::SubmissionId;
 use arbutus_policy::serving::crash_quarantine::CrashReport;
@@ -135,23 +137,57 @@
         }
     }
 
-    /// Adds the objects that are newer than the revisions known to the peer to the replies.
+    /// Adds the objects that are newer than the versions known to the peer to the replies.
     fn push_updates(&self, follower: &mut FollowState, replies: &mut Vec<PeerReply>) {
-        for (kind, revision) in &mut follower.known_revisions {
-            if follower.accepts_compression {
-                let update = self.store.compressed_update_since(*kind, *revision);
+        let hides_era = !follower.knows_eras && self.store.era() > 0;
+        for (kind, version) in &mut follower.known_versions {
+            if hides_era {
+                let known = StoreVersion::new(self.store.era(), version.revision());
+                if let Some(update) = self.store.update_since(*kind, known) {
+                    let update = update.without_era();
+                    *version = update.version;
+                    follower.unacknowledged += u32::from(follower.accepts_compression);
+                    replies.push(PeerReply::Objects(*kind, update));
+                }
+            } else if follower.accepts_compression {
+                let update = self.store.compressed_update_since(*kind, *version);
                 if let Some((current, reply)) = update {
-                    *revision = current;
+                    *version = current;
                     follower.unacknowledged += 1;
                     replies.push(reply);
                 }
-            } else if let Some(update) = self.store.update_since(*kind, *revision) {
-                *revision = update.revision;
+            } else if let Some(update) = self.store.update_since(*kind, *version) {
+                *version = update.version;
                 replies.push(PeerReply::Objects(*kind, update));
             }
         }
     }
 
+    /// Sends a peer that accepts compressed updates the objects that are newer than those that it
+    /// knows, and accepts it as a follower if `follow` is set.
+    fn update_peer(
+        &self,
+        known_versions: Vec<(ObjectKind, StoreVersion)>,
+        knows_eras: bool,
+        follow: bool,
+        follower: &mut FollowState,
+        replies: &mut Vec<PeerReply>,
+    ) {
+        if follow {
+            if !follower.awaits_acknowledgement() {
+                follower.known_versions = known_versions;
+            }
+            follower.accepts_compression = true;
+            follower.knows_eras = knows_eras;
+            self.begin_following(follower, replies);
+        } else {
+            let mut requester = FollowState::new(known_versions, true);
+            requester.knows_eras = knows_eras;
+            self.push_updates(&mut requester, replies);
+            follower.unacknowledged += requester.unacknowledged;
+        }
+    }
+
     /// Accepts a peer as a follower if this instance watches the store.
     fn begin_following(&self, follower: &mut FollowState, replies: &mut Vec<PeerReply>) {
         // Following a follower could create a cycle in which no instance watches the store.
@@ -223,29 +259,21 @@
             }
             PeerCommand::Free { queue, handles } => self.queues.free(&queue, handles),
             PeerCommand::Ping => replies.push(PeerReply::Pong),
-            PeerCommand::Objects(known_revisions) => {
-                self.push_updates(&mut FollowState::new(known_revisions, false), replies);
+            PeerCommand::Objects(known_versions) => {
+                self.push_updates(&mut FollowState::new(known_versions, false), replies);
             }
-            PeerCommand::Follow(known_revisions) => {
-                *follower = FollowState::new(known_revisions, false);
+            PeerCommand::Follow(known_versions) => {
+                *follower = FollowState::new(known_versions, false);
                 self.begin_following(follower, replies);
             }
             PeerCommand::Updates {
-                known_revisions,
+                known_versions,
                 follow,
-            } => {
-                if follow {
-                    if !follower.awaits_acknowledgement() {
-                        follower.known_revisions = known_revisions;
-                    }
-                    follower.accepts_compression = true;
-                    self.begin_following(follower, replies);
-                } else {
-                    let mut requester = FollowState::new(known_revisions, true);
-                    self.push_updates(&mut requester, replies);
-                    follower.unacknowledged += requester.unacknowledged;
-                }
-            }
+            } => self.update_peer(known_versions, false, follow, follower, replies),
+            PeerCommand::UpdatesInEras {
+                known_versions,
+                follow,
+            } => self.update_peer(known_versions, true, follow, follower, replies),
             PeerCommand::UpdateReceived => {
                 follower.unacknowledged = follower.unacknowledged.saturating_sub(1);
             }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -202,17 +202,7 @@
     }
     let probe_store = Rc::clone(&store);
     supervise("store-probe", move || Rc::clone(&probe_store).probe());
-    let entry = InstanceEntry {
-        name: settings.name.clone(),
-        address: peer_address,
-        failure_domain: settings.failure_domain.clone(),
-        peer_protocol: PEER_PROTOCOL,
-        link_mbps: settings.link_mbps,
-    };
-    let register_store = Rc::clone(&store);
-    supervise("register", move || {
-        Rc::clone(&register_store).register(entry.clone())
-    });
+    start_registration(shared, &store, peer_address);
     let server = Rc::new(PeerServer {
         shared: Rc::clone(shared),
         queues,
@@ -263,6 +253,26 @@
     Ok(())
 }
 
+/// Writes the entry of this instance to the store, and again when the store has lost it.
+fn start_registration(shared: &Shared, store: &Rc<StoreState>, peer_address: SocketAddrV4) {
+    let settings = &shared.settings;
+    let entry = InstanceEntry {
+        name: settings.name.clone(),
+        address: peer_address,
+        failure_domain: settings.failure_domain.clone(),
+        peer_protocol: PEER_PROTOCOL,
+        link_mbps: settings.link_mbps,
+    };
+    let (register_store, register_entry) = (Rc::clone(store), entry.clone());
+    supervise("register", move || {
+        Rc::clone(&register_store).register(register_entry.clone())
+    });
+    let return_store = Rc::clone(store);
+    supervise("store-returns", move || {
+        Rc::clone(&return_store).recover_from_returns(entry.clone())
+    });
+}
+
 /// Starts the exchange of reports about crashes, limits, loads and roll-outs with the other
 /// instances.
 fn start_report_tasks(
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the platform's store.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -18,7 +19,10 @@
 use crate::connection::CallError;
 use crate::connection::Connection;
 use crate::shared::Shared;
+use crate::store_version::MAX_ERA;
+use crate::store_version::StoreVersion;
 use arbutus_coord::Millis;
+use arbutus_platform::store;
 use arbutus_platform::store::ListPage;
 use arbutus_platform::store::ObjectKind;
 use arbutus_platform::store::StoredObject;
@@ -51,6 +55,8 @@
     Malformed(serde_json::Error),
     /// cannot build the request: {0}
     Request(http::Error),
+    /// the response is not from the current era of the store
+    OtherEra,
 }
 
 impl std::error::Error for StoreError {}
@@ -60,6 +66,8 @@
 pub struct StoreClient {
     shared: Rc<Shared>,
     idle: RefCell<Vec<Connection>>,
+    /// The latest era that is known; `None` as long as the store has named none.
+    era: Cell<Option<u64>>,
 }
 
 impl StoreClient {
@@ -69,17 +77,41 @@
         Self {
             shared,
             idle: RefCell::new(Vec::new()),
+            era: Cell::new(None),
         }
     }
 
-    /// Reads all objects of a kind. Returns them with the revision of the first page.
+    /// Returns the latest era that is known, or `None` as long as the store has named none.
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        self.era.get()
+    }
+
+    /// Records that the store is in this era or a later one. Returns false if a later one is known.
+    pub fn record_era(&self, era: u64) -> bool {
+        let is_current = self.era.get().is_none_or(|known| known <= era);
+        if is_current {
+            self.era.set(Some(era));
+        }
+        is_current
+    }
+
+    /// Returns the version of a revision that the store has just named.
+    fn version(&self, revision: u64) -> StoreVersion {
+        StoreVersion::new(self.era().unwrap_or(0), revision)
+    }
+
+    /// Reads all objects of a kind. Returns them with the version of the first page.
     ///
     /// # Errors
     ///
     /// Returns an error when a page cannot be read.
-    pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<StoredObject>, u64), StoreError> {
+    pub async fn list(
+        &self,
+        kind: ObjectKind,
+    ) -> Result<(Vec<StoredObject>, StoreVersion), StoreError> {
         let mut objects: Vec<StoredObject> = Vec::new();
-        let mut revision = None;
+        let mut version = None;
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let path = list_path(kind, after.as_deref());
@@ -91,32 +123,52 @@
                 log::warn!(kind = kind.label(), objects = page.undecodable; "cannot decode some store objects");
             }
             // A watch from this revision also returns the changes made while later pages are read.
-            let first_revision = *revision.get_or_insert(page.revision);
+            let page_version = self.version(page.revision);
+            let first_version = *version.get_or_insert(page_version);
+            if first_version.era() != page_version.era() {
+                return Err(StoreError::OtherEra);
+            }
             let is_last_page = !page.has_more || page.objects.is_empty();
             objects.extend(page.objects);
             if is_last_page {
-                return Ok((objects, first_revision));
+                return Ok((objects, first_version));
             }
         }
     }
 
-    /// Waits up to `wait_ms` for changes after a revision.
+    /// Reads the version of the store, by the smallest list, which is that of the evacuated failure
+    /// domains.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the list cannot be read.
+    pub async fn read_version(&self) -> Result<StoreVersion, StoreError> {
+        let kind = ObjectKind::Evacuations;
+        let path = list_path(kind, None);
+        let body = self
+            .call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS)
+            .await?;
+        let page = decode_list(kind, &body).map_err(StoreError::Malformed)?;
+        Ok(self.version(page.revision))
+    }
+
+    /// Waits up to `wait_ms` for changes after a version.
     ///
     /// # Errors
     ///
     /// Returns an error when the call fails. Status 410 means that the store no longer has the
-    /// history since the revision.
+    /// history since the version.
     pub async fn watch(
         &self,
         kind: ObjectKind,
-        revision: u64,
+        version: StoreVersion,
         wait_ms: Millis,
     ) -> Result<WatchResponse, StoreError> {
         let timeout_ms = wait_ms + CALL_TIMEOUT_MS;
-        self.read_changes(kind, revision, wait_ms, timeout_ms).await
+        self.read_changes(kind, version, wait_ms, timeout_ms).await
     }
 
-    /// Returns the changes after a revision without waiting for one.
+    /// Returns the changes after a version without waiting for one.
     ///
     /// # Errors
     ///
@@ -124,23 +176,27 @@
     pub async fn changes_since(
         &self,
         kind: ObjectKind,
-        revision: u64,
+        version: StoreVersion,
     ) -> Result<WatchResponse, StoreError> {
-        self.read_changes(kind, revision, Millis::ZERO, SHORT_CALL_TIMEOUT_MS)
+        self.read_changes(kind, version, Millis::ZERO, SHORT_CALL_TIMEOUT_MS)
             .await
     }
 
     async fn read_changes(
         &self,
         kind: ObjectKind,
-        revision: u64,
+        version: StoreVersion,
         wait_ms: Millis,
         timeout_ms: Millis,
     ) -> Result<WatchResponse, StoreError> {
-        let path = watch_path(kind, revision, wait_ms);
+        let path = watch_path(kind, version.revision(), wait_ms);
         let body = self
             .call(kind, Method::GET, &path, None, timeout_ms)
             .await?;
+        // The same revision names another state in another era.
+        if self.version(0).era() != version.era() {
+            return Err(StoreError::OtherEra);
+        }
         decode_watch(kind, &body).map_err(StoreError::Malformed)
     }
 
@@ -196,10 +252,15 @@
         };
         let response = connection.send(request).await.map_err(StoreError::Call)?;
         let status = response.status();
+        let era = store::era(response.headers()).filter(|&era| era <= MAX_ERA);
         let body = body::read_up_to(response.into_body(), MAX_RESPONSE_BYTES)
             .await
             .map_err(StoreError::Body)?;
         self.idle.borrow_mut().push(connection);
+        // A response without a readable era is taken to be from the latest one.
+        if era.is_some_and(|era| !self.record_era(era)) {
+            return Err(StoreError::OtherEra);
+        }
         if status.is_success() {
             Ok(body)
         } else {
--- a/crates/serving/src/update.rs
+++ b/crates/serving/src/update.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_version::StoreVersion;
 use arbutus_platform::store::ObjectChange;
 use arbutus_platform::store::StoredObject;
 use arbutus_wire::frame::MAX_FRAME_BYTES;
@@ -26,12 +27,12 @@
 /// Smaller updates are sent as they are, since compressing them costs more than it saves.
 const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
 
-/// An update from an older revision of one kind of objects to a newer one.
+/// An update from an older version of one kind of objects to a newer one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateUpdate {
-    /// The revision after the update.
-    pub revision: u64,
-    /// The difference to the older revision, or the complete state.
+    /// The version after the update.
+    pub version: StoreVersion,
+    /// The difference to the older version, or the complete state.
     pub content: UpdateContent,
     /// Whether objects may be missing only because they expired during a store outage.
     pub after_outage: bool,
@@ -42,11 +43,11 @@
 pub enum UpdateContent {
     /// All objects by name.
     Objects(BTreeMap<String, StoredObject>),
-    /// The difference to an older revision.
+    /// The difference to an older version.
     Changes {
-        /// The older revision.
-        from: u64,
-        /// The changes since that revision, in order.
+        /// The older version.
+        from: StoreVersion,
+        /// The changes since that version, in order.
         changes: Vec<ObjectChange>,
     },
 }
@@ -98,6 +99,16 @@
         postcard::from_bytes(&encoded).map_err(UpdateError::Encoding)
     }
 
+    /// Returns the update as instances that know no eras expect it.
+    #[must_use]
+    pub fn without_era(mut self) -> Self {
+        self.version = self.version.without_era();
+        if let UpdateContent::Changes { from, .. } = &mut self.content {
+            *from = from.without_era();
+        }
+        self
+    }
+
     /// Returns whether the update is so large that it should be sent compressed.
     #[must_use]
     pub fn is_worth_compressing(&self) -> bool {
@@ -117,11 +128,11 @@
     }
 }
 
-/// The changes from one revision to another.
+/// The changes from one version to another.
 #[derive(Debug)]
 struct ChangeSet {
-    from: u64,
-    to: u64,
+    from: StoreVersion,
+    to: StoreVersion,
     changes: Vec<ObjectChange>,
 }
 
@@ -132,19 +143,19 @@
     }
 }
 
-/// The objects of one kind at a revision, with the history of recent changes.
+/// The objects of one kind at a version, with the history of recent changes.
 #[derive(Debug, Default)]
 pub struct ObjectCache {
-    revision: u64,
+    version: StoreVersion,
     objects: BTreeMap<String, StoredObject>,
     history: VecDeque<ChangeSet>,
 }
 
 impl ObjectCache {
-    /// Returns the revision, or 0 if nothing is known yet.
+    /// Returns the version; revision 0 if nothing is known yet.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    pub const fn version(&self) -> StoreVersion {
+        self.version
     }
 
     /// Returns the objects by name.
@@ -154,21 +165,29 @@
     }
 
     /// Replaces all objects unless the given ones are older; returns whether they were replaced.
-    pub fn replace(&mut self, revision: u64, objects: BTreeMap<String, StoredObject>) -> bool {
+    pub fn replace(
+        &mut self,
+        version: StoreVersion,
+        objects: BTreeMap<String, StoredObject>,
+    ) -> bool {
         // The response to an older list call may arrive late and must not undo newer changes.
-        if revision < self.revision {
+        if version < self.version {
             return false;
         }
-        self.revision = revision;
+        self.version = version;
         self.objects = objects;
         self.history.clear();
         true
     }
 
-    /// Applies changes and advances to their revision.
-    pub fn apply_changes(&mut self, revision: u64, changes: Vec<ObjectChange>) {
-        let from = self.revision;
-        self.revision = self.revision.max(revision);
+    /// Applies changes and advances to their version. Changes of an earlier era change nothing;
+    /// returns whether they were applied.
+    pub fn apply_changes(&mut self, version: StoreVersion, changes: Vec<ObjectChange>) -> bool {
+        if version.era() < self.version.era() {
+            return false;
+        }
+        let from = self.version;
+        self.version = self.version.max(version);
         for change in &changes {
             match change {
                 ObjectChange::Written(object) => {
@@ -186,30 +205,29 @@
                 .changes
                 .retain(|earlier| !superseded.contains(change_name(earlier)));
         }
-        let to = revision;
+        let to = version;
         self.history.push_back(ChangeSet { from, to, changes });
         while self.history.len() > MAX_CHANGE_SETS {
             self.history.pop_front();
         }
+        true
     }
 
-    /// Returns the update from a revision to the current one, or `None` if the revision is current.
+    /// Returns the update from a version to the current one, or `None` if the version is current.
     #[must_use]
-    pub fn update_since(&self, revision: u64, after_outage: bool) -> Option<StateUpdate> {
-        if self.revision <= revision {
+    pub fn update_since(&self, version: StoreVersion, after_outage: bool) -> Option<StateUpdate> {
+        if self.version <= version {
             return None;
         }
         let mut newer_sets = self
             .history
             .iter()
-            .filter(|change_set| change_set.to > revision)
+            .filter(|change_set| change_set.to > version)
             .peekable();
-        let is_covered = newer_sets
-            .peek()
-            .is_some_and(|first| first.from <= revision);
+        let is_covered = newer_sets.peek().is_some_and(|first| first.from <= version);
         let content = if is_covered {
             UpdateContent::Changes {
-                from: revision,
+                from: version,
                 changes: newer_sets
                     .flat_map(|change_set| change_set.changes.clone())
                     .collect(),
@@ -218,24 +236,24 @@
             UpdateContent::Objects(self.objects.clone())
         };
         Some(StateUpdate {
-            revision: self.revision,
+            version: self.version,
             content,
             after_outage,
         })
     }
 
-    /// Returns whether an update can be applied: it starts at the current revision or an older one,
+    /// Returns whether an update can be applied: it starts at the current version or an older one,
     /// and ends at a newer one.
     ///
-    /// An update that starts at a newer revision follows one that was missed. Applying it would
+    /// An update that starts at a newer version follows one that was missed. Applying it would
     /// leave objects missing. The next [`crate::peer_messages::PeerCommand::Follow`] names the current
-    /// revision, and the reply contains everything since then.
+    /// version, and the reply contains everything since then.
     #[must_use]
-    pub const fn can_apply(&self, update: &StateUpdate) -> bool {
+    pub fn can_apply(&self, update: &StateUpdate) -> bool {
         let from = match update.content {
-            UpdateContent::Objects(_) => 0,
+            UpdateContent::Objects(_) => StoreVersion::default(),
             UpdateContent::Changes { from, .. } => from,
         };
-        from <= self.revision && self.revision < update.revision
+        from <= self.version && self.version < update.version
     }
 }
--- a/crates/serving/src/watch/liveness.rs
+++ b/crates/serving/src/watch/liveness.rs
@@ -7,7 +7,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::Method;
 use log::info;
 use log::warn;
@@ -16,11 +15,10 @@
 use crate::net::sleep;
 use crate::store::SHORT_CALL_TIMEOUT_MS;
 use crate::store::StoreError;
+use crate::store_version::StoreVersion;
 use arbutus_coord::Millis;
 use arbutus_platform::store::ObjectKind;
 use arbutus_platform::store::WatchResponse;
-use arbutus_platform::store::decode_list;
-use arbutus_platform::store::list_path;
 use arbutus_platform::store::stale_list_path;
 use arbutus_policy::serving::pending_watch::PendingWatch;
 
@@ -33,10 +31,10 @@
 /// Every so many probes, one is up to date and shows the revision of the store. Changes whose watch
 /// response was lost must take effect within 3 s, of which passing them on to followers can take
 /// 1 s. The other probes may be stale, which costs a tenth.
-const PROBES_PER_REVISION_READ: u32 = 3;
+const PROBES_PER_VERSION_READ: u32 = 3;
 
 impl StoreState {
-    /// Periodically checks whether the store responds, and reads its revision.
+    /// Periodically checks whether the store responds, and reads its version.
     ///
     /// # Errors
     ///
@@ -50,9 +48,9 @@
                 stale_probes = 0;
                 self.wait_for_watcher_role(true).await;
             }
-            let responds = if stale_probes + 1 == PROBES_PER_REVISION_READ {
+            let responds = if stale_probes + 1 == PROBES_PER_VERSION_READ {
                 stale_probes = 0;
-                self.read_revision().await
+                self.read_version().await
             } else {
                 stale_probes += 1;
                 self.probe_stale().await
@@ -63,36 +61,31 @@
                 warn!(error:%; "the store does not respond");
             }
             self.record_reachability(responds.is_ok());
+            self.check_era();
             sleep(PROBE_INTERVAL_MS).await;
         }
     }
 
-    /// Reads the smallest list, which is that of the evacuated failure domains.
-    async fn read_smallest_list(&self, path: &str) -> Result<Bytes, StoreError> {
-        let kind = ObjectKind::Evacuations;
-        self.client
-            .call(kind, Method::GET, path, None, SHORT_CALL_TIMEOUT_MS)
-            .await
-    }
-
     async fn probe_stale(&self) -> Result<(), StoreError> {
-        let path = stale_list_path(ObjectKind::Evacuations);
-        self.read_smallest_list(&path).await.map(drop)
+        let kind = ObjectKind::Evacuations;
+        let path = stale_list_path(kind);
+        let call = self
+            .client
+            .call(kind, Method::GET, &path, None, SHORT_CALL_TIMEOUT_MS);
+        call.await.map(drop)
     }
 
-    async fn read_revision(&self) -> Result<(), StoreError> {
-        let path = list_path(ObjectKind::Evacuations, None);
-        let body = self.read_smallest_list(&path).await?;
-        let page = decode_list(ObjectKind::Evacuations, &body).map_err(StoreError::Malformed)?;
-        self.store_revision.send_if_modified(|revision| {
-            let is_later = page.revision > *revision;
-            *revision = page.revision.max(*revision);
+    async fn read_version(&self) -> Result<(), StoreError> {
+        let version = self.client.read_version().await?;
+        self.store_version.send_if_modified(|known| {
+            let is_later = version > *known;
+            *known = version.max(*known);
             is_later
         });
         Ok(())
     }
 
-    /// Waits for changes of a kind after a revision, and checks the pending watch whenever the store
+    /// Waits for changes of a kind after a version, and checks the pending watch whenever the store
     /// is known to be at a later revision.
     ///
     /// # Errors
@@ -101,13 +94,13 @@
     pub(super) async fn wait_for_changes(
         &self,
         kind: ObjectKind,
-        revision: u64,
+        version: StoreVersion,
     ) -> Result<WatchResponse, StoreError> {
-        let mut store_revision = self.store_revision.subscribe();
-        let mut pending = PendingWatch::new(revision);
-        let known_revision = *store_revision.borrow_and_update();
-        pending.record_store_revision(self.shared.now(), known_revision);
-        let mut response = pin!(self.client.watch(kind, revision, LONG_POLL_MS));
+        let mut store_version = self.store_version.subscribe();
+        let mut pending = PendingWatch::new(version.revision());
+        let known = *store_version.borrow_and_update();
+        self.record_store_version(&mut pending, version, known)?;
+        let mut response = pin!(self.client.watch(kind, version, LONG_POLL_MS));
         loop {
             let check_due = async {
                 match pending.check_due_at() {
@@ -118,18 +111,19 @@
             tokio::select! {
                 biased;
                 response = response.as_mut() => return response,
-                Ok(()) = store_revision.changed() => {
-                    let known_revision = *store_revision.borrow_and_update();
-                    pending.record_store_revision(self.shared.now(), known_revision);
+                Ok(()) = store_version.changed() => {
+                    let known = *store_version.borrow_and_update();
+                    self.record_store_version(&mut pending, version, known)?;
                 }
                 () = check_due => {
                     if pending.is_explained_by(&self.reported_changes.borrow()) {
                         continue;
                     }
-                    let checked = self.client.changes_since(kind, pending.revision()).await?;
+                    let since = StoreVersion::new(version.era(), pending.revision());
+                    let checked = self.client.changes_since(kind, since).await?;
                     if !checked.changes.is_empty() || checked.undecodable > 0 {
                         info!(
-                            kind = kind.label(), watched = revision, revision = checked.revision,
+                            kind = kind.label(), watched = version.revision(), revision = checked.revision,
                             changes = checked.changes.len();
                             "a watch did not report changes of the store"
                         );
@@ -140,4 +134,24 @@
             }
         }
     }
+
+    /// Records the known version of the store for a watch after `watched`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is in another era, so that the watch reports nothing any more.
+    fn record_store_version(
+        &self,
+        pending: &mut PendingWatch,
+        watched: StoreVersion,
+        known: StoreVersion,
+    ) -> Result<(), StoreError> {
+        if known.era() > watched.era() {
+            return Err(StoreError::OtherEra);
+        }
+        if known.era() == watched.era() {
+            pending.record_store_revision(self.shared.now(), known.revision());
+        }
+        Ok(())
+    }
 }
--- a/crates/serving/src/watch/mod.rs
+++ b/crates/serving/src/watch/mod.rs
@@ -6,6 +6,7 @@
 //! any peer.
 
 mod liveness;
+mod returns;
 mod store_role;
 
 use std::cell::Cell;
@@ -28,6 +29,7 @@
 use crate::store::SHORT_CALL_TIMEOUT_MS;
 use crate::store::StoreClient;
 use crate::store::StoreError;
+use crate::store_version::StoreVersion;
 use crate::target_reports;
 use crate::update::ObjectCache;
 use crate::update::StateUpdate;
@@ -70,8 +72,8 @@
 /// An update as it is sent.
 #[derive(Debug)]
 struct CompressedUpdate {
-    /// The revision after the update.
-    revision: u64,
+    /// The version after the update.
+    version: StoreVersion,
     after_outage: bool,
     bytes: Bytes,
 }
@@ -82,13 +84,17 @@
     shared: Rc<Shared>,
     client: StoreClient,
     caches: RefCell<BTreeMap<ObjectKind, ObjectCache>>,
-    /// The updates that were compressed since the last change of their kind, by the revision that
+    /// The updates that were compressed since the last change of their kind, by the version that
     /// they start from.
-    compressed_updates: RefCell<BTreeMap<(ObjectKind, u64), CompressedUpdate>>,
+    compressed_updates: RefCell<BTreeMap<(ObjectKind, StoreVersion), CompressedUpdate>>,
     /// Whether the store responds, and since when.
     reachability: watch::Sender<(bool, Millis)>,
-    /// The highest revision that the store was read at, up to date.
-    store_revision: watch::Sender<u64>,
+    /// The latest version that the store was read at, up to date.
+    store_version: watch::Sender<StoreVersion>,
+    /// When the store last came back from an older copy.
+    returned_at: watch::Sender<Option<Millis>>,
+    /// The era for which the objects are held.
+    era: Cell<Option<u64>>,
     reported_changes: RefCell<ReportedChanges>,
     role_state: RefCell<StoreRoleState>,
     /// The current role in `role_state`, for tasks that wait for it to change.
@@ -110,7 +116,9 @@
             caches: RefCell::new(BTreeMap::new()),
             compressed_updates: RefCell::new(BTreeMap::new()),
             reachability: watch::Sender::new((true, Millis::ZERO)),
-            store_revision: watch::Sender::new(0),
+            store_version: watch::Sender::new(StoreVersion::default()),
+            returned_at: watch::Sender::new(None),
+            era: Cell::new(None),
             reported_changes: RefCell::new(ReportedChanges::default()),
             role: watch::Sender::new(StoreRole::Watcher),
             responded_in_role: Cell::new(false),
@@ -124,60 +132,61 @@
         self.reachability.borrow().0
     }
 
-    /// Returns the known revision of each kind of objects.
+    /// Returns the known version of each kind of objects.
     #[must_use]
-    pub fn revisions(&self) -> Vec<(ObjectKind, u64)> {
+    pub fn versions(&self) -> Vec<(ObjectKind, StoreVersion)> {
         let caches = self.caches.borrow();
+        let version = |kind| caches.get(&kind).map(ObjectCache::version);
         self.shared
             .object_kinds()
-            .map(|kind| (kind, caches.get(&kind).map_or(0, ObjectCache::revision)))
+            .map(|kind| (kind, version(kind).unwrap_or_default()))
             .collect()
     }
 
-    /// Returns the update from a revision of a kind to the current one, or `None` if the revision
-    /// is current.
+    /// Returns the update from a version of a kind to the current one, or `None` if the version is
+    /// current.
     #[must_use]
-    pub fn update_since(&self, kind: ObjectKind, revision: u64) -> Option<StateUpdate> {
+    pub fn update_since(&self, kind: ObjectKind, version: StoreVersion) -> Option<StateUpdate> {
         let after_outage = self.is_after_outage(self.shared.now());
         let caches = self.caches.borrow();
-        caches.get(&kind)?.update_since(revision, after_outage)
+        caches.get(&kind)?.update_since(version, after_outage)
     }
 
-    /// Returns the update from a revision of a kind to the current one as a message, and the current
-    /// revision; `None` if the revision is current.
+    /// Returns the update from a version of a kind to the current one as a message, and the current
+    /// version; `None` if the version is current.
     ///
-    /// Large updates are compressed once for all peers that start from the same revision.
+    /// Large updates are compressed once for all peers that start from the same version.
     #[must_use]
     pub fn compressed_update_since(
         &self,
         kind: ObjectKind,
-        revision: u64,
-    ) -> Option<(u64, PeerReply)> {
+        version: StoreVersion,
+    ) -> Option<(StoreVersion, PeerReply)> {
         let after_outage = self.is_after_outage(self.shared.now());
         let caches = self.caches.borrow();
         let cache = caches.get(&kind)?;
         let mut compressed_updates = self.compressed_updates.borrow_mut();
         compressed_updates
-            .retain(|(other, _), update| *other != kind || update.revision == cache.revision());
-        if let Some(update) = compressed_updates.get(&(kind, revision))
+            .retain(|(other, _), update| *other != kind || update.version == cache.version());
+        if let Some(update) = compressed_updates.get(&(kind, version))
             && update.after_outage == after_outage
         {
             let reply = PeerReply::CompressedObjects(kind, update.bytes.clone());
-            return Some((update.revision, reply));
+            return Some((update.version, reply));
         }
-        let update = cache.update_since(revision, after_outage)?;
-        let current = update.revision;
+        let update = cache.update_since(version, after_outage)?;
+        let current = update.version;
         if !update.is_worth_compressing() {
             return Some((current, PeerReply::Objects(kind, update)));
         }
         match update.compress() {
             Ok(bytes) => {
                 let compressed = CompressedUpdate {
-                    revision: current,
+                    version: current,
                     after_outage,
                     bytes: bytes.clone(),
                 };
-                compressed_updates.insert((kind, revision), compressed);
+                compressed_updates.insert((kind, version), compressed);
                 Some((current, PeerReply::CompressedObjects(kind, bytes)))
             }
             Err(error) => {
@@ -196,16 +205,20 @@
         if !cache.can_apply(&update) || (is_watcher && self.is_reachable()) {
             return;
         }
-        let (revision, after_outage) = (update.revision, update.after_outage);
+        let (version, after_outage) = (update.version, update.after_outage);
         info!(
-            kind = kind.label(), known = cache.revision(), revision, follows = !is_watcher;
+            kind = kind.label(), known = cache.version().revision(), revision = version.revision(),
+            era = version.era(), follows = !is_watcher;
             "applied store objects from a peer"
         );
         drop(caches);
+        if version.era() > 0 {
+            self.client.record_era(version.era());
+        }
         match update.content {
-            UpdateContent::Objects(objects) => self.replace(kind, revision, objects, after_outage),
+            UpdateContent::Objects(objects) => self.replace(kind, version, objects, after_outage),
             UpdateContent::Changes { changes, .. } => {
-                self.apply_changes(kind, changes, revision, after_outage);
+                self.apply_changes(kind, changes, version, after_outage);
             }
         }
     }
@@ -244,17 +257,19 @@
         let mut reachability = self.reachability.subscribe();
         loop {
             match self.client.list(kind).await {
-                Ok((objects, revision)) => {
+                Ok((objects, version)) => {
                     delay_ms = MIN_RETRY_DELAY_MS;
                     self.record_reachability(true);
                     let objects = objects
                         .into_iter()
                         .map(|object| (object.name.clone(), object))
                         .collect();
+                    self.check_era();
                     let after_outage = self.is_after_outage(self.shared.now());
-                    self.replace(kind, revision, objects, after_outage);
-                    self.watch_changes(kind, revision).await;
+                    self.replace(kind, version, objects, after_outage);
+                    self.watch_changes(kind, version).await;
                 }
+                Err(StoreError::OtherEra) => self.check_era(),
                 Err(error) => {
                     warn!(kind = kind.label(), error:%, pause_ms = delay_ms.0; "cannot list store objects");
                     self.record_reachability(false);
@@ -269,7 +284,7 @@
     }
 
     /// Applies changes until the objects have to be listed again.
-    async fn watch_changes(&self, kind: ObjectKind, mut revision: u64) {
+    async fn watch_changes(&self, kind: ObjectKind, mut version: StoreVersion) {
         let coalesce_ms = if kind == ObjectKind::Instances {
             COALESCE_INSTANCES_MS
         } else {
@@ -278,7 +293,7 @@
         let mut reachability = self.reachability.subscribe();
         loop {
             let result = tokio::select! {
-                result = self.wait_for_changes(kind, revision) => result,
+                result = self.wait_for_changes(kind, version) => result,
                 // After an outage, the store may never respond to the pending call.
                 () = wait_for_recovery(&mut reachability) => return,
             };
@@ -287,21 +302,27 @@
                     if response.undecodable > 0 {
                         warn!(kind = kind.label(), changes = response.undecodable; "cannot decode some store changes");
                     }
-                    revision = response.revision;
+                    version = StoreVersion::new(version.era(), response.revision);
                     for &change in &response.change_revisions {
                         self.reported_changes.borrow_mut().record(change);
                     }
                     if !response.changes.is_empty() {
                         let after_outage = self.is_after_outage(self.shared.now());
-                        self.apply_changes(kind, response.changes, revision, after_outage);
+                        self.apply_changes(kind, response.changes, version, after_outage);
                         sleep(coalesce_ms).await;
                     }
                 }
+                Err(StoreError::OtherEra) => {
+                    self.check_era();
+                    return;
+                }
                 Err(StoreError::Status(StatusCode::GONE)) => {
+                    let revision = version.revision();
                     info!(kind = kind.label(), revision; "the store no longer has the history; listing all objects again");
                     return;
                 }
                 Err(error) => {
+                    let revision = version.revision();
                     warn!(kind = kind.label(), revision, error:%; "watch call failed");
                     self.record_reachability(false);
                     sleep(MIN_RETRY_DELAY_MS).await;
@@ -385,13 +406,19 @@
     fn replace(
         &self,
         kind: ObjectKind,
-        revision: u64,
+        version: StoreVersion,
         objects: BTreeMap<String, StoredObject>,
         after_outage: bool,
     ) {
+        self.check_era();
         let mut caches = self.caches.borrow_mut();
         let cache = caches.entry(kind).or_default();
-        if !cache.replace(revision, objects) {
+        let objects = if self.is_after_return() {
+            returns::merge_objects(kind, cache.objects(), objects)
+        } else {
+            objects
+        };
+        if !cache.replace(version, objects) {
             return;
         }
         self.changes_sender.send_modify(|count| *count += 1);
@@ -403,7 +430,11 @@
                 .collect();
             let now = self.shared.now();
             let mut directory = self.shared.directory.borrow_mut();
-            let changes = directory.replace(now, entries, after_outage);
+            let changes = if self.is_after_return() {
+                directory.replace_by_copy(now, entries)
+            } else {
+                directory.replace(now, entries, after_outage)
+            };
             drop(directory);
             self.shared.apply_target_changes(&changes);
         } else {
@@ -415,12 +446,15 @@
         &self,
         kind: ObjectKind,
         changes: Vec<ObjectChange>,
-        revision: u64,
+        version: StoreVersion,
         after_outage: bool,
     ) {
+        self.check_era();
         let mut caches = self.caches.borrow_mut();
         let cache = caches.entry(kind).or_default();
-        cache.apply_changes(revision, changes.clone());
+        if !cache.apply_changes(version, changes.clone()) {
+            return;
+        }
         self.changes_sender.send_modify(|count| *count += 1);
         if kind == ObjectKind::Targets {
             self.apply_target_changes(changes, after_outage);
@@ -466,7 +500,11 @@
                 }
             }
             ObjectKind::Evacuations => {
-                let domains: BTreeSet<String> = objects.keys().cloned().collect();
+                let mut domains: BTreeSet<String> = objects.keys().cloned().collect();
+                if self.is_after_return() {
+                    let directory = self.shared.directory.borrow();
+                    domains.extend(directory.evacuated().cloned());
+                }
                 let now = self.shared.now();
                 let (evacuated, ended) = self
                     .shared
@@ -490,7 +528,7 @@
                         }
                     })
                     .collect();
-                self.shared.set_instances(entries);
+                self.set_instances(entries);
             }
             ObjectKind::Rollouts => rollouts::apply_objects(&self.shared, objects),
             ObjectKind::Targets => {}
--- a/crates/serving/src/watcher_selection.rs
+++ b/crates/serving/src/watcher_selection.rs
@@ -39,10 +39,12 @@
             continue;
         }
         let preferred = stage_client.preferred_watcher(|name| {
-            store.is_store_unreachable_from(name) || rollouts::lacks_orders(&shared, name)
+            store.is_store_unreachable_from(name)
+                || rollouts::lacks_orders(&shared, name)
+                || connections.lacks_eras(name)
         });
         for peer in store.set_preferred_watcher(preferred.as_deref()) {
-            connections.request_updates(&peer, store.revisions(), true);
+            connections.request_updates(&peer, store.versions(), true);
         }
     }
 }
--- a/crates/serving/tests/update.rs
+++ b/crates/serving/tests/update.rs
@@ -9,6 +9,7 @@
 use arbutus_platform::configuration::encode;
 use arbutus_platform::store::ObjectChange;
 use arbutus_platform::store::StoredObject;
+use arbutus_serving::store_version::StoreVersion;
 use arbutus_serving::update::ObjectCache;
 use arbutus_serving::update::StateUpdate;
 use arbutus_serving::update::UpdateContent;
@@ -16,6 +17,10 @@
 use arbutus_standins::simulated_platform::example;
 use arbutus_wire::frame::MAX_FRAME_BYTES;
 
+fn version(revision: u64) -> StoreVersion {
+    StoreVersion::new(1, revision)
+}
+
 fn object(name: &str, revision: u64) -> StoredObject {
     StoredObject {
         name: name.to_owned(),
@@ -44,9 +49,11 @@
     if cache.can_apply(&update) {
         match update.content {
             UpdateContent::Objects(objects) => {
-                cache.replace(update.revision, objects);
+                cache.replace(update.version, objects);
+            }
+            UpdateContent::Changes { changes, .. } => {
+                cache.apply_changes(update.version, changes);
             }
-            UpdateContent::Changes { changes, .. } => cache.apply_changes(update.revision, changes),
         }
     }
 }
@@ -54,27 +61,30 @@
 #[test]
 fn ignores_changes_after_missed_update() {
     let mut watcher = ObjectCache::default();
-    watcher.replace(16, objects(&["a", "b", "c"]));
+    watcher.replace(version(16), objects(&["a", "b", "c"]));
     let mut follower = ObjectCache::default();
-    follower.replace(3, objects(&["a"]));
+    follower.replace(version(3), objects(&["a"]));
     // The follower ignores the first update, which is sent before it follows the watcher.
     let missed_update = watcher
-        .update_since(3, false)
+        .update_since(version(3), false)
         .expect("the watcher should have a newer revision");
-    watcher.apply_changes(18, vec![written("d", 18)]);
-    let next = watcher.update_since(missed_update.revision, false);
+    watcher.apply_changes(version(18), vec![written("d", 18)]);
+    let next = watcher.update_since(missed_update.version, false);
     apply_update(
         &mut follower,
         next.expect("the watcher should have a newer revision"),
     );
-    assert_eq!((follower.revision(), names(&follower)), (3, vec!["a"]));
+    assert_eq!(
+        (follower.version(), names(&follower)),
+        (version(3), vec!["a"])
+    );
     // An update from the revision that the follower knows contains all missing changes.
-    let complete = watcher.update_since(follower.revision(), false);
+    let complete = watcher.update_since(follower.version(), false);
     apply_update(
         &mut follower,
         complete.expect("the watcher should have a newer revision"),
     );
-    assert_eq!(follower.revision(), 18);
+    assert_eq!(follower.version(), version(18));
     assert_eq!(names(&follower), ["a", "b", "c", "d"]);
 }
 
@@ -83,17 +93,23 @@
 #[test]
 fn update_has_all_objects_if_the_recorded_changes_are_not_enough() {
     let mut watcher = ObjectCache::default();
-    watcher.replace(3, objects(&["a"]));
-    watcher.apply_changes(5, vec![written("b", 5)]);
-    watcher.apply_changes(8, vec![ObjectChange::Removed("a".to_owned())]);
+    watcher.replace(version(3), objects(&["a"]));
+    watcher.apply_changes(version(5), vec![written("b", 5)]);
+    watcher.apply_changes(version(8), vec![ObjectChange::Removed("a".to_owned())]);
     let update = watcher
-        .update_since(5, false)
+        .update_since(version(5), false)
         .expect("the watcher should have a newer revision");
     let changes = vec![ObjectChange::Removed("a".to_owned())];
-    assert_eq!(update.content, UpdateContent::Changes { from: 5, changes });
-    assert_eq!(watcher.update_since(8, false), None);
+    assert_eq!(
+        update.content,
+        UpdateContent::Changes {
+            from: version(5),
+            changes
+        }
+    );
+    assert_eq!(watcher.update_since(version(8), false), None);
     let update_before_list = watcher
-        .update_since(2, false)
+        .update_since(version(2), false)
         .expect("the watcher should have a newer revision");
     let all = [("b".to_owned(), object("b", 5))].into();
     assert_eq!(update_before_list.content, UpdateContent::Objects(all));
@@ -104,11 +120,11 @@
 #[test]
 fn history_keeps_only_the_last_change_of_each_object() {
     let mut watcher = ObjectCache::default();
-    watcher.replace(3, objects(&["main", "other"]));
-    watcher.apply_changes(5, vec![written("main", 5)]);
-    watcher.apply_changes(8, vec![ObjectChange::Removed("other".to_owned())]);
-    watcher.apply_changes(9, vec![written("main", 9)]);
-    let update = watcher.update_since(3, false);
+    watcher.replace(version(3), objects(&["main", "other"]));
+    watcher.apply_changes(version(5), vec![written("main", 5)]);
+    watcher.apply_changes(version(8), vec![ObjectChange::Removed("other".to_owned())]);
+    watcher.apply_changes(version(9), vec![written("main", 9)]);
+    let update = watcher.update_since(version(3), false);
     let changes = vec![
         ObjectChange::Removed("other".to_owned()),
         written("main", 9),
@@ -117,7 +133,10 @@
         update
             .expect("the watcher should have a newer revision")
             .content,
-        UpdateContent::Changes { from: 3, changes }
+        UpdateContent::Changes {
+            from: version(3),
+            changes
+        }
     );
 }
 
@@ -125,12 +144,12 @@
 #[test]
 fn older_list_does_not_undo_newer_changes() {
     let mut cache = ObjectCache::default();
-    cache.replace(3, objects(&["a"]));
-    cache.apply_changes(9, vec![written("b", 9)]);
-    assert!(!cache.replace(5, objects(&["a"])));
+    cache.replace(version(3), objects(&["a"]));
+    cache.apply_changes(version(9), vec![written("b", 9)]);
+    assert!(!cache.replace(version(5), objects(&["a"])));
     assert_eq!(names(&cache), ["a", "b"]);
     let empty = ObjectCache::default();
-    assert_eq!(empty.update_since(0, false), None);
+    assert_eq!(empty.update_since(version(0), false), None);
 }
 
 /// Guards against a configuration that takes seconds to send: the copies for all followers of an
@@ -141,9 +160,9 @@
     let content = encode(&configuration).expect("the configuration can be encoded");
     let content_bytes = content.len();
     let update = StateUpdate {
-        revision: 7,
+        version: version(7),
         content: UpdateContent::Changes {
-            from: 3,
+            from: version(3),
             changes: vec![ObjectChange::Written(StoredObject {
                 content,
                 ..object("main", 7)
@@ -170,7 +189,7 @@
         Err(UpdateError::Compression(_))
     ));
     let update = StateUpdate {
-        revision: 1,
+        version: version(1),
         content: UpdateContent::Objects(
             [(
                 "main".to_owned(),
@@ -190,3 +209,51 @@
         Err(UpdateError::TooLarge)
     ));
 }
+
+/// Guards against a view that goes back, or stays, when the store comes back from an older copy: a
+/// version of a later era is later whatever its revision, and what is from an earlier era changes
+/// nothing, however late it arrives and over whichever instance.
+#[test]
+fn a_later_era_goes_first_whatever_its_revisions() {
+    let returned = |revision| StoreVersion::new(2, revision);
+    let mut watcher = ObjectCache::default();
+    watcher.replace(version(900), objects(&["lost"]));
+    let mut follower = ObjectCache::default();
+    follower.replace(version(900), objects(&["lost"]));
+    let delayed_objects = watcher.update_since(version(0), false);
+    watcher.apply_changes(version(901), vec![written("lost-too", 901)]);
+    let delayed_changes = watcher.update_since(version(900), false);
+    assert!(watcher.replace(returned(300), objects(&["copied"])));
+    // The same revision was given out in both eras.
+    for known in [version(900), version(901), version(300), version(0)] {
+        let update = watcher.update_since(known, false);
+        apply_update(&mut follower, update.expect("the era has changed"));
+        assert_eq!(names(&follower), ["copied"], "{known:?}");
+        follower = ObjectCache::default();
+        follower.replace(version(900), objects(&["lost"]));
+    }
+    apply_update(
+        &mut follower,
+        watcher
+            .update_since(version(900), false)
+            .expect("an update"),
+    );
+    for delayed in [delayed_objects, delayed_changes] {
+        apply_update(&mut follower, delayed.expect("an update"));
+        assert_eq!(
+            (follower.version(), names(&follower)),
+            (returned(300), vec!["copied"])
+        );
+    }
+    assert!(!follower.replace(version(950), objects(&["late"])));
+    assert!(!follower.apply_changes(version(950), vec![written("late", 950)]));
+    watcher.apply_changes(returned(301), vec![written("new", 301)]);
+    apply_update(
+        &mut follower,
+        watcher
+            .update_since(returned(300), false)
+            .expect("an update"),
+    );
+    assert_eq!(names(&follower), ["copied", "new"]);
+    assert_eq!(watcher.update_since(returned(301), false), None);
+}
--- a/crates/standins/src/simulated_platform/store.rs
+++ b/crates/standins/src/simulated_platform/store.rs
@@ -37,13 +37,19 @@
 /// Begin of the JSON text that stands for a raw content.
 const RAW_CONTENT_PREFIX: &str = "\"raw content ";
 
+type ObjectsByKind = BTreeMap<ObjectKind, BTreeMap<String, StoredObject>>;
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
-    objects: BTreeMap<ObjectKind, BTreeMap<String, StoredObject>>,
+    objects: ObjectsByKind,
     /// Every change with its revision, for watches.
     history: Vec<(u64, ObjectKind, ObjectChange)>,
     is_unavailable: bool,
+    /// Number of returns from an older copy.
+    return_count: u64,
+    /// The revision and the objects of the copy.
+    copy: (u64, ObjectsByKind),
     /// Contents that need not be JSON texts; placeholders with their index stand for them in `objects`.
     raw_contents: Vec<Vec<u8>>,
     /// Number of responses to watches of a kind that will be lost.
@@ -297,6 +303,27 @@
         is_lost
     }
 
+    /// Copies all objects.
+    pub fn take_copy(&self) {
+        let mut state = self.lock();
+        state.copy = (state.revision, state.objects.clone());
+    }
+
+    /// Loses everything that was written since the copy: the store begins a new era at the revision of
+    /// the copy, and has no earlier history.
+    pub fn return_to_copy(&self) {
+        let revision = {
+            let mut state = self.lock();
+            let (revision, objects) = state.copy.clone();
+            state.revision = revision;
+            state.objects = objects;
+            state.history.clear();
+            state.return_count += 1;
+            revision
+        };
+        self.latest_revision.send_replace(revision);
+    }
+
     /// Starts or ends an outage, during which all requests receive status 503.
     pub fn set_unavailable(&self, is_unavailable: bool) {
         self.lock().is_unavailable = is_unavailable;
@@ -322,10 +349,20 @@
     }
 }
 
-/// Responds to a request.
+/// Responds to a request, and names the era of the response.
 pub(super) async fn respond_to(
     store: Arc<Store>,
     request: Request<Incoming>,
+) -> io::Result<Response<Full<Bytes>>> {
+    let mut response = execute(Arc::clone(&store), request).await?;
+    let era = store.lock().return_count + 1;
+    store::set_era(response.headers_mut(), era);
+    Ok(response)
+}
+
+async fn execute(
+    store: Arc<Store>,
+    request: Request<Incoming>,
 ) -> io::Result<Response<Full<Bytes>>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
@@ -347,6 +384,9 @@
         (Method::GET, None) => {
             let watch_query = head.uri.query().and_then(store::parse_watch_query);
             if let Some((revision, wait_ms)) = watch_query {
+                if revision > store.lock().revision {
+                    return respond(StatusCode::GONE, Vec::new());
+                }
                 let mut revisions = store.latest_revision.subscribe();
                 let waiting = async {
                     while store.changes_after(kind, revision).0.is_empty() {
