--- a/crates/policy/src/serving/crash_quarantine.rs
+++ b/crates/policy/src/serving/crash_quarantine.rs
@@ -73,9 +73,9 @@
 /// The crashes of targets under one request; also the message to other instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// The crashes before a response began; `None` if there were none.
+    /// The crashes before a response began; `None` if there were none lately.
     pub before_response: Option<QuarantineEntry>,
-    /// All crashes.
+    /// All crashes; `None` if there were none lately.
     pub at_any_time: Option<QuarantineEntry>,
     /// Whether the request crashed a target again when it was tried during its quarantine.
     pub has_failed_trial: bool,
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -35,10 +35,11 @@
     WithinResponse,
 }
 
-/// Returns why a request is refused, or `None` if it is not quarantined or may be tried.
+/// Returns why a request is refused, or `None` if it is not quarantined, is being tried or may be.
 #[must_use]
 pub fn quarantine_reason(context: &RequestContext) -> Option<String> {
     if let Some(remaining_ms) = quarantine_remaining(context)
+        && !is_being_tried(context)
         && !is_trial_due(context)
     {
         return Some(format!(
@@ -58,13 +59,9 @@
 /// The same as [`quarantine_reason`] just before the request is sent, which may be its trial.
 #[must_use]
 pub fn begin_attempt(context: &mut RequestContext) -> Option<String> {
-    if let Some(trial) = &context.trial
-        && !trial.may_have_executed.get()
-    {
-        return None;
-    }
     let reason = quarantine_reason(context);
-    if reason.is_none() && quarantine_remaining(context).is_some() {
+    let is_quarantined = quarantine_remaining(context).is_some();
+    if reason.is_none() && is_quarantined && !is_being_tried(context) {
         info!(request = context.client.id.as_str(), fingerprint:? = context.fingerprint; "trying a quarantined request");
         context.trial = Some(TrialGuard::new(&context.shared, context.fingerprint));
     }
@@ -106,6 +103,12 @@
     }
 }
 
+/// Returns whether this is the trial of the request, and no target may have executed it yet.
+fn is_being_tried(context: &RequestContext) -> bool {
+    let trial = context.trial.as_ref();
+    trial.is_some_and(|trial| !trial.may_have_executed.get())
+}
+
 fn quarantine_remaining(context: &RequestContext) -> Option<Millis> {
     let shared = &context.shared;
     let crash_quarantine = shared.crash_quarantine.borrow();
