--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -93,6 +93,7 @@
         "late-drain" => late_drain(&setting),
         "cold-burst" => cold_burst(&setting),
         "poison" => poison(&setting),
+        "silent-poison" => silent_poison(&setting),
         _ => Err("unknown case".into()),
     }?;
     setting.line(if is_broken {
@@ -161,7 +162,7 @@
     const CLIENTS: usize = 8;
     setting
         .store
-        .put("config", "main", &configuration(12_000, 1));
+        .put("config", "main", &configuration(12_000, 12_000, 1));
     let behaviour = Behaviour {
         work: Duration::from_millis(15),
         answer_bytes: 400_000,
@@ -222,7 +223,9 @@
 fn late_drain(setting: &Setting) -> Result<bool, Failure> {
     const ZONE: &str = "kagoshima";
     const DRAIN_MS: f64 = 2_000.0;
-    setting.store.put("config", "main", &configuration(800, 1));
+    setting
+        .store
+        .put("config", "main", &configuration(800, 800, 1));
     let behaviour = Behaviour {
         work: Duration::from_millis(15),
         answer_bytes: 800,
@@ -336,7 +339,7 @@
     const BOUND: f64 = 8.9 * 1.5 + 5.0;
     setting
         .store
-        .put("config", "main", &configuration(1_500, 1));
+        .put("config", "main", &configuration(1_500, 1_500, 1));
     let behaviour = Behaviour {
         work: Duration::from_millis(60),
         answer_bytes: 800,
@@ -409,11 +412,10 @@
 
 /// A request that crashes the engines that run it comes again for more than a minute.
 fn poison(setting: &Setting) -> Result<bool, Failure> {
-    const CONTACT: Duration = Duration::from_secs(3);
     const ENGINES: usize = 9;
     setting
         .store
-        .put("config", "main", &configuration(1_500, 2));
+        .put("config", "main", &configuration(1_500, 1_500, 2));
     let behaviour = Behaviour {
         work: Duration::from_millis(15),
         answer_bytes: 800,
@@ -459,19 +461,72 @@
         let _panicked = restart.join();
     }
     check_running(&mut instances)?;
-    let mut crashes: Vec<(Instant, String)> =
-        engines.iter().flat_map(|engine| engine.crashes()).collect();
+    Ok(count_late_crashes(setting, &engines))
+}
+
+/// A request that crashes the engines that run it, which fall silent, comes again every 2 s.
+fn silent_poison(setting: &Setting) -> Result<bool, Failure> {
+    const ENGINES: usize = 9;
+    setting
+        .store
+        .put("config", "main", &configuration(800, 100, 2));
+    let behaviour = Behaviour {
+        work: Duration::from_millis(15),
+        answer_bytes: 800,
+        deadly_body: setting.has_trouble.then(|| "poison".to_owned()),
+        crashes_silently: true,
+        ..Behaviour::default()
+    };
+    let mut engines = Vec::new();
+    for number in 1..=ENGINES {
+        engines.push(setting.engine(&format!("i-{number}"), "arita", behaviour.clone())?);
+    }
+    let mut instances = [
+        setting.instance(1, "arita")?,
+        setting.instance(2, "arita")?,
+        setting.instance(3, "arita")?,
+    ];
+    for instance in &instances {
+        instance.wait_until_ready()?;
+    }
+    thread::sleep(seconds(4.0));
+    let is_ended = Arc::new(AtomicBool::new(false));
+    let restarts: Vec<_> = engines
+        .iter()
+        .map(|engine| restart_after_crashes(engine, &is_ended))
+        .collect();
+    for round in 0..10 {
+        let request = ClientRequest {
+            body: "poison".to_owned(),
+            ..request("POST", "lookup", format!("poison-{round}"))
+        };
+        let address = instances[round % instances.len()].client_address();
+        call(&setting.record, address, &request);
+        thread::sleep(seconds(2.0));
+    }
+    is_ended.store(true, Ordering::Relaxed);
+    for restart in restarts {
+        let _panicked = restart.join();
+    }
+    check_running(&mut instances)?;
+    Ok(count_late_crashes(setting, &engines))
+}
+
+/// Returns whether the request crashed engines more than three times later than `contact_ms` after the
+/// third crash.
+fn count_late_crashes(setting: &Setting, engines: &[Arc<Engine>]) -> bool {
+    const CONTACT: Duration = Duration::from_secs(3);
+    let crashes = engines.iter().flat_map(|engine| engine.crashes());
+    let mut crashes: Vec<(Instant, String)> = crashes.collect();
     crashes.sort();
     let Some((third, _)) = crashes.get(2) else {
         setting.line(&format!("the request crashed {} engines", crashes.len()));
-        return Ok(false);
+        return false;
     };
-    let late = crashes
-        .iter()
-        .filter(|(at, _)| *at > *third + CONTACT)
-        .count();
+    let late = crashes.iter().filter(|(at, _)| *at > *third + CONTACT);
+    let late = late.count();
     setting.line(&format!("{} crashes; the request reached engines {late} times later than 3 s after the third, bound 3", crashes.len()));
-    Ok(late > 3)
+    late > 3
 }
 
 /// Starts an engine again 2 s after each of its crashes.
--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -423,6 +423,8 @@
     pub answer_bytes: usize,
     /// Body of the requests that crash the engine when it begins to run them.
     pub deadly_body: Option<String>,
+    /// Whether an engine that crashes falls silent, and its connections end only as it starts again.
+    pub crashes_silently: bool,
     /// Number of requests in one second that crashes the engine while it is cold.
     pub cold_crash_per_s: Option<usize>,
 }
@@ -440,6 +442,14 @@
     sequence: u64,
 }
 
+impl EngineState {
+    fn close_connections(&mut self) {
+        for connection in self.connections.drain(..) {
+            let _closed = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// An engine. It keeps its address and identifier when it starts again.
 pub struct Engine {
     pub id: String,
@@ -502,8 +512,8 @@
             return;
         }
         state.is_up = false;
-        for connection in state.connections.drain(..) {
-            let _closed = connection.shutdown(Shutdown::Both);
+        if !state.behaviour.crashes_silently {
+            state.close_connections();
         }
         drop(state);
         self.record.line(&format!("engine {} ends: {why}", self.id));
@@ -513,6 +523,7 @@
     pub fn start_again(self: &Arc<Self>, cold: Duration) -> Result<(), Failure> {
         let listener = TcpListener::bind(self.address)?;
         let mut state = lock(&self.state);
+        state.close_connections();
         state.is_up = true;
         state.lifetime += 1;
         state.born = unix_ms();
@@ -877,10 +888,10 @@
 
 /// The operator's config: one tenant, and an unsafe and a safe route to the service `desk`, whose
 /// engines are cold for 3 s after a start and tolerate 8.9 requests a second then.
-pub fn configuration(timeout_ms: u64, attempts: u32) -> String {
+pub fn configuration(timeout_ms: u64, goal_ms: u64, attempts: u32) -> String {
     let route = |name: &str, kind: &str| {
         format!(
-            r#"{{"name":"{name}","host":"a.example","path_prefix":"/{name}/","kind":"{kind}","timeout_ms":{timeout_ms},"goal_ms":{timeout_ms},"priority":0,"service":"desk","max_attempts":{attempts},"stages":[],"anonymous":false,"sticky":false,"resumable":false}}"#
+            r#"{{"name":"{name}","host":"a.example","path_prefix":"/{name}/","kind":"{kind}","timeout_ms":{timeout_ms},"goal_ms":{goal_ms},"priority":0,"service":"desk","max_attempts":{attempts},"stages":[],"anonymous":false,"sticky":false,"resumable":false}}"#
         )
     };
     format!(
