--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,17 +14,14 @@
 use std::path::PathBuf;
 use std::process;
 use std::sync::Arc;
-use std::sync::Barrier;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::Answer;
 use platform::Behaviour;
 use platform::ClientRequest;
-use platform::Connection;
 use platform::Engine;
 use platform::Failure;
 use platform::Instance;
@@ -89,11 +86,11 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let is_broken = match case {
-        "slow-reader" => slow_reader(&setting),
         "late-drain" => late_drain(&setting),
-        "cold-burst" => cold_burst(&setting),
+        "cold-restart" => cold_restart(&setting),
         "poison" => poison(&setting),
         "silent-poison" => silent_poison(&setting),
+        "poison-restart" => poison_restart(&setting),
         _ => Err("unknown case".into()),
     }?;
     setting.line(if is_broken {
@@ -157,68 +154,6 @@
     }
 }
 
-/// Clients that do not read for a time while the answer to their booking arrives.
-fn slow_reader(setting: &Setting) -> Result<bool, Failure> {
-    const CLIENTS: usize = 8;
-    setting
-        .store
-        .put("config", "main", &configuration(12_000, 12_000, 1));
-    let behaviour = Behaviour {
-        work: Duration::from_millis(15),
-        answer_bytes: 400_000,
-        ..Behaviour::default()
-    };
-    let engine = setting.engine("i-1", "arita", behaviour)?;
-    let mut instance = setting.instance(1, "arita")?;
-    instance.wait_until_ready()?;
-    let address = instance.client_address();
-    let has_trouble = setting.has_trouble;
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let record = Arc::clone(&setting.record);
-            thread::spawn(move || -> Result<Answer, Failure> {
-                let mut connection = Connection::open(address)?;
-                // The first request makes the connection a kept one.
-                for (number, pause_s) in [(0, 0.0), (1, 2.5)] {
-                    let id = format!("client{client}-{number}");
-                    let request = ClientRequest {
-                        deadline_ms: 12_000,
-                        ..request("POST", "booking", id)
-                    };
-                    connection.send(&request)?;
-                    record.line(&format!("client sends {}", request.id));
-                    if has_trouble {
-                        thread::sleep(seconds(pause_s));
-                    }
-                    let answer = connection.receive();
-                    record.line(&format!("client has of {}: {answer:?}", request.id));
-                    if !answer.is_complete || number == 1 {
-                        return Ok(answer);
-                    }
-                }
-                Err("not reached".into())
-            })
-        })
-        .collect();
-    let mut cut = 0;
-    for (client, thread) in clients.into_iter().enumerate() {
-        let answer = thread.join().map_err(|_| "a client failed")??;
-        let id = format!("client{client}-1");
-        let has_run = engine
-            .runs()
-            .iter()
-            .any(|run| run.request == id && run.is_complete);
-        if has_run && !answer.is_complete {
-            cut += 1;
-        }
-    }
-    check_running(std::slice::from_mut(&mut instance))?;
-    setting.line(&format!(
-        "{cut} of {CLIENTS} requests ran at a sound engine and were closed without a whole answer"
-    ));
-    Ok(cut > 3)
-}
-
 /// An engine leaves while the instance that watches the store for others is suspended.
 fn late_drain(setting: &Setting) -> Result<bool, Failure> {
     const ZONE: &str = "kagoshima";
@@ -332,22 +267,21 @@
     }
 }
 
-/// Many clients come at once while an engine is cold.
-fn cold_burst(setting: &Setting) -> Result<bool, Failure> {
-    const CLIENTS_PER_INSTANCE: usize = 12;
+/// An engine crashes and is back cold under its id while the store is away.
+fn cold_restart(setting: &Setting) -> Result<bool, Failure> {
     /// `cold_per_s` x `cold_multiplier` + `cold_tolerance`.
     const BOUND: f64 = 8.9 * 1.5 + 5.0;
     setting
         .store
         .put("config", "main", &configuration(1_500, 1_500, 1));
     let behaviour = Behaviour {
-        work: Duration::from_millis(60),
+        work: Duration::from_millis(15),
         answer_bytes: 800,
         cold_crash_per_s: Some(22),
         ..Behaviour::default()
     };
-    let returning = setting.engine("i-arita", "arita", behaviour.clone())?;
-    let _other = setting.engine("i-hakata", "hakata", behaviour)?;
+    let crashing = setting.engine("i-crashing", "arita", behaviour.clone())?;
+    let _other = setting.engine("i-other", "arita", behaviour)?;
     let mut instances = [
         setting.instance(1, "arita")?,
         setting.instance(2, "arita")?,
@@ -357,56 +291,46 @@
         instance.wait_until_ready()?;
     }
     thread::sleep(seconds(4.0));
+    // 48 requests a second in all.
+    let interval = Duration::from_micros(62_500);
+    let names = ["first", "second", "third"];
+    let traffic: Vec<Traffic> = instances
+        .iter()
+        .zip(names)
+        .map(|(instance, name)| Traffic::start(setting, name, instance.client_address(), interval))
+        .collect();
+    thread::sleep(seconds(4.0));
     if setting.has_trouble {
-        returning.stop("the engines of its zone are down");
-        setting.store.remove("servers", &returning.id);
+        setting.store.set_away(true);
+        setting.line("the store turns all callers away");
         thread::sleep(seconds(2.0));
-        returning.start_again(Duration::from_secs(3))?;
-    }
-    thread::sleep(seconds(0.5));
-    // The clients have their connections open and send at the same moment.
-    let barrier = Arc::new(Barrier::new(instances.len()));
-    let mut crowds = Vec::new();
-    for instance in &instances {
-        let (barrier, record) = (Arc::clone(&barrier), Arc::clone(&setting.record));
-        let (address, name) = (instance.client_address(), instance.name.clone());
-        crowds.push(thread::spawn(move || -> Result<Vec<Answer>, Failure> {
-            let mut clients = Vec::new();
-            for client in 0..CLIENTS_PER_INSTANCE {
-                let request = request("POST", "booking", format!("{name}-{client}"));
-                clients.push((Connection::open(address)?, request));
-            }
-            thread::sleep(seconds(0.2));
-            barrier.wait();
-            for (connection, request) in &mut clients {
-                connection.send(request)?;
-            }
-            let mut answers = Vec::new();
-            for (mut connection, request) in clients {
-                record.line(&format!("client has sent {} to {address}", request.id));
-                let answer = connection.receive();
-                record.line(&format!("client has of {}: {answer:?}", request.id));
-                answers.push(answer);
-            }
-            Ok(answers)
-        }));
+        crashing.stop("it crashes");
+        thread::sleep(seconds(1.0));
+        crashing.start_again(Duration::from_secs(3))?;
     }
-    let mut lost = 0;
-    for crowd in crowds {
-        let answers = crowd.join().map_err(|_| "a client failed")??;
-        let is_lost = |answer: &&Answer| !matches!(answer.status, 200 | 503);
-        lost += answers.iter().filter(is_lost).count();
+    let back_at = Instant::now();
+    thread::sleep(seconds(5.0));
+    setting.store.set_away(false);
+    setting.line("the store serves all callers");
+    thread::sleep(seconds(1.0));
+    for traffic in traffic {
+        traffic.stop();
     }
     check_running(&mut instances)?;
-    let runs = returning.runs();
-    let in_second = |first: &Run| {
-        let since = runs.iter().filter(|run| run.started >= first.started);
+    let runs = crashing.runs();
+    let cold_end = back_at + Duration::from_secs(3);
+    let is_cold = |run: &&Run| run.started >= back_at && run.started < cold_end;
+    let cold: Vec<&Run> = runs.iter().filter(is_cold).collect();
+    let in_second = |first: &&Run| {
+        let since = cold.iter().filter(|run| run.started >= first.started);
         since
             .filter(|run| run.started - first.started < Duration::from_secs(1))
             .count()
     };
-    let most = runs.iter().map(in_second).max().unwrap_or(0);
-    setting.line(&format!("at most {most} requests in one second at i-arita, bound {BOUND:.2} while it is cold; {lost} bookings ended with neither an answer nor a refusal"));
+    let most = cold.iter().map(in_second).max().unwrap_or(0);
+    setting.line(&format!(
+        "at most {most} requests in one second at i-crashing in the 3 s after its start, bound {BOUND:.2} if it is cold"
+    ));
     Ok(setting.has_trouble && most as f64 > BOUND)
 }
 
@@ -512,6 +436,69 @@
     Ok(count_late_crashes(setting, &engines))
 }
 
+/// A request that crashes the engines that run it comes again after all instances were killed.
+fn poison_restart(setting: &Setting) -> Result<bool, Failure> {
+    const ENGINES: usize = 9;
+    setting
+        .store
+        .put("config", "main", &configuration(1_500, 1_500, 2));
+    let behaviour = Behaviour {
+        work: Duration::from_millis(15),
+        answer_bytes: 800,
+        deadly_body: Some("poison".to_owned()),
+        ..Behaviour::default()
+    };
+    let mut engines = Vec::new();
+    for number in 1..=ENGINES {
+        engines.push(setting.engine(&format!("i-{number}"), "arita", behaviour.clone())?);
+    }
+    let mut instances = [
+        setting.instance(1, "arita")?,
+        setting.instance(2, "arita")?,
+        setting.instance(3, "arita")?,
+    ];
+    for instance in &instances {
+        instance.wait_until_ready()?;
+    }
+    thread::sleep(seconds(4.0));
+    let is_ended = Arc::new(AtomicBool::new(false));
+    let restarts: Vec<_> = engines
+        .iter()
+        .map(|engine| restart_after_crashes(engine, &is_ended))
+        .collect();
+    for round in 0..6 {
+        if round == 3 && setting.has_trouble {
+            for instance in &mut instances {
+                instance.kill()?;
+                setting.line(&format!("{} is killed", instance.name));
+            }
+            thread::sleep(seconds(0.5));
+            for instance in &mut instances {
+                instance.spawn()?;
+                instance.wait_until_ready()?;
+                setting.line(&format!("{} is ready again", instance.name));
+            }
+            // All count as in touch again after 3 s.
+            thread::sleep(seconds(3.5));
+        }
+        for repeat in 0..4 {
+            let request = ClientRequest {
+                body: "poison".to_owned(),
+                ..request("POST", "lookup", format!("poison-{round}-{repeat}"))
+            };
+            let address = instances[(round + repeat) % instances.len()].client_address();
+            call(&setting.record, address, &request);
+        }
+        thread::sleep(seconds(4.0));
+    }
+    is_ended.store(true, Ordering::Relaxed);
+    for restart in restarts {
+        let _panicked = restart.join();
+    }
+    check_running(&mut instances)?;
+    Ok(count_late_crashes(setting, &engines))
+}
+
 /// Returns whether the request crashed engines more than three times later than `contact_ms` after the
 /// third crash.
 fn count_late_crashes(setting: &Setting, engines: &[Arc<Engine>]) -> bool {
--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -187,6 +187,8 @@
     events: Vec<(u64, String, String)>,
     /// Labels of the instances that the store turns away.
     refused: BTreeSet<String>,
+    /// Whether the store turns all callers away.
+    is_away: bool,
     /// When the store answered each instance last, by its label.
     served_at: BTreeMap<String, Instant>,
 }
@@ -228,6 +230,16 @@
         self.changed.notify_all();
     }
 
+    /// Turns all callers away with 503, or serves them again.
+    pub fn set_away(&self, is_away: bool) {
+        lock(&self.content).is_away = is_away;
+        self.changed.notify_all();
+    }
+
+    fn is_away(&self) -> bool {
+        lock(&self.content).is_away
+    }
+
     /// Returns when the store answered an instance last.
     pub fn served_at(&self, label: &str) -> Option<Instant> {
         lock(&self.content).served_at.get(label).copied()
@@ -297,7 +309,7 @@
         };
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         let mut content = lock(&self.content);
-        if content.refused.contains(label) {
+        if content.is_away || content.refused.contains(label) {
             return REFUSED;
         }
         content.served_at.insert(label.to_owned(), Instant::now());
@@ -368,7 +380,7 @@
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut content = lock(&self.content);
         loop {
-            if content.refused.contains(label) {
+            if content.is_away || content.refused.contains(label) {
                 return None;
             }
             let later = content.events.iter();
@@ -410,10 +422,7 @@
 /// A run of a request at an engine.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub request: String,
     pub started: Instant,
-    /// Whether the whole answer was written.
-    pub is_complete: bool,
 }
 
 /// How an engine behaves.
@@ -519,7 +528,7 @@
         self.record.line(&format!("engine {} ends: {why}", self.id));
     }
 
-    /// Begins a new lifetime, cold for a time, and writes the entry.
+    /// Begins a new lifetime, cold for a time, and writes the entry unless the store is away.
     pub fn start_again(self: &Arc<Self>, cold: Duration) -> Result<(), Failure> {
         let listener = TcpListener::bind(self.address)?;
         let mut state = lock(&self.state);
@@ -531,8 +540,15 @@
         let lifetime = state.lifetime;
         drop(state);
         self.accept(listener, lifetime)?;
-        self.write_entry("ready", cold.as_millis());
         let cold_ms = cold.as_millis();
+        if self.store.is_away() {
+            let id = &self.id;
+            self.record.line(&format!(
+                "engine {id} is back, cold for {cold_ms} ms; the store is away, so its entry is the old one"
+            ));
+            return Ok(());
+        }
+        self.write_entry("ready", cold_ms);
         self.record.line(&format!(
             "engine {} is back, cold for {cold_ms} ms; entry acked",
             self.id
@@ -590,13 +606,17 @@
             if !self.is_in(lifetime) {
                 return Ok(());
             }
+            if request.path == "/healthz" {
+                writer.write_all(&self.health())?;
+                continue;
+            }
             let id = request.header("x-arbutushaven-request-id").to_owned();
             if request.header("x-arbutushaven-expect-instance") != self.id {
                 let headers = [("x-arbutushaven-instance-id", self.id.as_str())];
                 writer.write_all(&response("421 Misdirected Request", &headers, b""))?;
                 continue;
             }
-            let (index, behaviour, is_crash) = self.begin(&id, &request);
+            let (behaviour, is_crash) = self.begin(&id, &request);
             if is_crash {
                 return Ok(());
             }
@@ -611,20 +631,25 @@
             ];
             let body = vec![b'x'; behaviour.answer_bytes.max(1)];
             writer.write_all(&response("200 OK", &headers, &body))?;
-            lock(&self.state).runs[index].is_complete = true;
         }
     }
 
-    /// Begins to run a request; returns its index, and whether the engine crashes.
-    fn begin(self: &Arc<Self>, id: &str, request: &Request) -> (usize, Behaviour, bool) {
+    fn health(&self) -> Vec<u8> {
+        let cold_until = lock(&self.state).cold_until;
+        let cold = cold_until.saturating_duration_since(Instant::now());
+        let cold_ms = cold.as_millis().to_string();
+        let headers = [
+            ("x-arbutushaven-instance-id", self.id.as_str()),
+            ("x-arbutushaven-cold-ms", cold_ms.as_str()),
+        ];
+        response("200 OK", &headers, b"")
+    }
+
+    /// Begins to run a request; returns whether the engine crashes.
+    fn begin(self: &Arc<Self>, id: &str, request: &Request) -> (Behaviour, bool) {
         let now = Instant::now();
         let mut state = lock(&self.state);
-        let index = state.runs.len();
-        state.runs.push(Run {
-            request: id.to_owned(),
-            started: now,
-            is_complete: false,
-        });
+        state.runs.push(Run { started: now });
         let behaviour = state.behaviour.clone();
         let last_second = state.runs.iter().rev();
         let in_second = last_second.take_while(|run| now - run.started < Duration::from_secs(1));
@@ -654,7 +679,7 @@
             };
             self.stop(why);
         }
-        (index, behaviour, is_crash)
+        (behaviour, is_crash)
     }
 }
 
