--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -240,7 +240,7 @@
 }
 
 /// The store cuts off the watches of an instance and loses the response to the list that follows,
-/// while an engine leaves.
+/// whichever instance asks for it, as an engine leaves.
 fn lost_list(setting: &Setting) -> Result<bool, Failure> {
     const ZONE: &str = "kagoshima";
     const DRAIN: Duration = Duration::from_millis(2_000);
@@ -266,27 +266,32 @@
     let address = instances[watcher].client_address();
     let traffic = Traffic::start(setting, "booking", address, Duration::from_millis(25));
     thread::sleep(seconds(4.0));
+    let acked = Instant::now();
     if setting.has_trouble {
-        setting.store.cut_watches(&name, "servers");
+        let names: Vec<String> = instances.iter().map(|other| other.name.clone()).collect();
+        let store = &setting.store;
+        store.remove_and_cut("servers", &leaving.id, &name, &names);
         setting.line(&format!("the store cuts off the watches of {name}"));
+    } else {
+        setting.store.remove("servers", &leaving.id);
     }
-    thread::sleep(Duration::from_millis(20));
-    setting.store.remove("servers", &leaving.id);
-    let acked = Instant::now();
     setting.line("the entry of i-leaving is removed; acked by the store");
     thread::sleep(seconds(6.0));
     leaving.stop("it has left");
     thread::sleep(seconds(0.5));
     traffic.stop();
     check_running(&mut instances)?;
-    let lost_at = setting.store.lost_at();
-    if let Some(lost_at) = lost_at {
-        let at = setting.record.at(lost_at);
-        setting.line(&format!("the response to the list was lost at {at:.4}"));
+    let lost = setting.store.lost();
+    for (name, at) in &lost {
+        let at = setting.record.at(*at);
+        setting.line(&format!(
+            "the response to a list by {name} was lost at {at:.4}"
+        ));
     }
+    let lost_at = lost.iter().map(|(_, at)| *at).max();
     let runs = leaving.runs();
     let late = runs.iter().filter(|run| run.started > acked + DRAIN);
-    // The lost response counts as a disruption of the store: nobody is in touch for 3 s.
+    // A lost response counts as a disruption of the store: nobody is in touch for 3 s.
     let in_touch = |run: &&Run| lost_at.is_none_or(|at| run.started > at + CONTACT);
     let late: Vec<&Run> = late.filter(in_touch).collect();
     let latest = late.iter().map(|run| run.started - acked).max();
--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -196,14 +196,27 @@
     is_away: bool,
     /// How often the waiting watches of an instance were cut off.
     cuts: BTreeMap<String, u64>,
-    /// The instances and kinds of which the response to the next list is lost.
-    losses: BTreeSet<(String, String)>,
-    /// When a response was lost.
-    lost_at: Option<Instant>,
+    /// The instances and kinds of which the response to the next list is lost, and until when.
+    losses: BTreeMap<(String, String), Instant>,
+    /// The instances to which a response was lost, and when.
+    lost: Vec<(String, Instant)>,
     /// When the store answered each instance last, by its label.
     served_at: BTreeMap<String, Instant>,
 }
 
+impl Content {
+    fn remove(&mut self, kind: &str, name: &str) {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(mut object) = self.objects.remove(&key) {
+            self.revision += 1;
+            object.revision = self.revision;
+            let event = format!(r#"{{"deleted":true,"object":{}}}"#, object.json(name));
+            let revision = self.revision;
+            self.events.push((revision, kind.to_owned(), event));
+        }
+    }
+}
+
 /// The platform's store. Each instance has an address of its own, so that the store can turn some
 /// of them away.
 #[derive(Default)]
@@ -241,19 +254,25 @@
         self.changed.notify_all();
     }
 
-    /// Cuts off the watches of an instance that are waiting, and loses the response to its next list
-    /// of a kind.
-    pub fn cut_watches(&self, label: &str, kind: &str) {
+    /// Removes an object, cuts off the watches of an instance that are waiting instead of answering
+    /// them, and loses the response to the next list of that kind by each of some instances, if it
+    /// comes within a second.
+    pub fn remove_and_cut(&self, kind: &str, name: &str, watcher: &str, losers: &[String]) {
         let mut content = lock(&self.content);
-        *content.cuts.entry(label.to_owned()).or_default() += 1;
-        content.losses.insert((label.to_owned(), kind.to_owned()));
+        content.remove(kind, name);
+        *content.cuts.entry(watcher.to_owned()).or_default() += 1;
+        let until = Instant::now() + Duration::from_secs(1);
+        for loser in losers {
+            let loss = (loser.to_owned(), kind.to_owned());
+            content.losses.insert(loss, until);
+        }
         drop(content);
         self.changed.notify_all();
     }
 
-    /// Returns when the response to a list was lost.
-    pub fn lost_at(&self) -> Option<Instant> {
-        lock(&self.content).lost_at
+    /// Returns the instances to which a response was lost, and when.
+    pub fn lost(&self) -> Vec<(String, Instant)> {
+        lock(&self.content).lost.clone()
     }
 
     /// Turns all callers away with 503, or serves them again.
@@ -303,16 +322,7 @@
 
     /// Removes an object; the return is the acknowledgement.
     pub fn remove(&self, kind: &str, name: &str) {
-        let mut content = lock(&self.content);
-        let key = (kind.to_owned(), name.to_owned());
-        if let Some(mut object) = content.objects.remove(&key) {
-            content.revision += 1;
-            object.revision = content.revision;
-            let event = format!(r#"{{"deleted":true,"object":{}}}"#, object.json(name));
-            let revision = content.revision;
-            content.events.push((revision, kind.to_owned(), event));
-        }
-        drop(content);
+        lock(&self.content).remove(kind, name);
         self.changed.notify_all();
     }
 
@@ -367,9 +377,16 @@
                     return self.watch(label, kind, since, wait_ms.unwrap_or(0));
                 }
                 let loss = (label.to_owned(), kind.to_owned());
-                if request.parameter("allow_stale").is_none() && content.losses.remove(&loss) {
-                    content.lost_at = Some(Instant::now());
-                    return (LOST, String::new());
+                if request.parameter("allow_stale").is_none() {
+                    let now = Instant::now();
+                    if content
+                        .losses
+                        .remove(&loss)
+                        .is_some_and(|until| now < until)
+                    {
+                        content.lost.push((label.to_owned(), now));
+                        return (LOST, String::new());
+                    }
                 }
                 let objects = content
                     .objects
